Lay the foundation: messages, rows, replica, settings, links, daemon frame

Cause: every program needs the same typed messages, checked settings, logs and links before a request can be served end to end. Ruled out: one request/reply socket a process; push/pull with state-based messages needs no correlation and loses nothing that the next heartbeat does not repeat. Conclusion: the four programs can be built on it side by side.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+
+.PHONY: setup test format demo fleet bench soak capacity microbench
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+test: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+	$(BIN)/python -m pytest -n 4 $(PYTEST_ARGS)
+
+format: setup
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+fleet: setup
+	$(BIN)/python -m standins.fleet --preset $(or $(PRESET),kyushu)
+
+bench: setup
+	$(BIN)/python -m standins.bench
+
+soak: setup
+	$(BIN)/python -m standins.soak --seed $(or $(SEED),1)
+
+capacity: setup
+	$(BIN)/python -m standins.capacity
+
+microbench: setup
+	$(BIN)/python -m standins.microbench
--- /dev/null
+++ b/src/oleandershift/__init__.py
@@ -0,0 +1,1 @@
+"""A router fleet that shares model capacity fairly between teams."""
--- /dev/null
+++ b/src/oleandershift/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the programs."""
--- /dev/null
+++ b/src/oleandershift/clock.py
@@ -0,0 +1,49 @@
+"""Hybrid logical clock for ordering events over processes."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, order=True)
+class Stamp:
+    """Instant of a hybrid logical clock.
+
+    Parameters
+    ----------
+    wall : int
+        Nanoseconds since the Unix epoch.
+    logical : int
+        Tie-breaker within one `wall`.
+    """
+
+    wall: int
+    logical: int
+
+
+class HybridClock:
+    """Clock whose stamps follow cause and effect over processes.
+
+    Kulkarni et al., "Logical Physical Clocks and Consistent Snapshots in Globally
+    Distributed Databases", 2014.
+    """
+
+    def __init__(self) -> None:
+        self._last = Stamp(0, 0)
+
+    def tick(self, now_ns: int) -> Stamp:
+        """Return the stamp of a local event."""
+        if now_ns > self._last.wall:
+            self._last = Stamp(now_ns, 0)
+        else:
+            self._last = Stamp(self._last.wall, self._last.logical + 1)
+        return self._last
+
+    def receive(self, now_ns: int, remote: Stamp) -> Stamp:
+        """Return the stamp of the receipt of a message stamped `remote`."""
+        wall = max(now_ns, self._last.wall, remote.wall)
+        logical = -1
+        if wall == self._last.wall:
+            logical = self._last.logical
+        if wall == remote.wall:
+            logical = max(logical, remote.logical)
+        self._last = Stamp(wall, logical + 1)
+        return self._last
--- /dev/null
+++ b/src/oleandershift/io/__init__.py
@@ -0,0 +1,1 @@
+"""Shells that connect the decisions to threads, sockets and clocks."""
--- /dev/null
+++ b/src/oleandershift/io/daemon.py
@@ -0,0 +1,223 @@
+"""Frame of a daemon: settings, logs, links, an actor, ticks and signals."""
+
+import argparse
+import os
+import signal
+import sys
+import threading
+import time
+from abc import abstractmethod
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import pykka
+from loguru import logger
+from returns.result import Failure
+
+from oleandershift.events import EventName
+from oleandershift.exceptions import SettingsError
+from oleandershift.ids import FleetId, Incarnation, RegionId, VmId
+from oleandershift.io.links import Links
+from oleandershift.io.logs import EventLog, configure
+from oleandershift.messages import Envelope, ProcessId, Role
+from oleandershift.settings import Setting, load, parser
+
+TICK_SECONDS = 0.05
+STACK_BYTES = 256 * 1024
+
+
+@dataclass(frozen=True)
+class Tick:
+    """Message to an actor: time has passed."""
+
+
+@dataclass(frozen=True)
+class DrainRequested:
+    """Message to an actor: finish the work, take no more, then stop.
+
+    Parameters
+    ----------
+    deadline : float
+        Instant at which to stop even with work running.
+    """
+
+    deadline: float
+
+
+class DaemonActor(pykka.ThreadingActor):
+    """Base of a daemon's actor; stops itself when it has drained.
+
+    Parameters
+    ----------
+    stopped : threading.Event
+        Set when the actor has stopped.
+    """
+
+    def __init__(self, stopped: threading.Event) -> None:
+        super().__init__()
+        self._stopped = stopped
+
+    def on_stop(self) -> None:
+        """Tell the frame that the process may exit."""
+        self._stopped.set()
+
+    def on_failure(self, *_: Any) -> None:
+        """Tell the frame to exit after an error."""
+        self._stopped.set()
+
+    def on_receive(self, message: object) -> Any:
+        """Pass a message to its handler."""
+        if isinstance(message, Envelope):
+            return self.on_envelope(message)
+        if isinstance(message, Tick):
+            return self.on_tick(time.time())
+        if isinstance(message, DrainRequested):
+            return self.on_drain(time.time(), message.deadline)
+        return self.on_other(message)
+
+    @abstractmethod
+    def on_envelope(self, envelope: Envelope) -> None:
+        """Take a message of another process."""
+
+    @abstractmethod
+    def on_tick(self, now: float) -> None:
+        """Take the passage of time."""
+
+    @abstractmethod
+    def on_drain(self, now: float, deadline: float) -> None:
+        """Begin to drain."""
+
+    def on_other(self, message: object) -> Any:
+        """Take a message of the process's own kinds."""
+        raise NotImplementedError(type(message).__name__)
+
+
+@dataclass(frozen=True)
+class Runtime:
+    """What a daemon's actor is built from.
+
+    Parameters
+    ----------
+    cfg : argparse.Namespace
+        Checked settings.
+    process : ProcessId
+        This run of the process.
+    events : EventLog
+        Time line.
+    links : Links
+        Message links; not yet listening.
+    stopped : threading.Event
+        To be set when the process may exit.
+    """
+
+    cfg: argparse.Namespace
+    process: ProcessId
+    events: EventLog
+    links: Links
+    stopped: threading.Event
+
+    @property
+    def region(self) -> RegionId:
+        """Return the region of this VM."""
+        return RegionId(self.cfg.region)
+
+    @property
+    def agent_address(self) -> str:
+        """Return the link address of this VM's agent."""
+        return f"tcp://{self.cfg.ip}:{self.cfg.agent_port}"
+
+
+class _Inbox:
+    """Hands received messages to an actor that is made after the links."""
+
+    def __init__(self) -> None:
+        self.actor: pykka.ActorRef[Any] | None = None
+
+    def __call__(self, envelope: Envelope) -> None:
+        if self.actor is not None and self.actor.is_alive():
+            self.actor.tell(envelope)
+
+
+def read_settings(
+    program: str, purpose: str, settings: Sequence[Setting], argv: Sequence[str] | None
+) -> argparse.Namespace:
+    """Return checked settings, or print every finding and exit.
+
+    Raises
+    ------
+    SystemExit
+        With code 2 when a setting is wrong.
+    """
+    given = parser(program, purpose, settings).parse_args(argv)
+    result = load(settings, given, os.environ)
+    if isinstance(result, Failure):
+        error = SettingsError(result.failure())
+        print(error.message, file=sys.stderr)
+        raise SystemExit(error.exit_code)
+    return result.unwrap()
+
+
+def run(
+    role: Role,
+    link_port: int,
+    cfg: argparse.Namespace,
+    start: Callable[[Runtime], pykka.ActorRef[Any]],
+) -> int:
+    """Run a daemon until it has drained.
+
+    Parameters
+    ----------
+    role : Role
+        What it is.
+    link_port : int
+        Port of its links.
+    cfg : argparse.Namespace
+        Checked settings, with `drain_seconds`.
+    start : callable
+        Starts the actor.
+
+    Returns
+    -------
+    int
+        Exit code.
+    """
+    threading.stack_size(STACK_BYTES)
+    configure(cfg.log_level, cfg.log_file)
+    process = ProcessId(VmId(cfg.vm), role, Incarnation(time.time_ns()))
+    events = EventLog(process, RegionId(cfg.region))
+    inbox = _Inbox()
+    links = Links(
+        FleetId(cfg.fleet),
+        process,
+        RegionId(cfg.region),
+        f"tcp://{cfg.ip}:{link_port}",
+        inbox,
+        events,
+    )
+    stopped = threading.Event()
+    ref = start(Runtime(cfg, process, events, links, stopped))
+    inbox.actor = ref
+    links.start()
+    events.write(EventName.STARTED)
+    _handle_signals(ref, cfg.drain_seconds)
+    while not stopped.wait(TICK_SECONDS):
+        if ref.is_alive():
+            ref.tell(Tick())
+    events.write(EventName.STOPPED)
+    links.close()
+    return 0
+
+
+def _handle_signals(ref: pykka.ActorRef[Any], drain_seconds: float) -> None:
+    signals = []
+
+    def on_signal(number: int, _frame: object) -> None:
+        signals.append(number)
+        if len(signals) > 1:
+            logger.warning("already draining; signal {} ignored", number)
+            return
+        ref.tell(DrainRequested(time.time() + drain_seconds))
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
--- /dev/null
+++ b/src/oleandershift/io/logs.py
@@ -0,0 +1,87 @@
+"""JSON-lines logs and time line events by loguru."""
+
+import sys
+import threading
+import time
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from oleandershift.clock import HybridClock, Stamp
+from oleandershift.events import Event, EventName
+from oleandershift.ids import RegionId
+from oleandershift.messages import ProcessId
+
+
+class EventLog:
+    """Writes events of one process, stamped by its hybrid logical clock.
+
+    Parameters
+    ----------
+    process : ProcessId
+        The process.
+    region : RegionId
+        Its region.
+    """
+
+    def __init__(self, process: ProcessId, region: RegionId) -> None:
+        self._process = process
+        self._region = region
+        self._clock = HybridClock()
+        self._lock = threading.Lock()
+
+    def stamp(self) -> Stamp:
+        """Return the stamp of a local event or of a message to be sent."""
+        with self._lock:
+            return self._clock.tick(time.time_ns())
+
+    def received(self, remote: Stamp) -> None:
+        """Advance the clock past a received message."""
+        with self._lock:
+            self._clock.receive(time.time_ns(), remote)
+
+    def write(self, name: EventName, level: str = "INFO", **fields: str) -> None:
+        """Log an event; `fields` are those of `Event`."""
+        stamp = self.stamp()
+        event = Event(
+            wall=stamp.wall,
+            logical=stamp.logical,
+            vm=self._process.vm,
+            region=self._region,
+            process=self._process.role.value,
+            incarnation=self._process.incarnation,
+            name=name,
+            **fields,
+        )
+        logger.bind(event=event).log(level, name.value)
+
+
+def _format(record: Any) -> str:
+    event = record["extra"].get("event")
+    line: dict[str, object] = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "message": record["message"],
+    }
+    line.update(record["extra"].get("fields", {}))
+    if event is not None:
+        line["event"] = msgspec.to_builtins(event)
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    record["extra"]["line"] = msgspec.json.encode(line).decode()
+    return "{extra[line]}\n"
+
+
+def configure(level: str, path: str) -> None:
+    """Send logs of at least `level` to a file, or to standard error.
+
+    Parameters
+    ----------
+    level : str
+        Least level.
+    path : str
+        File to append to; empty means standard error.
+    """
+    logger.remove()
+    logger.add(path or sys.stderr, level=level, format=_format, catch=True)
--- /dev/null
+++ b/src/oleandershift/settings.py
@@ -0,0 +1,213 @@
+"""Settings in flags and environment variables, checked as a whole."""
+
+import argparse
+import ipaddress
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from importlib.metadata import PackageNotFoundError, version
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from oleandershift.exceptions import Finding
+
+ENVIRONMENT_PREFIX = "OLEANDER_"
+
+
+@dataclass(frozen=True)
+class Setting:
+    """One setting.
+
+    Parameters
+    ----------
+    name : str
+        Field of the resulting namespace, in snake case.
+    parse : callable
+        Turns text into the value; raises `ValueError`.
+    expected : str
+        What is allowed, for findings and help.
+    text : str
+        Help.
+    default : str or None
+        Text of the default; None makes the setting required.
+    """
+
+    name: str
+    parse: Callable[[str], Any]
+    expected: str
+    text: str
+    default: str | None = None
+
+    @property
+    def flag(self) -> str:
+        """Return the command-line flag."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """Return the environment variable."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+
+def text(value: str) -> str:
+    """Parse a text that is not empty."""
+    if not value.strip():
+        raise ValueError("empty")
+    return value
+
+
+def port(value: str) -> int:
+    """Parse a TCP port."""
+    return integer(1, 65535)(value)
+
+
+def integer(low: int, high: int) -> Callable[[str], int]:
+    """Return a parser of integers from `low` to `high`."""
+
+    def parse(value: str) -> int:
+        number = int(value)
+        if not low <= number <= high:
+            raise ValueError("out of range")
+        return number
+
+    return parse
+
+
+def seconds(low: float, high: float) -> Callable[[str], float]:
+    """Return a parser of seconds from `low` to `high`."""
+
+    def parse(value: str) -> float:
+        number = float(value)
+        if not low <= number <= high:
+            raise ValueError("out of range")
+        return number
+
+    return parse
+
+
+def choice(*allowed: str) -> Callable[[str], str]:
+    """Return a parser of one of some words."""
+
+    def parse(value: str) -> str:
+        if value not in allowed:
+            raise ValueError("unknown")
+        return value
+
+    return parse
+
+
+def ip(value: str) -> str:
+    """Parse an IP address."""
+    return str(ipaddress.ip_address(value))
+
+
+def addresses(value: str) -> tuple[str, ...]:
+    """Parse a comma-separated list of `ip:port`; may be empty."""
+    found = tuple(part.strip() for part in value.split(",") if part.strip())
+    for address in found:
+        host, _, number = address.rpartition(":")
+        ip(host)
+        port(number)
+    return found
+
+
+def url(value: str) -> str:
+    """Parse an `http://` or `https://` URL."""
+    if not value.startswith(("http://", "https://")):
+        raise ValueError("not a URL")
+    return value.rstrip("/")
+
+
+COMMON = (
+    Setting("fleet", text, "a name", "name of the fleet", "oleander"),
+    Setting("vm", text, "a name unique in the fleet", "name of this VM"),
+    Setting("region", text, "a name", "region of this VM"),
+    Setting("data_centre", text, "a name", "data centre of this VM"),
+    Setting("ip", ip, "an IP address", "address that this VM's processes bind to"),
+    Setting("agent_port", port, "1 to 65535", "agent's link port", "7101"),
+    Setting("query_port", port, "1 to 65535", "agent's query port", "7104"),
+    Setting("allocator_port", port, "1 to 65535", "allocator's link port", "7102"),
+    Setting("router_port", port, "1 to 65535", "router's link port", "7103"),
+    Setting("http_port", port, "1 to 65535", "router's HTTP port", "8080"),
+    Setting("log_file", str, "a path, or empty for standard error", "JSON lines", ""),
+    Setting(
+        "log_level",
+        choice("DEBUG", "INFO", "WARNING", "ERROR"),
+        "DEBUG, INFO, WARNING or ERROR",
+        "least level logged",
+        "INFO",
+    ),
+    Setting(
+        "metrics",
+        choice("none", "otlp"),
+        "none or otlp",
+        "where metrics go",
+        "none",
+    ),
+)
+"""Settings of every daemon."""
+
+
+def program_version() -> str:
+    """Return the installed version."""
+    try:
+        return version("oleandershift")
+    except PackageNotFoundError:
+        return "0+unknown"
+
+
+def parser(
+    program: str, purpose: str, settings: Sequence[Setting]
+) -> argparse.ArgumentParser:
+    """Return an argument parser with a flag for each setting."""
+    made = argparse.ArgumentParser(program, description=purpose)
+    made.add_argument("--version", action="version", version=program_version())
+    for setting in settings:
+        default = "required" if setting.default is None else repr(setting.default)
+        made.add_argument(
+            setting.flag,
+            dest=setting.name,
+            metavar=setting.name.upper(),
+            help=f"{setting.text} ({setting.expected}; {default}) [{setting.variable}]",
+        )
+    return made
+
+
+def load(
+    settings: Sequence[Setting],
+    given: argparse.Namespace,
+    environment: Mapping[str, str],
+) -> Result[argparse.Namespace, tuple[Finding, ...]]:
+    """Check all settings together.
+
+    Parameters
+    ----------
+    settings : sequence of Setting
+        What the program takes.
+    given : argparse.Namespace
+        Flags, None where absent; a flag goes before its variable.
+    environment : mapping
+        Environment variables.
+
+    Returns
+    -------
+    Result
+        The checked values, or every finding.
+    """
+    values = argparse.Namespace()
+    findings = []
+    for setting in settings:
+        raw = getattr(given, setting.name, None)
+        if raw is None:
+            raw = environment.get(setting.variable, setting.default)
+        place = f"{setting.flag} ({setting.variable})"
+        if raw is None:
+            findings.append(Finding(place, "", setting.expected))
+            continue
+        try:
+            setattr(values, setting.name, setting.parse(raw))
+        except ValueError:
+            findings.append(Finding(place, raw, setting.expected))
+    if findings:
+        return Failure(tuple(findings))
+    return Success(values)
--- /dev/null
+++ b/src/oleandershift/subscription.py
@@ -0,0 +1,102 @@
+"""A daemon's subscription to members and table at its VM's agent."""
+
+from dataclasses import dataclass
+
+from oleandershift.ids import Seq
+from oleandershift.messages import (
+    Body,
+    Member,
+    MembersView,
+    Row,
+    RowsUpdate,
+    Subscribe,
+)
+from oleandershift.replica import Replica, Table
+
+HEARTBEAT_SECONDS = 1.0
+
+
+@dataclass(frozen=True)
+class Changes:
+    """What a message changed.
+
+    Parameters
+    ----------
+    rows : tuple of Row
+        Rows that are new or newer.
+    members : bool
+        The membership changed.
+    """
+
+    rows: tuple[Row, ...] = ()
+    members: bool = False
+
+
+class Subscription:
+    """Keeps a daemon's table and members as its VM's agent gives them.
+
+    Parameters
+    ----------
+    address : str
+        Link address of the daemon.
+
+    Attributes
+    ----------
+    table : Table
+        Typed view of the rows.
+    members : dict
+        Members by VM.
+    leaving : frozenset
+        Upstreams that the platform's list calls leaving.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.table = Table()
+        self.members: dict[str, Member] = {}
+        self.leaving: frozenset[str] = frozenset()
+        self._address = address
+        self._replica = Replica()
+        self._seq = Seq(0)
+        self._agent = 0
+        self._next_heartbeat = 0.0
+
+    def is_complete(self) -> bool:
+        """Tell whether a whole table has been received."""
+        return self._replica.complete
+
+    def digest(self) -> bytes:
+        """Return the digest of the table in force."""
+        return self._replica.digest()
+
+    def on_tick(self, now: float, ready: bool) -> tuple[Body, ...]:
+        """Return the messages due to the agent."""
+        if now < self._next_heartbeat:
+            return ()
+        self._next_heartbeat = now + HEARTBEAT_SECONDS
+        return (Subscribe(self._address, self._replica.digest(), self._seq, ready),)
+
+    def on_message(self, agent: int, body: Body) -> Changes:
+        """Take a message of the agent.
+
+        Parameters
+        ----------
+        agent : int
+            Incarnation of the sending agent; a newer one's sequence starts again.
+        body : Body
+            The message; others than rows and members are ignored.
+        """
+        if isinstance(body, RowsUpdate):
+            taken = self._replica.apply(body.rows, body.complete)
+            self.table.update(taken)
+            return Changes(rows=taken)
+        if isinstance(body, MembersView):
+            return Changes(members=self._take_members(agent, body))
+        return Changes()
+
+    def _take_members(self, agent: int, view: MembersView) -> bool:
+        if (agent, view.seq) <= (self._agent, self._seq):
+            return False
+        self._agent, self._seq = agent, view.seq
+        self.members = {member.vm: member for member in view.members}
+        self.leaving = frozenset(view.leaving_upstreams)
+        return True
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for outside systems, and tools that run them; not installed."""
