Add the platform stand-in

Tests and the local fleet need an object API with versions, conditional writes, watches and faults. A thread a connection is enough at their size.

--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,315 @@
+"""Stand-in for the platform: object API with watches, VM list, faults by control."""
+
+import argparse
+import random
+import threading
+import time
+from collections import Counter
+from enum import Enum
+
+import msgspec
+
+from standins.objects import (
+    ObjectStore,
+    RevisionGoneError,
+    VersionConflictError,
+)
+from standins.process import run_until_stopped
+from standins.server import Control, Exchange, Server
+
+MAX_VALUE_BYTES = 1 << 20
+DEFAULT_PAGE = 500
+MAX_WATCH_SECONDS = 60.0
+
+
+class Outage(Enum):
+    """How an unavailable platform answers."""
+
+    NONE = "none"
+    CLOSED = "closed"
+    UNAVAILABLE = "unavailable"
+    OVERLOADED = "overloaded"
+
+
+class Loss(Enum):
+    """Which answers are lost after the call has taken effect."""
+
+    NONE = "none"
+    EACH = "each"
+    SECOND = "second"
+    RANDOM = "random"
+
+
+class PlatformFaults(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Faults in force.
+
+    Parameters
+    ----------
+    outage : Outage
+        How calls fail.
+    slow_seconds : float
+        Delay of each answer.
+    lose : Loss
+        Which answers are lost after the effect.
+    lose_probability : float
+        For `Loss.RANDOM`.
+    lose_seed : int
+        For `Loss.RANDOM`.
+    lose_writes_only : bool
+        Answers to reads are not lost.
+    vm_lag_seconds : float
+        Age at which a change of the VM list becomes visible.
+    """
+
+    outage: Outage = Outage.NONE
+    slow_seconds: float = 0.0
+    lose: Loss = Loss.NONE
+    lose_probability: float = 0.5
+    lose_seed: int = 1
+    lose_writes_only: bool = True
+    vm_lag_seconds: float = 0.0
+
+
+class VmEntryState(Enum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class VmEntry(msgspec.Struct, frozen=True):
+    """One VM in the platform's list."""
+
+    name: str
+    region: str
+    ip: str
+    state: VmEntryState = VmEntryState.LIVE
+
+
+class Counters(msgspec.Struct, frozen=True):
+    """Calls so far by type, and watches that wait now."""
+
+    calls: dict[str, int]
+    lost: int
+    refused: int
+    waiting_watches: int
+
+
+class VmList(msgspec.Struct, frozen=True):
+    """Answer to the call for VMs."""
+
+    vms: tuple[VmEntry, ...]
+
+
+_STATUS = {Outage.UNAVAILABLE: 503, Outage.OVERLOADED: 429}
+
+
+class Platform:
+    """Platform stand-in on threads of this process.
+
+    Parameters
+    ----------
+    ip : str
+        Address to listen on.
+    port, control_port : int
+        Ports; 0 takes a free one.
+    """
+
+    def __init__(
+        self, ip: str = "127.0.0.1", port: int = 0, control_port: int = 0
+    ) -> None:
+        self.store = ObjectStore()
+        self._lock = threading.Lock()
+        self._calls: Counter[str] = Counter()
+        self._exposed = 0
+        self._lost = 0
+        self._refused = 0
+        self._watches = 0
+        self._vms: list[tuple[float, tuple[VmEntry, ...]]] = []
+        self._faults = PlatformFaults()
+        self._random = random.Random(self._faults.lose_seed)
+        self._server = Server(ip, port, self._handle)
+        self.url = self._server.url
+        routes = {
+            "GET /counters": lambda _: self.counters(),
+            "GET /faults": lambda _: self._faults,
+            "PUT /faults": lambda body: self.set_faults(
+                msgspec.json.decode(body, type=PlatformFaults)
+            ),
+            "PUT /vms": lambda body: self.set_vms(
+                msgspec.json.decode(body, type=tuple[VmEntry, ...])
+            ),
+            "POST /forget-history": lambda _: self.store.forget_history(),
+        }
+        self._control = Control(ip, control_port, routes)
+        self.control_url = self._control.url
+
+    def start(self) -> None:
+        """Begin to answer."""
+        self._server.start()
+        self._control.start()
+
+    def stop(self) -> None:
+        """Stop answering."""
+        self.set_faults(PlatformFaults(outage=Outage.CLOSED))
+        self._server.stop()
+        self._control.stop()
+
+    def set_faults(self, faults: PlatformFaults) -> None:
+        """Replace the faults in force."""
+        with self._lock:
+            if faults.lose_seed != self._faults.lose_seed:
+                self._random = random.Random(faults.lose_seed)
+            self._faults = faults
+        self.store.wake()
+        if faults.outage is Outage.CLOSED:
+            self._server.abort_all()
+
+    def set_vms(self, vms: tuple[VmEntry, ...]) -> None:
+        """Replace the VM list; visible after the lag."""
+        with self._lock:
+            self._vms.append((time.monotonic(), vms))
+
+    def counters(self) -> Counters:
+        """Return the calls so far."""
+        with self._lock:
+            return Counters(dict(self._calls), self._lost, self._refused, self._watches)
+
+    def _handle(self, exchange: Exchange) -> None:
+        parts = exchange.path.strip("/").split("/")
+        call = _call_name(exchange.method, parts)
+        with self._lock:
+            self._calls[call] += 1
+        if self._refuse(exchange):
+            return
+        time.sleep(self._faults.slow_seconds)
+        try:
+            status, answer = self._answer(call, parts, exchange)
+        except VersionConflictError as exc:
+            status, answer = 412, exc.current
+        except RevisionGoneError:
+            status, answer = 410, {"error": "revision is no longer kept"}
+        except (ValueError, msgspec.DecodeError) as exc:
+            status, answer = 400, {"error": str(exc)}
+        if self._refuse(exchange):
+            return
+        if self._loses(call):
+            exchange.abort()
+            return
+        exchange.json(status, answer)
+
+    def _refuse(self, exchange: Exchange) -> bool:
+        outage = self._faults.outage
+        if outage is Outage.NONE:
+            return False
+        with self._lock:
+            self._refused += 1
+        if outage is Outage.CLOSED:
+            exchange.abort()
+        else:
+            headers = {"Retry-After": "1"}
+            exchange.json(_STATUS[outage], {"error": outage.value}, headers)
+        return True
+
+    def _loses(self, call: str) -> bool:
+        with self._lock:
+            faults = self._faults
+            if faults.lose_writes_only and call not in {"put", "delete"}:
+                return False
+            if faults.lose is Loss.NONE:
+                return False
+            self._exposed += 1
+            if faults.lose is Loss.RANDOM:
+                lost = self._random.random() < faults.lose_probability
+            else:
+                lost = faults.lose is Loss.EACH or self._exposed % 2 == 0
+            self._lost += lost
+            return lost
+
+    def _answer(
+        self, call: str, parts: list[str], exchange: Exchange
+    ) -> tuple[int, object]:
+        if call == "vms":
+            return 200, VmList(self._visible_vms())
+        if call == "list":
+            limit = int(exchange.query.get("limit", DEFAULT_PAGE))
+            return 200, self.store.page(
+                parts[2], limit, exchange.query.get("after", "")
+            )
+        if call == "watch":
+            return 200, self._watch(parts[2], exchange)
+        if call == "get":
+            found = self.store.get(parts[2], parts[3])
+            return (404, {"error": "not found"}) if found is None else (200, found)
+        if call == "put":
+            return self._put(parts[2], parts[3], exchange)
+        if call == "delete":
+            expected = _version(exchange.headers.get("If-Match", ""))
+            gone = self.store.delete(parts[2], parts[3], expected)
+            return (404, {"error": "not found"}) if gone is None else (200, gone)
+        return 404, {"error": "no such call"}
+
+    def _put(self, kind: str, name: str, exchange: Exchange) -> tuple[int, object]:
+        if len(exchange.body) > MAX_VALUE_BYTES:
+            return 413, {"error": f"values are at most {MAX_VALUE_BYTES} bytes"}
+        msgspec.json.decode(exchange.body)
+        if exchange.headers.get("If-None-Match") == "*":
+            return 201, self.store.put(kind, name, exchange.body, None)
+        expected = _version(exchange.headers.get("If-Match", ""))
+        return 200, self.store.put(kind, name, exchange.body, expected)
+
+    def _watch(self, kind: str, exchange: Exchange) -> object:
+        wanted = float(exchange.query.get("timeout", 30))
+        deadline = time.monotonic() + min(wanted, MAX_WATCH_SECONDS)
+        since = int(exchange.query["from"]) if "from" in exchange.query else 0
+        self._count_watch(1)
+        try:
+            return self.store.watch(kind, since, deadline, self._is_out)
+        finally:
+            self._count_watch(-1)
+
+    def _count_watch(self, step: int) -> None:
+        with self._lock:
+            self._watches += step
+
+    def _is_out(self) -> bool:
+        return self._faults.outage is not Outage.NONE
+
+    def _visible_vms(self) -> tuple[VmEntry, ...]:
+        with self._lock:
+            newest = time.monotonic() - self._faults.vm_lag_seconds
+            seen = [vms for at, vms in self._vms if at <= newest]
+            return seen[-1] if seen else ()
+
+
+def _version(field: str) -> int:
+    return int(field.strip('"'))
+
+
+def _call_name(method: str, parts: list[str]) -> str:
+    if parts == ["v1", "vms"]:
+        return "vms"
+    if parts[:2] == ["v1", "watch"] and len(parts) == 3:
+        return "watch"
+    if parts[:2] != ["v1", "objects"]:
+        return "other"
+    if len(parts) == 3 and method == "GET":
+        return "list"
+    if len(parts) == 4 and method in {"GET", "PUT", "DELETE"}:
+        return method.lower()
+    return "other"
+
+
+def main() -> int:
+    """Run the stand-in until it is told to stop."""
+    parser = argparse.ArgumentParser("standins.platform", description=__doc__)
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=7000)
+    parser.add_argument("--control-port", type=int, default=7001)
+    cfg = parser.parse_args()
+    run_until_stopped(Platform(cfg.ip, cfg.port, cfg.control_port))
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/standins/server.py
@@ -0,0 +1,232 @@
+"""Threaded HTTP/1.1 server that the stand-ins share."""
+
+import select
+import socket
+import sys
+import threading
+from collections.abc import Callable, Mapping
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, ClassVar, TypeAlias
+from urllib.parse import parse_qsl, urlsplit
+
+import msgspec
+
+LISTEN_BACKLOG = 1024
+
+
+def abort_socket(conn: socket.socket) -> None:
+    """Close a connection so that the peer sees a reset."""
+    linger_off = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+    try:
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_off)
+        conn.shutdown(socket.SHUT_RD)
+    except OSError:
+        return
+
+
+class Exchange:
+    """One request, and the connection that its answer goes to.
+
+    Parameters
+    ----------
+    handler : BaseHTTPRequestHandler
+        Handler of the connection.
+
+    Attributes
+    ----------
+    method, path : str
+        Of the request; the path is without its query.
+    query : dict
+        Parameters of the query.
+    headers : Mapping
+        Header fields, case-insensitive.
+    body : bytes
+        Whole body.
+    """
+
+    def __init__(self, handler: BaseHTTPRequestHandler) -> None:
+        parts = urlsplit(handler.path)
+        self.method = handler.command
+        self.path = parts.path
+        self.query = dict(parse_qsl(parts.query))
+        self.headers = handler.headers
+        self.body = handler.rfile.read(int(self.headers.get("Content-Length", 0)))
+        self._handler = handler
+
+    def json(
+        self, status: int, value: object, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole JSON answer."""
+        body = msgspec.json.encode(value)
+        self.begin(status, {"Content-Length": str(len(body)), **(headers or {})})
+        self._write(body)
+
+    def begin(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the head of an answer."""
+        self._handler.send_response(status)
+        if "Content-Type" not in headers:
+            self._handler.send_header("Content-Type", "application/json")
+        for name, value in headers.items():
+            self._handler.send_header(name, value)
+        self._handler.end_headers()
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the body as they are."""
+        self._write(data)
+
+    def chunk(self, data: bytes) -> None:
+        """Send one chunk of a chunked body; an empty one ends it."""
+        self._write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._handler.close_connection = True
+        abort_socket(self._handler.connection)
+
+    def hung_up(self) -> bool:
+        """Tell whether the client has closed the connection."""
+        conn = self._handler.connection
+        try:
+            readable, _, _ = select.select([conn], [], [], 0)
+            return bool(readable) and conn.recv(1, socket.MSG_PEEK) == b""
+        except (OSError, ValueError):
+            return True
+
+    def _write(self, data: bytes) -> None:
+        self._handler.wfile.write(data)
+        self._handler.wfile.flush()
+
+
+Handle: TypeAlias = Callable[[Exchange], None]
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+    server: "_HttpServer"
+
+    def _handle(self) -> None:
+        try:
+            self.server.handle(Exchange(self))
+        except (BrokenPipeError, ConnectionError):
+            self.close_connection = True
+
+    do_GET = do_PUT = do_POST = do_DELETE = do_PATCH = _handle  # noqa: N815
+
+    def log_message(self, *_: Any) -> None:
+        """Keep standard error clean."""
+
+
+class _HttpServer(ThreadingHTTPServer):
+    daemon_threads = True
+    block_on_close = False
+    request_queue_size = LISTEN_BACKLOG
+
+    def __init__(self, ip: str, port: int, handle: Handle) -> None:
+        super().__init__((ip, port), _Handler)
+        self.handle = handle
+        self._open: set[socket.socket] = set()
+        self._lock = threading.Lock()
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Remember the connection so that `stop` can close it."""
+        with self._lock:
+            self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        """Forget the connection."""
+        with self._lock:
+            self._open.discard(request)
+        super().shutdown_request(request)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Treat a lost connection as usual; report anything else."""
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+    def abort_all(self) -> None:
+        """Reset every open connection."""
+        with self._lock:
+            conns = tuple(self._open)
+        for conn in conns:
+            abort_socket(conn)
+
+
+class Server:
+    """HTTP server on threads of this process.
+
+    Parameters
+    ----------
+    ip : str
+        Address to listen on.
+    port : int
+        Port; 0 takes a free one.
+    handle : callable
+        Answers one exchange.
+    """
+
+    def __init__(self, ip: str, port: int, handle: Handle) -> None:
+        self._server = _HttpServer(ip, port, handle)
+        self.ip = ip
+        self.port = int(self._server.server_address[1])
+        self._thread = threading.Thread(
+            target=self._server.serve_forever, args=(0.05,), daemon=True
+        )
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://{self.ip}:{self.port}"
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop accepting and reset every connection."""
+        self._server.shutdown()
+        self._server.server_close()
+        self._server.abort_all()
+        self._thread.join()
+
+    def abort_all(self) -> None:
+        """Reset every open connection."""
+        self._server.abort_all()
+
+
+Route: TypeAlias = Callable[[bytes], object]
+
+
+class Control:
+    """Control port of a stand-in: JSON calls by method and path.
+
+    Parameters
+    ----------
+    ip, port
+        Where to listen.
+    routes : mapping
+        Functions by `METHOD /path`; each takes the body and returns the answer.
+    """
+
+    error_status: ClassVar[int] = 400
+
+    def __init__(self, ip: str, port: int, routes: Mapping[str, Route]) -> None:
+        self._routes = dict(routes)
+        self._server = Server(ip, port, self._handle)
+        self.url = self._server.url
+        self.start = self._server.start
+        self.stop = self._server.stop
+
+    def _handle(self, exchange: Exchange) -> None:
+        route = self._routes.get(f"{exchange.method} {exchange.path}")
+        if route is None:
+            exchange.json(404, {"calls": sorted(self._routes)})
+            return
+        try:
+            answer = route(exchange.body)
+        except (msgspec.DecodeError, ValueError) as exc:
+            exchange.json(self.error_status, {"error": str(exc)})
+            return
+        exchange.json(200, answer)
