--- a/standins/platform.py
+++ b/standins/platform.py
@@ -133,11 +133,11 @@
         routes = {
             "GET /counters": lambda _: self.counters(),
             "GET /faults": lambda _: self._faults,
-            "PUT /faults": lambda body: self.set_faults(
-                msgspec.json.decode(body, type=PlatformFaults)
+            "PUT /faults": lambda call: self.set_faults(
+                msgspec.json.decode(call.body, type=PlatformFaults)
             ),
-            "PUT /vms": lambda body: self.set_vms(
-                msgspec.json.decode(body, type=tuple[VmEntry, ...])
+            "PUT /vms": lambda call: self.set_vms(
+                msgspec.json.decode(call.body, type=tuple[VmEntry, ...])
             ),
             "POST /forget-history": lambda _: self.store.forget_history(),
         }
--- a/standins/server.py
+++ b/standins/server.py
@@ -196,7 +196,7 @@
         self._server.abort_all()
 
 
-Route: TypeAlias = Callable[[bytes], object]
+Route: TypeAlias = Callable[[Exchange], object]
 
 
 class Control:
@@ -207,7 +207,7 @@
     ip, port
         Where to listen.
     routes : mapping
-        Functions by `METHOD /path`; each takes the body and returns the answer.
+        Functions by `METHOD /path`; each takes the call and returns the answer.
     """
 
     error_status: ClassVar[int] = 400
@@ -225,7 +225,7 @@
             exchange.json(404, {"calls": sorted(self._routes)})
             return
         try:
-            answer = route(exchange.body)
+            answer = route(exchange)
         except (msgspec.DecodeError, ValueError) as exc:
             exchange.json(self.error_status, {"error": str(exc)})
             return
