--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,287 @@
+"""Fault-injecting TCP proxy."""
+
+import argparse
+import contextlib
+import socket
+import threading
+from enum import Enum
+
+import msgspec
+
+from standins.process import run_until_stopped
+from standins.proxy_faults import (
+    CutStage,
+    CutStyle,
+    ProxyFaults,
+    ProxyMode,
+    ProxySwitch,
+)
+from standins.server import Control, Exchange, abort_socket
+
+CHUNK_BYTES = 65536
+CONNECT_SECONDS = 5.0
+POLL_SECONDS = 0.02
+
+
+class ProxyCounters(msgspec.Struct, frozen=True):
+    """Connections and bytes so far."""
+
+    accepted: int
+    open: int
+    cut: int
+    to_server_bytes: int
+    to_client_bytes: int
+
+
+class _Direction(Enum):
+    TO_SERVER = "to-server"
+    TO_CLIENT = "to-client"
+
+
+_HOLDS = {
+    _Direction.TO_SERVER: {ProxyMode.DROP_TO_SERVER, ProxyMode.BLACK_HOLE},
+    _Direction.TO_CLIENT: {ProxyMode.DROP_TO_CLIENT, ProxyMode.BLACK_HOLE},
+}
+_CUT_STAGES = {
+    _Direction.TO_SERVER: {CutStage.MID_REQUEST},
+    _Direction.TO_CLIENT: {CutStage.AFTER_REQUEST, CutStage.MID_ANSWER},
+}
+
+
+class _Connection:
+    """Passes bytes of one connection both ways, as the faults say."""
+
+    def __init__(self, number: int, client: socket.socket, switch: ProxySwitch) -> None:
+        self.number = number
+        self.passed = dict.fromkeys(_Direction, 0)
+        self.was_cut = False
+        self.closed = threading.Event()
+        self._client = client
+        self._server: socket.socket | None = None
+        self._switch = switch
+
+    def run(self, target: tuple[str, int]) -> None:
+        """Connect and pass bytes until both directions have ended."""
+        if self._cuts_at(CutStage.BEFORE_CONNECT):
+            self.cut()
+            return
+        try:
+            server = socket.create_connection(target, CONNECT_SECONDS)
+        except OSError:
+            self.cut()
+            return
+        server.settimeout(None)
+        self._server = server
+        if self._cuts_at(CutStage.AFTER_CONNECT):
+            self.cut()
+            return
+        back = threading.Thread(
+            target=self._pump,
+            args=(server, self._client, _Direction.TO_CLIENT),
+            daemon=True,
+        )
+        back.start()
+        self._pump(self._client, server, _Direction.TO_SERVER)
+        back.join()
+        if not self.closed.is_set():
+            self._close()
+
+    def cut(self) -> None:
+        """End the connection in the style in force."""
+        self.was_cut = True
+        if self._switch.of(self.number).style is CutStyle.FINISH:
+            self._close()
+            return
+        self.closed.set()
+        for conn in self._sockets():
+            abort_socket(conn)
+            conn.close()
+
+    def _sockets(self) -> tuple[socket.socket, ...]:
+        return (self._client,) if self._server is None else (self._client, self._server)
+
+    def _close(self) -> None:
+        self.closed.set()
+        for conn in self._sockets():
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+            conn.close()
+
+    def _cuts_at(self, stage: CutStage) -> bool:
+        faults = self._switch.of(self.number)
+        return faults.mode is ProxyMode.CUT and faults.stage is stage
+
+    def _pump(
+        self, source: socket.socket, sink: socket.socket, way: _Direction
+    ) -> None:
+        try:
+            while data := source.recv(CHUNK_BYTES):
+                self._delay()
+                self._hold(way)
+                if not self._pass(data, sink, way):
+                    return
+            self._hold(way)
+            if not self.closed.is_set():
+                sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            if not self.closed.is_set():
+                self._close()
+
+    def _delay(self) -> None:
+        self.closed.wait(self._switch.of(self.number).delay_seconds)
+
+    def _hold(self, way: _Direction) -> None:
+        while self._switch.of(self.number).mode in _HOLDS[way]:
+            if self.closed.wait(POLL_SECONDS):
+                return
+
+    def _pass(self, data: bytes, sink: socket.socket, way: _Direction) -> bool:
+        faults = self._switch.of(self.number)
+        cuts = faults.mode is ProxyMode.CUT and faults.stage in _CUT_STAGES[way]
+        halves = faults.mode is ProxyMode.HALF_CLOSE and way is _Direction.TO_SERVER
+        limited = cuts or halves
+        left = faults.after_bytes - self.passed[way]
+        if faults.stage is CutStage.AFTER_REQUEST and cuts:
+            left = 0
+        allowed = data[: max(left, 0)] if limited else data
+        sink.sendall(allowed)
+        self.passed[way] += len(allowed)
+        if not limited or len(allowed) == len(data):
+            return True
+        if cuts:
+            self.cut()
+        else:
+            sink.shutdown(socket.SHUT_WR)
+        return False
+
+
+class Proxy:
+    """TCP proxy before one server, on threads of this process.
+
+    Parameters
+    ----------
+    target_ip, target_port
+        The server.
+    ip : str
+        Address to listen on.
+    port, control_port : int
+        Ports; 0 takes a free one.
+    """
+
+    def __init__(
+        self,
+        target_ip: str,
+        target_port: int,
+        ip: str = "127.0.0.1",
+        port: int = 0,
+        control_port: int = 0,
+    ) -> None:
+        self._target = (target_ip, target_port)
+        self._switch = ProxySwitch()
+        self._lock = threading.Lock()
+        self._connections: list[_Connection] = []
+        self._past = ProxyCounters(0, 0, 0, 0, 0)
+        self._accepted = 0
+        self._listener = socket.create_server((ip, port), backlog=1024)
+        self.ip = ip
+        self.port = int(self._listener.getsockname()[1])
+        self.url = f"http://{ip}:{self.port}"
+        routes = {
+            "GET /counters": lambda _: self.counters(),
+            "GET /faults": lambda _: self._switch.current,
+            "PUT /faults": self._put_faults,
+            "POST /cut": lambda _: self.cut_all(),
+        }
+        self._control = Control(ip, control_port, routes)
+        self.control_url = self._control.url
+        self._closing = threading.Event()
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+
+    def start(self) -> None:
+        """Begin to accept connections."""
+        self._thread.start()
+        self._control.start()
+
+    def stop(self) -> None:
+        """Stop accepting and cut every connection."""
+        self._closing.set()
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._thread.join()
+        self.cut_all()
+        self._control.stop()
+
+    def set_faults(self, faults: ProxyFaults) -> None:
+        """Replace the faults in force."""
+        self._switch.set(faults)
+
+    def cut_all(self) -> None:
+        """Cut every open connection."""
+        with self._lock:
+            conns = tuple(self._connections)
+        for conn in conns:
+            conn.cut()
+
+    def counters(self) -> ProxyCounters:
+        """Return connections and bytes so far."""
+        with self._lock:
+            conns = tuple(self._connections)
+            past = self._past
+        return ProxyCounters(
+            self._accepted,
+            len(conns),
+            past.cut,
+            past.to_server_bytes
+            + sum(conn.passed[_Direction.TO_SERVER] for conn in conns),
+            past.to_client_bytes
+            + sum(conn.passed[_Direction.TO_CLIENT] for conn in conns),
+        )
+
+    def _put_faults(self, call: Exchange) -> None:
+        self.set_faults(msgspec.json.decode(call.body, type=ProxyFaults))
+
+    def _accept(self) -> None:
+        while not self._closing.is_set():
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            self._accepted += 1
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            conn = _Connection(self._accepted, client, self._switch)
+            with self._lock:
+                self._connections.append(conn)
+            threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: _Connection) -> None:
+        conn.run(self._target)
+        with self._lock:
+            self._connections.remove(conn)
+            past = self._past
+            self._past = ProxyCounters(
+                0,
+                0,
+                past.cut + conn.was_cut,
+                past.to_server_bytes + conn.passed[_Direction.TO_SERVER],
+                past.to_client_bytes + conn.passed[_Direction.TO_CLIENT],
+            )
+
+
+def main() -> int:
+    """Run the proxy until it is told to stop."""
+    parser = argparse.ArgumentParser("standins.proxy", description=__doc__)
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--control-port", type=int, default=0)
+    parser.add_argument("--target-ip", required=True)
+    parser.add_argument("--target-port", type=int, required=True)
+    cfg = parser.parse_args()
+    proxy = Proxy(cfg.target_ip, cfg.target_port, cfg.ip, cfg.port, cfg.control_port)
+    print(f"control port at {proxy.control_url}", flush=True)
+    run_until_stopped(proxy)
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/standins/server.py
+++ b/standins/server.py
@@ -1,7 +1,9 @@
 """Threaded HTTP/1.1 server that the stand-ins share."""
 
+import contextlib
 import select
 import socket
+import struct
 import sys
 import threading
 from collections.abc import Callable, Mapping
@@ -15,13 +17,29 @@
 
 
 def abort_socket(conn: socket.socket) -> None:
-    """Close a connection so that the peer sees a reset."""
-    linger_off = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-    try:
-        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_off)
+    """Wake the connection's readers; its close will reset the peer."""
+    no_linger = struct.pack("ii", 1, 0)
+    with contextlib.suppress(OSError):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
         conn.shutdown(socket.SHUT_RD)
-    except OSError:
-        return
+
+
+class _LineReader:
+    """Reader of a connection that knows whether the head was whole."""
+
+    def __init__(self, file: Any) -> None:
+        self._file = file
+        self._last_line = b""
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._file, name)
+
+    def readline(self, *args: int) -> bytes:
+        self._last_line = self._file.readline(*args)
+        return self._last_line
+
+    def head_is_whole(self) -> bool:
+        return self._last_line in {b"\r\n", b"\n"}
 
 
 class Exchange:
@@ -29,7 +47,7 @@
 
     Parameters
     ----------
-    handler : BaseHTTPRequestHandler
+    handler : RequestHandler
         Handler of the connection.
 
     Attributes
@@ -44,14 +62,17 @@
         Whole body.
     """
 
-    def __init__(self, handler: BaseHTTPRequestHandler) -> None:
+    def __init__(self, handler: "RequestHandler") -> None:
         parts = urlsplit(handler.path)
         self.method = handler.command
         self.path = parts.path
         self.query = dict(parse_qsl(parts.query))
         self.headers = handler.headers
-        self.body = handler.rfile.read(int(self.headers.get("Content-Length", 0)))
         self._handler = handler
+        length = int(self.headers.get("Content-Length", 0))
+        self.body = handler.rfile.read(length)
+        if len(self.body) < length:
+            raise ConnectionError("request is cut")
 
     def json(
         self, status: int, value: object, headers: Mapping[str, str] | None = None
@@ -81,7 +102,7 @@
     def abort(self) -> None:
         """Reset the connection."""
         self._handler.close_connection = True
-        abort_socket(self._handler.connection)
+        self._handler.server.abort(self._handler.connection)
 
     def hung_up(self) -> bool:
         """Tell whether the client has closed the connection."""
@@ -100,12 +121,24 @@
 Handle: TypeAlias = Callable[[Exchange], None]
 
 
-class _Handler(BaseHTTPRequestHandler):
+class RequestHandler(BaseHTTPRequestHandler):
+    """Passes requests to the server's function."""
+
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     wbufsize = -1
     server: "_HttpServer"
 
+    def setup(self) -> None:
+        """Watch the reader, as `http.server` takes a cut head for a whole one."""
+        super().setup()
+        self._reader = _LineReader(self.rfile)
+        self.rfile = self._reader  # type: ignore[assignment]
+
+    def parse_request(self) -> bool:
+        """Refuse a cut head."""
+        return super().parse_request() and self._reader.head_is_whole()
+
     def _handle(self) -> None:
         try:
             self.server.handle(Exchange(self))
@@ -124,9 +157,10 @@
     request_queue_size = LISTEN_BACKLOG
 
     def __init__(self, ip: str, port: int, handle: Handle) -> None:
-        super().__init__((ip, port), _Handler)
+        super().__init__((ip, port), RequestHandler)
         self.handle = handle
         self._open: set[socket.socket] = set()
+        self._aborted: set[socket.socket] = set()
         self._lock = threading.Lock()
 
     def process_request(self, request: Any, client_address: Any) -> None:
@@ -136,22 +170,33 @@
         super().process_request(request, client_address)
 
     def shutdown_request(self, request: Any) -> None:
-        """Forget the connection."""
+        """Close the connection, without a FIN where it is aborted."""
         with self._lock:
             self._open.discard(request)
-        super().shutdown_request(request)
+            aborted = request in self._aborted
+            self._aborted.discard(request)
+        if aborted:
+            self.close_request(request)
+        else:
+            super().shutdown_request(request)
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Treat a lost connection as usual; report anything else."""
         if not isinstance(sys.exc_info()[1], ConnectionError):
             super().handle_error(request, client_address)
 
+    def abort(self, conn: socket.socket) -> None:
+        """Reset a connection."""
+        with self._lock:
+            self._aborted.add(conn)
+        abort_socket(conn)
+
     def abort_all(self) -> None:
         """Reset every open connection."""
         with self._lock:
             conns = tuple(self._open)
         for conn in conns:
-            abort_socket(conn)
+            self.abort(conn)
 
 
 class Server:
