Add the operators' program and its time line command

Cause: nothing merged the processes' logs, and the operators' program had no commands. Change: oleander registers command modules (add_parser, run); settings are checked together before a command runs. The time line merges log lines by hybrid logical clock, follows a request to its grants, and is shown as text or as one HTML page. Torn, foreign and oversized lines are counted.

--- a/src/oleandershift/settings.py
+++ b/src/oleandershift/settings.py
@@ -156,20 +156,25 @@
         return "0+unknown"
 
 
-def parser(
-    program: str, purpose: str, settings: Sequence[Setting]
-) -> argparse.ArgumentParser:
-    """Return an argument parser with a flag for each setting."""
-    made = argparse.ArgumentParser(program, description=purpose)
-    made.add_argument("--version", action="version", version=program_version())
+def add_flags(parser: argparse.ArgumentParser, settings: Sequence[Setting]) -> None:
+    """Give a parser a flag for each setting; `load` checks what they hold."""
     for setting in settings:
         default = "required" if setting.default is None else repr(setting.default)
-        made.add_argument(
+        parser.add_argument(
             setting.flag,
             dest=setting.name,
             metavar=setting.name.upper(),
             help=f"{setting.text} ({setting.expected}; {default}) [{setting.variable}]",
         )
+
+
+def parser(
+    program: str, purpose: str, settings: Sequence[Setting]
+) -> argparse.ArgumentParser:
+    """Return an argument parser with a flag for each setting."""
+    made = argparse.ArgumentParser(program, description=purpose)
+    made.add_argument("--version", action="version", version=program_version())
+    add_flags(made, settings)
     return made
 
 
--- /dev/null
+++ b/tests/test_timeline.py
@@ -0,0 +1,111 @@
+"""Tests of the merged time line."""
+
+import random
+
+import msgspec
+import pytest
+
+from oleandershift.events import Event, EventName
+from oleandershift.ids import RegionId, VmId
+from oleandershift.rendering import as_html, as_text
+from oleandershift.timeline import MAX_LINE_BYTES, Filter, LineFault, Timeline
+
+
+def make_event(wall: int, name: EventName, vm: str = "vm-1", **fields: str) -> Event:
+    return Event(
+        wall=wall,
+        logical=0,
+        vm=VmId(vm),
+        region=RegionId("fukuoka"),
+        process=fields.pop("process", "router"),
+        incarnation=1,
+        name=name,
+        **fields,
+    )
+
+
+def log_line(event: Event) -> bytes:
+    return msgspec.json.encode({"level": "INFO", "event": event}) + b"\n"
+
+
+@pytest.fixture
+def request_events() -> list[Event]:
+    return [
+        make_event(10, EventName.REQUEST_ACCEPTED, request="r1", team="a"),
+        make_event(20, EventName.GRANT_MADE, "vm-2", process="allocator", grant="g1"),
+        make_event(30, EventName.REQUEST_GRANTED, request="r1", grant="g1", team="a"),
+        make_event(35, EventName.GRANT_MADE, "vm-2", process="allocator", grant="g2"),
+        make_event(40, EventName.UPSTREAM_RAN, "up", process="engine", request="r1/1"),
+        make_event(50, EventName.REQUEST_ACCEPTED, request="r10", team="b"),
+    ]
+
+
+@pytest.fixture
+def timeline(request_events: list[Event]) -> Timeline:
+    made = Timeline()
+    lines = [log_line(event) for event in request_events]
+    random.Random(4).shuffle(lines)
+    made.add_lines(lines)
+    return made
+
+
+def test_events_are_merged_in_clock_order(
+    timeline: Timeline, request_events: list[Event]
+) -> None:
+    assert timeline.events() == tuple(request_events)
+
+
+def test_logical_clock_orders_events_of_one_instant() -> None:
+    timeline = Timeline()
+    cause = make_event(10, EventName.GRANT_MADE, vm="vm-9")
+    effect = msgspec.structs.replace(
+        make_event(10, EventName.REQUEST_GRANTED, vm="vm-1"), logical=1
+    )
+    timeline.add_lines([log_line(effect), log_line(cause)])
+    assert timeline.events() == (cause, effect)
+
+
+def test_request_filter_follows_grant_and_attempt(timeline: Timeline) -> None:
+    found = timeline.events(Filter(request="r1"))
+    assert [event.wall for event in found] == [10, 20, 30, 40]
+
+
+def test_team_filter(timeline: Timeline) -> None:
+    found = timeline.events(Filter(team="b"))
+    assert [event.request for event in found] == ["r10"]
+
+
+@pytest.mark.parametrize(
+    ("line", "fault"),
+    [
+        (b"", None),
+        (b'{"level":"INFO","message":"no event"}', None),
+        (b'{"event":{"wall":1,"logi', LineFault.TORN),
+        (b"\xff\xfe\x00", LineFault.TORN),
+        (b"[1, 2]", LineFault.TORN),
+        (b'{"event":{"wall":"late"}}', LineFault.INVALID_EVENT),
+        (b'{"event":{"name":"from-a-later-version"}}', LineFault.INVALID_EVENT),
+        (b"[" * 5000, LineFault.TORN),
+        (b'"' + b"x" * MAX_LINE_BYTES, LineFault.TOO_LONG),
+    ],
+)
+def test_bad_line_is_counted(line: bytes, fault: LineFault | None) -> None:
+    timeline = Timeline()
+    timeline.add_lines([line])
+    assert timeline.events() == ()
+    assert list(timeline.faults) == ([] if fault is None else [fault])
+
+
+def test_text_has_a_line_an_event(timeline: Timeline) -> None:
+    lines = list(as_text(timeline.events(Filter(request="r1"))))
+    assert len(lines) == 4
+    assert "vm-2/allocator" in lines[1]
+    assert lines[1].endswith("grant-made        grant=g1")
+
+
+def test_page_needs_nothing_else_and_escapes_data() -> None:
+    event = make_event(1, EventName.STARTED, detail="</script><img src=x>")
+    page = as_html([event])
+    assert page.count("</script>") == 1
+    assert "http://" not in page.replace("http://www.w3.org/2000/svg", "")
+    assert "https://" not in page
