Add the agent: membership, table replication, queries

Nothing distributed the operators' table yet, so no other daemon could start. The agent keeps membership by probes with gossip, watches the platform where rendezvous hashing gives it the watch (two agents a region), pushes new rows to peers and heals gaps by digests that ride on the probes, feeds its VM's processes, and answers operators' queries. Rows that do not decode or are out of range are logged and skipped; the version before stays in force. Platform calls run on threads of their own, never on the actor.

--- a/src/oleandershift/cli/agent.py
+++ b/src/oleandershift/cli/agent.py
@@ -1,6 +1,47 @@
 """Command line of oleander-agent."""
 
+from collections.abc import Sequence
+from typing import Any
 
-def main() -> int:
-    """Run the program."""
-    return 0
+import pykka
+
+from oleandershift.io.agent import AgentActor
+from oleandershift.io.daemon import Runtime, read_settings, run
+from oleandershift.messages import Role
+from oleandershift.settings import COMMON, Setting, addresses, seconds, url
+
+PROGRAM = "oleander-agent"
+PURPOSE = "Keep this VM's view of the fleet and of the operators' table."
+
+SETTINGS = (
+    *COMMON,
+    Setting("platform_url", url, "http://host:port", "the platform's object API"),
+    Setting(
+        "seeds",
+        addresses,
+        "ip:port, comma-separated",
+        "agents to contact first",
+        "",
+    ),
+    Setting(
+        "drain_seconds",
+        seconds(0, 86_400),
+        "0 to 86400",
+        "longest time from SIGTERM to exit while local processes still run",
+        "600",
+    ),
+)
+
+
+def _start(runtime: Runtime) -> pykka.ActorRef[Any]:
+    return AgentActor.start(runtime)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the agent until it has left the fleet."""
+    cfg = read_settings(PROGRAM, PURPOSE, SETTINGS, argv)
+    return run(Role.AGENT, cfg.agent_port, cfg, _start)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/oleandershift/io/agent.py
@@ -0,0 +1,411 @@
+"""The agent's actor: membership, table and status of one VM."""
+
+import resource
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from loguru import logger
+
+from oleandershift.dispatch import Send
+from oleandershift.events import EventName
+from oleandershift.exceptions import Finding
+from oleandershift.ids import RequestId, VmId
+from oleandershift.io.connections import BoundedLinks
+from oleandershift.io.daemon import DaemonActor, Runtime
+from oleandershift.io.platform import ListedState, PlatformClient
+from oleandershift.io.queries import Identity, QueryServer
+from oleandershift.io.watch import (
+    TABLE_KINDS,
+    PlatformSeen,
+    PlatformState,
+    PlatformWatch,
+    VmsSeen,
+    WatchedRows,
+)
+from oleandershift.leaving import LeavingUpstreams, on_leaving_vms, upstream_host
+from oleandershift.members import Membership, link_address
+from oleandershift.messages import (
+    Ack,
+    DrainCommand,
+    Envelope,
+    Member,
+    MemberState,
+    MembersView,
+    OperatorQuery,
+    OperatorReply,
+    Ping,
+    QueryKind,
+    Role,
+    Row,
+    RowsUpdate,
+    RowVersion,
+    StatusReport,
+    Subscribe,
+    TableSummary,
+)
+from oleandershift.objects import ObjectKind
+from oleandershift.processes import LocalProcesses, LocalSend
+from oleandershift.rendezvous import ranked
+from oleandershift.replica import Table
+from oleandershift.replication import FANOUT, Changed, Peer, Replication
+
+WATCHERS_PER_REGION = 2
+JOIN_SECONDS = 0.5
+ROLE_PERIOD_SECONDS = 0.25
+PUBLISH_PERIOD_SECONDS = 0.2
+LEAVE_SECONDS = 1.0
+LOCAL_GONE_SECONDS = 3.0
+QUERY_TIMEOUT_SECONDS = 2.0
+PAGE_BYTES = resource.getpagesize()
+
+
+class AgentActor(DaemonActor):
+    """Membership, table and status of one VM.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Settings, links and time line.
+    """
+
+    def __init__(self, runtime: Runtime) -> None:
+        super().__init__(runtime.stopped)
+        cfg = runtime.cfg
+        me = _own_member(runtime)
+        seed = me.incarnation
+        self._runtime = runtime
+        self._links = BoundedLinks(runtime.links)
+        contacts = [f"tcp://{address}" for address in cfg.seeds]
+        self._membership = Membership(me, contacts, seed)
+        self._replication = Replication(link_address(me), seed)
+        self._processes = LocalProcesses(self._replication.replica)
+        self._table = Table()
+        self._leaving = LeavingUpstreams()
+        self._states: dict[VmId, MemberState] = {}
+        self._listed: set[ObjectKind] = set()
+        self._platform = PlatformState.UNWATCHED
+        self._watching = False
+        self._watch = PlatformWatch(PlatformClient(cfg.platform_url), self._tell_self)
+        self._queries = QueryServer(
+            Identity(cfg.fleet, runtime.process, runtime.region),
+            f"tcp://{cfg.ip}:{cfg.query_port}",
+            self._ask_self,
+            runtime.events,
+        )
+        self._join_by = time.time() + (JOIN_SECONDS if contacts else 0.0)
+        self._next_role = 0.0
+        self._next_publish = 0.0
+        self._published_seq = 0
+        self._leave_at: float | None = None
+        self._drain_deadline = 0.0
+
+    # Life
+
+    def on_start(self) -> None:
+        """Start to answer queries and to watch."""
+        self._watch.start()
+        self._queries.start()
+
+    def on_stop(self) -> None:
+        """Stop the threads."""
+        self._watch.close()
+        self._queries.close()
+        super().on_stop()
+
+    def on_drain(self, now: float, deadline: float) -> None:
+        """Leave the fleet; stop when no local process is heard any more."""
+        if self._leave_at is not None:
+            return
+        self._runtime.events.write(EventName.DRAINING)
+        self._leave_at = now + LEAVE_SECONDS
+        self._drain_deadline = deadline
+        self._send(self._membership.leave())
+
+    def on_tick(self, now: float) -> None:
+        """Take the passage of time."""
+        self._membership.table_digest = self._replication.digest()
+        self._send(self._membership.on_tick(now))
+        if now >= self._next_role:
+            self._next_role = now + ROLE_PERIOD_SECONDS
+            self._take_roles(now)
+        if now >= self._next_publish and self._published_seq != self._membership.seq:
+            self._next_publish = now + PUBLISH_PERIOD_SECONDS
+            self._publish_members()
+        if self._leave_at is not None and now >= self._leave_at:
+            self._finish_leaving(now)
+
+    def _finish_leaving(self, now: float) -> None:
+        waits = self._processes.heard_since(now - LOCAL_GONE_SECONDS)
+        if waits and now < self._drain_deadline:
+            return
+        self._send(self._membership.stop())
+        self.stop()
+
+    # Messages of other processes
+
+    def on_envelope(self, envelope: Envelope) -> None:
+        """Take a message of another process."""
+        now = time.time()
+        body = envelope.body
+        if isinstance(body, Subscribe | StatusReport):
+            self._on_local(now, envelope)
+        elif envelope.sender.role is Role.AGENT:
+            self._on_agent(now, envelope)
+
+    def _on_local(self, now: float, envelope: Envelope) -> None:
+        if envelope.sender.vm != self._runtime.process.vm:
+            return
+        body = envelope.body
+        if isinstance(body, Subscribe):
+            view = self._membership.view(self._leaving.upstreams)
+            sends = self._processes.on_subscribe(now, envelope.sender, body, view)
+            self._send_local(sends)
+        elif isinstance(body, StatusReport):
+            self._processes.on_report(now, body)
+
+    def _on_agent(self, now: float, envelope: Envelope) -> None:
+        body = envelope.body
+        sender = envelope.sender.vm
+        if isinstance(body, MembersView) and not body.members:
+            self._on_leaving_view(body)
+            return
+        self._send(self._membership.on_message(now, sender, body))
+        member = self._membership.members().get(sender)
+        if member is None:
+            return
+        peer = Peer(link_address(member), member.region)
+        if isinstance(body, Ping | Ack):
+            self._on_digest(now, peer, body.table_digest)
+        elif isinstance(body, RowsUpdate):
+            self._take_rows(body.rows)
+        elif isinstance(body, TableSummary):
+            self._send(self._replication.on_summary(peer, body))
+
+    def _on_digest(self, now: float, peer: Peer, digest: bytes) -> None:
+        was_complete = self._replication.replica.complete
+        self._send(self._replication.on_digest(now, peer, digest))
+        if not was_complete and self._replication.replica.complete:
+            self._become_ready()
+
+    def _on_leaving_view(self, view: MembersView) -> None:
+        if self._leaving.take(view):
+            self._spread_leaving()
+            self._membership.renumber()
+            self._publish_members()
+
+    # Messages of this process
+
+    def on_other(self, message: object) -> Any:
+        """Take a message of the watch or of the query socket."""
+        if isinstance(message, WatchedRows):
+            return self._on_watched(message)
+        if isinstance(message, PlatformSeen):
+            return self._on_platform(message.state)
+        if isinstance(message, VmsSeen):
+            return self._on_vms(message)
+        if isinstance(message, OperatorQuery):
+            return self._answer(message)
+        return super().on_other(message)
+
+    def _on_watched(self, message: WatchedRows) -> None:
+        self._take_rows(message.rows)
+        if message.whole:
+            self._listed.add(message.kind)
+        replica = self._replication.replica
+        if not replica.complete and self._listed.issuperset(TABLE_KINDS):
+            replica.complete = True
+            self._become_ready()
+
+    def _on_platform(self, state: PlatformState) -> None:
+        if not self._watching:
+            return
+        events = self._runtime.events
+        if state is PlatformState.AWAY and self._platform is not PlatformState.AWAY:
+            events.write(EventName.PLATFORM_AWAY, "WARNING")
+        if self._platform is PlatformState.AWAY and state is not PlatformState.AWAY:
+            events.write(EventName.PLATFORM_BACK)
+        self._platform = state
+
+    def _on_vms(self, message: VmsSeen) -> None:
+        if not self._watching:
+            return
+        leaving = [vm for vm in message.vms if vm.state is ListedState.LEAVING]
+        names = [vm.name for vm in leaving]
+        ips = [vm.ip for vm in leaving]
+        upstreams = on_leaving_vms(self._table.upstreams.values(), names, ips)
+        self._membership.set_listed(self._listed_contacts(message))
+        if self._leaving.observe(time.time(), upstreams):
+            self._membership.renumber()
+            self._publish_members()
+        self._spread_leaving()
+
+    def _listed_contacts(self, message: VmsSeen) -> list[str]:
+        """Return where agents may run: listed VMs that serve no upstream."""
+        ips = [vm.ip for vm in message.vms if vm.state is ListedState.LIVE]
+        names = [vm.name for vm in message.vms]
+        rows = self._table.upstreams.values()
+        serving = {row.name for row in rows} & set(names)
+        hosts = {upstream_host(row) for row in rows}
+        serving_ips = {vm.ip for vm in message.vms if vm.name in serving} | hosts
+        port = self._runtime.cfg.agent_port
+        return [f"tcp://{ip}:{port}" for ip in ips if ip not in serving_ips]
+
+    def _answer(self, query: OperatorQuery) -> OperatorReply:
+        reports: tuple[StatusReport, ...] = ()
+        versions: tuple[RowVersion, ...] = ()
+        if query.kind is QueryKind.STATUS:
+            reports = (*self._processes.reports(), self._own_report())
+        elif query.kind is QueryKind.TABLE:
+            keys = _keys(query.subject, self._replication.replica.rows())
+            versions = tuple(self._processes.versions_in_force(keys))
+        elif query.kind is QueryKind.DRAIN:
+            self._drain_vm(query.deadline)
+        return OperatorReply(
+            vm=self._runtime.process.vm,
+            members=tuple(self._membership.members().values()),
+            reports=reports,
+            outcomes=self._processes.outcomes(RequestId(query.subject)),
+            table_digest=self._replication.digest(),
+            versions=versions,
+            platform=self._platform.value,
+        )
+
+    def _drain_vm(self, deadline: float) -> None:
+        self._send_local(self._processes.broadcast([DrainCommand(deadline)]))
+        self.on_drain(time.time(), deadline)
+
+    def _own_report(self) -> StatusReport:
+        usage = resource.getrusage(resource.RUSAGE_SELF)
+        return StatusReport(
+            process=self._runtime.process,
+            at=time.time(),
+            ready=self._replication.replica.complete,
+            draining=self._leave_at is not None,
+            table_digest=self._replication.digest(),
+            traffic=self._runtime.links.traffic(),
+            cpu_seconds=usage.ru_utime + usage.ru_stime,
+            resident_bytes=_resident_bytes(),
+        )
+
+    # Table
+
+    def _take_rows(self, rows: Iterable[Row]) -> None:
+        peers = self._membership.peers(self._runtime.region)
+        changed = self._replication.take(rows, peers)
+        self._log_bad(changed.bad)
+        if not changed.rows:
+            return
+        self._processes.record(changed.before, changed.replaced)
+        self._table.update(changed.rows)
+        self._send(changed.sends)
+        self._send_local(self._processes.push(changed.rows))
+        self._log_rows(changed)
+
+    def _log_rows(self, changed: Changed) -> None:
+        for row in changed.rows:
+            detail = f"{row.kind}/{row.name} version {row.version}"
+            self._runtime.events.write(EventName.ROW_CHANGED, detail=detail)
+
+    def _log_bad(self, findings: Iterable[Finding]) -> None:
+        for finding in findings:
+            logger.warning("row skipped, the one before is kept: {}", finding)
+
+    def _become_ready(self) -> None:
+        self._runtime.events.write(EventName.READY)
+        self._send_local(self._processes.bring_up())
+
+    # Members and roles
+
+    def _take_roles(self, now: float) -> None:
+        self._log_members()
+        for address in self._processes.expire(now):
+            self._links.forget(address)
+        held = now >= self._join_by and self._is_watcher()
+        if held == self._watching:
+            return
+        self._watching = held
+        if not held:
+            self._platform = PlatformState.UNWATCHED
+        self._watch.hold(held)
+        name = EventName.ROLE_TAKEN if held else EventName.ROLE_LEFT
+        self._runtime.events.write(name, detail="platform watch")
+
+    def _is_watcher(self) -> bool:
+        region = self._runtime.region
+        present = [self._membership.me, *self._membership.peers(region)]
+        staying = [m for m in present if m.state is not MemberState.LEAVING]
+        chosen = ranked(f"watch/{region}", staying or present)[:WATCHERS_PER_REGION]
+        return any(member.vm == self._runtime.process.vm for member in chosen)
+
+    def _publish_members(self) -> None:
+        self._published_seq = self._membership.seq
+        view = self._membership.view(self._leaving.upstreams)
+        self._send_local(self._processes.broadcast([view]))
+
+    def _spread_leaving(self) -> None:
+        peers = self._membership.peers(self._runtime.region)
+        for member in self._membership.sample(peers, FANOUT):
+            view = self._leaving.message()
+            self._links.send(link_address(member), view, member.region)
+
+    def _log_members(self) -> None:
+        members = self._membership.members()
+        for member in members.values():
+            if self._states.get(member.vm) is member.state:
+                continue
+            self._states[member.vm] = member.state
+            detail = f"{member.vm} is {member.state.value}"
+            self._runtime.events.write(EventName.MEMBER_CHANGED, detail=detail)
+            if member.state is MemberState.DEAD:
+                self._links.forget(link_address(member))
+        for vm in self._states.keys() - members.keys():
+            del self._states[vm]
+
+    # Shell
+
+    def _send(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            self._links.send(send.address, send.body, send.region)
+
+    def _send_local(self, sends: Iterable[LocalSend]) -> None:
+        for send in sends:
+            self._links.send(send.address, send.body)
+
+    def _tell_self(self, message: object) -> None:
+        if self.actor_ref.is_alive():
+            self.actor_ref.tell(message)
+
+    def _ask_self(self, query: OperatorQuery) -> OperatorReply:
+        reply = self.actor_ref.ask(query, timeout=QUERY_TIMEOUT_SECONDS)
+        assert isinstance(reply, OperatorReply)
+        return reply
+
+
+def _own_member(runtime: Runtime) -> Member:
+    cfg = runtime.cfg
+    return Member(
+        vm=runtime.process.vm,
+        region=runtime.region,
+        data_centre=cfg.data_centre,
+        ip=cfg.ip,
+        agent_port=cfg.agent_port,
+        query_port=cfg.query_port,
+        allocator_port=cfg.allocator_port,
+        router_port=cfg.router_port,
+        http_port=cfg.http_port,
+        incarnation=runtime.process.incarnation,
+    )
+
+
+def _keys(subject: str, rows: Iterable[Row]) -> list[tuple[str, str]]:
+    """Return the rows that a query names as `kind/name`, by commas; all if none."""
+    if not subject:
+        return [(row.kind, row.name) for row in rows]
+    parts = (part.partition("/") for part in subject.split(","))
+    return [(kind, name) for kind, _, name in parts]
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm") as statm:
+        return int(statm.read().split()[1]) * PAGE_BYTES
--- a/src/oleandershift/replica.py
+++ b/src/oleandershift/replica.py
@@ -14,6 +14,21 @@
     decode_row,
 )
 
+BUCKETS = 64
+_DIGEST_RANGE = 1 << 64
+
+EMPTY_DIGEST = bytes(8)
+"""Digest of a replica without rows."""
+
+
+def bucket_of(kind: str, name: str) -> int:
+    """Return the hash bucket of a row."""
+    return xxhash.xxh3_64_intdigest(f"{kind}/{name}".encode()) % BUCKETS
+
+
+def _digest(total: int) -> bytes:
+    return (total % _DIGEST_RANGE).to_bytes(8, "big")
+
 
 def _row_hash(row: Row) -> int:
     return xxhash.xxh3_64_intdigest(f"{row.kind}/{row.name}/{row.version}".encode())
@@ -22,12 +37,14 @@
 class Replica:
     """Holds the newest known version of each row, deletions included.
 
-    The digest is the sum of the row hashes, so that it costs one step a change.
+    The digest is the sum of the row hashes, so that it costs one step a change. Rows
+    fall into hash buckets with a digest each, so that two replicas that differ find
+    the rows in which they do without naming them all.
     """
 
     def __init__(self) -> None:
         self._rows: dict[tuple[str, str], Row] = {}
-        self._sum = 0
+        self._sums = [0] * BUCKETS
         self.complete = False
 
     def apply(self, rows: Iterable[Row], complete: bool = False) -> tuple[Row, ...]:
@@ -41,15 +58,35 @@
         held = self._rows.get(key)
         if held is not None and held.version >= row.version:
             return False
+        bucket = bucket_of(row.kind, row.name)
         if held is not None:
-            self._sum -= _row_hash(held)
+            self._sums[bucket] -= _row_hash(held)
         self._rows[key] = row
-        self._sum += _row_hash(row)
+        self._sums[bucket] += _row_hash(row)
         return True
 
     def digest(self) -> bytes:
         """Return a digest that equals another replica's when both hold the same."""
-        return (self._sum % (1 << 64)).to_bytes(8, "big")
+        return _digest(sum(self._sums))
+
+    def bucket_digests(self) -> tuple[bytes, ...]:
+        """Return the digest of each bucket."""
+        return tuple(_digest(total) for total in self._sums)
+
+    def rows_in(self, buckets: frozenset[int]) -> tuple[Row, ...]:
+        """Return the rows of some buckets, deleted ones included."""
+        return tuple(
+            row for row in self.rows() if bucket_of(row.kind, row.name) in buckets
+        )
+
+    def version(self, kind: str, name: str) -> int:
+        """Return the version held of a row; 0 when none is."""
+        row = self._rows.get((kind, name))
+        return 0 if row is None else row.version
+
+    def find(self, kind: str, name: str) -> Row | None:
+        """Return a row as held, deleted or not."""
+        return self._rows.get((kind, name))
 
     def rows(self) -> Iterator[Row]:
         """Return every row held, deleted ones included."""
--- /dev/null
+++ b/src/oleandershift/replication.py
@@ -0,0 +1,248 @@
+"""Replication of the table between agents, as a sans-IO object.
+
+New rows are pushed to a few random peers, each of which pushes on what was new to it.
+What a push misses is found by digests that ride on the membership's probes: replicas
+that differ compare bucket digests, then versions within the differing buckets, and
+send each other only the rows that the other lacks.
+"""
+
+import random
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from oleandershift.checks import check_value
+from oleandershift.dispatch import Send
+from oleandershift.exceptions import Finding
+from oleandershift.ids import RegionId
+from oleandershift.members import link_address
+from oleandershift.messages import (
+    Body,
+    Member,
+    Row,
+    RowsUpdate,
+    RowVersion,
+    TableSummary,
+)
+from oleandershift.replica import BUCKETS, EMPTY_DIGEST, Replica, bucket_of
+from oleandershift.rows import Kind
+
+FANOUT = 4
+COMPARE_PERIOD_SECONDS = 0.3
+MAX_ROWS_PER_MESSAGE = 500
+MAX_VERSIONS_PER_MESSAGE = 5000
+
+_ALL_BUCKETS = tuple(range(BUCKETS))
+
+
+@dataclass
+class Changed:
+    """What a step changed, and what is to be sent.
+
+    Parameters
+    ----------
+    rows : tuple of Row
+        Rows taken into the replica.
+    before : bytes
+        Digest of the replica before.
+    replaced : tuple of RowVersion
+        Versions that these rows replaced; 0 where a row was absent.
+    sends : list of Send
+        Messages to other agents.
+    bad : tuple of Finding
+        What was wrong with rows that were skipped.
+    """
+
+    rows: tuple[Row, ...] = ()
+    before: bytes = b""
+    replaced: tuple[RowVersion, ...] = ()
+    sends: list[Send] = field(default_factory=list)
+    bad: tuple[Finding, ...] = ()
+
+
+@dataclass(frozen=True)
+class Peer:
+    """Another agent, as the receiver of an answer."""
+
+    address: str
+    region: RegionId
+
+
+class Replication:
+    """One agent's replica and its exchange with other agents.
+
+    Parameters
+    ----------
+    address : str
+        Link address of this agent.
+    seed : int
+        Seed of the random choices.
+
+    Attributes
+    ----------
+    replica : Replica
+        The rows held.
+    skipped : int
+        Rows skipped because they can't be used.
+    """
+
+    def __init__(self, address: str, seed: int) -> None:
+        self.replica = Replica()
+        self.skipped = 0
+        self._address = address
+        self._rng = random.Random(seed)
+        self._next_compare = 0.0
+
+    def digest(self) -> bytes:
+        """Return the digest to tell peers; empty while the table is not whole."""
+        return self.replica.digest() if self.replica.complete else b""
+
+    def take(self, rows: Iterable[Row], peers: Sequence[Member]) -> Changed:
+        """Take rows of the platform or a peer, and push on what is new.
+
+        Parameters
+        ----------
+        rows : iterable of Row
+            Rows at any versions; older ones and bad ones are passed over.
+        peers : sequence of Member
+            Agents that may be pushed to.
+        """
+        good, bad = self._sift(rows)
+        before = self.replica.digest()
+        replaced = tuple(
+            RowVersion(row.kind, row.name, self.replica.version(row.kind, row.name))
+            for row in good
+        )
+        taken = self.replica.apply(good)
+        chosen = self._rng.sample(peers, min(FANOUT, len(peers))) if taken else []
+        sends = [
+            Send(link_address(member), member.region, update)
+            for member in chosen
+            for update in batches(taken)
+        ]
+        return Changed(taken, before, replaced, sends, bad)
+
+    def on_digest(self, now: float, peer: Peer, digest: bytes) -> list[Send]:
+        """Take the digest of a peer whose table is whole.
+
+        Parameters
+        ----------
+        now : float
+            The current instant.
+        peer : Peer
+            Who sent it.
+        digest : bytes
+            Its digest; empty when its table is not whole.
+        """
+        if not digest:
+            return []
+        if digest == self.replica.digest():
+            self.replica.complete = True
+            return []
+        if now < self._next_compare:
+            return []
+        self._next_compare = now + COMPARE_PERIOD_SECONDS
+        return [Send(peer.address, peer.region, self._opening())]
+
+    def on_summary(self, peer: Peer, summary: TableSummary) -> list[Send]:
+        """Answer a peer's summary with rows, or with versions to compare."""
+        if summary.bucket_digests:
+            return self._answer_digests(peer, summary)
+        return self._answer_versions(peer, summary)
+
+    def _opening(self) -> TableSummary:
+        own = self.replica.digest()
+        if own == EMPTY_DIGEST:
+            return TableSummary(self._address, own, buckets=_ALL_BUCKETS)
+        return TableSummary(self._address, own, self.replica.bucket_digests())
+
+    def _answer_digests(self, peer: Peer, summary: TableSummary) -> list[Send]:
+        pairs = zip(self.replica.bucket_digests(), summary.bucket_digests, strict=False)
+        differing = [i for i, (own, other) in enumerate(pairs) if own != other]
+        return [
+            Send(peer.address, peer.region, answer)
+            for answer in self._summaries(differing)
+        ]
+
+    def _summaries(self, buckets: Sequence[int]) -> Iterable[TableSummary]:
+        """Return summaries of buckets, no message with too many versions."""
+        by_bucket: dict[int, list[RowVersion]] = {bucket: [] for bucket in buckets}
+        for row in self.replica.rows_in(frozenset(buckets)):
+            version = RowVersion(row.kind, row.name, row.version)
+            by_bucket[bucket_of(row.kind, row.name)].append(version)
+        chosen: list[int] = []
+        versions: list[RowVersion] = []
+        for bucket, listed in by_bucket.items():
+            if chosen and len(versions) + len(listed) > MAX_VERSIONS_PER_MESSAGE:
+                yield self._summary(chosen, versions)
+                chosen, versions = [], []
+            chosen.append(bucket)
+            versions += listed
+        if chosen:
+            yield self._summary(chosen, versions)
+
+    def _summary(
+        self, buckets: Sequence[int], versions: Iterable[RowVersion]
+    ) -> TableSummary:
+        own = self.replica.digest()
+        return TableSummary(
+            self._address, own, buckets=tuple(buckets), versions=tuple(versions)
+        )
+
+    def _answer_versions(self, peer: Peer, summary: TableSummary) -> list[Send]:
+        theirs = {(v.kind, v.name): v.version for v in summary.versions}
+        newer = self._newer_rows(theirs, frozenset(summary.buckets))
+        bodies: list[Body] = list(batches(newer))
+        wanted = tuple(
+            RowVersion(kind, name, self.replica.version(kind, name))
+            for (kind, name), version in theirs.items()
+            if version > self.replica.version(kind, name)
+        )
+        if wanted and summary.buckets:
+            own = self.replica.digest()
+            bodies.append(TableSummary(self._address, own, versions=wanted))
+        return [Send(peer.address, peer.region, body) for body in bodies]
+
+    def _newer_rows(
+        self, theirs: dict[tuple[str, str], int], buckets: frozenset[int]
+    ) -> tuple[Row, ...]:
+        """Return rows newer than a peer's; all of `buckets` count, others if named."""
+        if buckets:
+            held: Iterable[Row | None] = self.replica.rows_in(buckets)
+        else:
+            held = (self.replica.find(kind, name) for kind, name in theirs)
+        return tuple(
+            row
+            for row in held
+            if row is not None and row.version > theirs.get((row.kind, row.name), 0)
+        )
+
+    def _sift(self, rows: Iterable[Row]) -> tuple[list[Row], tuple[Finding, ...]]:
+        good: list[Row] = []
+        bad: list[Finding] = []
+        for row in rows:
+            if row.version <= self.replica.version(row.kind, row.name):
+                continue
+            findings = check_replicated(row)
+            if findings:
+                self.skipped += 1
+                bad += findings
+            else:
+                good.append(row)
+        return good, tuple(bad)
+
+
+def batches(rows: Sequence[Row]) -> list[RowsUpdate]:
+    """Return messages with all the rows, none of them too large."""
+    return [
+        RowsUpdate(tuple(rows[start : start + MAX_ROWS_PER_MESSAGE]))
+        for start in range(0, len(rows), MAX_ROWS_PER_MESSAGE)
+    ]
+
+
+def check_replicated(row: Row) -> tuple[Finding, ...]:
+    """Return what is wrong with a row; a deleted one only needs a known kind."""
+    try:
+        kind = Kind(row.kind)
+    except ValueError:
+        return (Finding(row.name, row.kind, "a kind of row"),)
+    return () if row.deleted else check_value(kind, row.name, row.value)
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,32 @@
+"""Tests of the queue of membership changes."""
+
+from collections.abc import Callable
+
+from oleandershift.gossip import MAX_UPDATES_PER_MESSAGE, UpdateQueue
+from oleandershift.messages import Member
+
+
+def test_message_is_bounded(make_member: Callable[..., Member]) -> None:
+    queue = UpdateQueue()
+    for i in range(100):
+        queue.add(make_member(f"vm{i}"))
+    assert len(queue.take(100)) == MAX_UPDATES_PER_MESSAGE
+
+
+def test_least_sent_goes_first(make_member: Callable[..., Member]) -> None:
+    queue = UpdateQueue()
+    for i in range(MAX_UPDATES_PER_MESSAGE):
+        queue.add(make_member(f"old{i}"))
+    queue.take(100)
+    queue.add(make_member("new"))
+    assert queue.take(100)[0].vm == "new"
+
+
+def test_change_is_dropped_after_enough_transmissions(
+    make_member: Callable[..., Member],
+) -> None:
+    queue = UpdateQueue()
+    queue.add(make_member("a"))
+    sent = sum(len(queue.take(7)) for _ in range(100))
+    assert sent == 9
+    assert len(queue) == 0
