--- /dev/null
+++ b/src/oleandershift/edits.py
@@ -0,0 +1,195 @@
+"""Edits of rows: what they change, and how they merge with other operators' edits."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from oleandershift.cells import Cell, cells_of, make_row, show_cell
+from oleandershift.checks import check_row, place
+from oleandershift.exceptions import ConflictError, Finding
+from oleandershift.ids import EditId
+from oleandershift.rows import AnyRow, Kind, decode_row
+
+MAX_EARLIER_EDITS = 8
+
+
+class EditType(Enum):
+    """What an edit does to its row."""
+
+    ADD = "add"
+    SET = "set"
+    REMOVE = "remove"
+
+
+@dataclass(frozen=True)
+class CellChange:
+    """Change of one cell.
+
+    Parameters
+    ----------
+    old, new : Cell
+        The value that the operator saw, and the one wanted.
+    """
+
+    old: Cell
+    new: Cell
+
+
+@dataclass(frozen=True)
+class RowState:
+    """One row as the platform holds it.
+
+    Parameters
+    ----------
+    kind : Kind
+        Its kind.
+    name : str
+        Its name.
+    version : int
+        The object's version; 0 when there is no object.
+    row : AnyRow or None
+        Its cells; None when it is absent or removed.
+    edits : tuple of EditId
+        Its last edits, newest first.
+    """
+
+    kind: Kind
+    name: str
+    version: int = 0
+    row: AnyRow | None = None
+    edits: tuple[EditId, ...] = ()
+
+
+@dataclass(frozen=True)
+class RowEdit:
+    """One operator's edit of one row.
+
+    Parameters
+    ----------
+    edit : EditId
+        Its id.
+    type : EditType
+        What it does.
+    kind : Kind
+        Kind of the row.
+    name : str
+        Name of the row.
+    cells : mapping of str to CellChange
+        Changed cells by column; all of the row's for an added row.
+    version : int
+        Version of the row that the operator saw.
+    """
+
+    edit: EditId
+    type: EditType
+    kind: Kind
+    name: str
+    cells: Mapping[str, CellChange] = field(default_factory=dict)
+    version: int = 0
+
+
+class _Deletable(msgspec.Struct):
+    deleted: bool = False
+    edit: EditId = EditId("")
+    earlier_edits: tuple[EditId, ...] = ()
+
+
+def read_state(kind: Kind, name: str, version: int, value: bytes) -> RowState:
+    """Return a row's state from the platform's JSON.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        When it is no row.
+    """
+    common = msgspec.json.decode(value, type=_Deletable)
+    edits = (common.edit, *common.earlier_edits)
+    row = None if common.deleted else decode_row(kind, value)
+    return RowState(kind, name, version, row, edits)
+
+
+def is_applied(edit: RowEdit, state: RowState) -> bool:
+    """Tell whether the row's last edits name this one."""
+    return edit.edit in state.edits
+
+
+def merge(edit: RowEdit, state: RowState) -> Result[bytes, ConflictError]:
+    """Return the JSON that applies an edit to a row as it now stands.
+
+    Parameters
+    ----------
+    edit : RowEdit
+        The edit.
+    state : RowState
+        The row now; other cells than the edit's may have changed meanwhile.
+
+    Returns
+    -------
+    Result
+        The JSON, or the conflict with another operator's edit.
+    """
+    if edit.type is EditType.ADD:
+        return _merge_add(edit, state)
+    if state.row is None:
+        wanted = "removed" if edit.type is EditType.REMOVE else "changed"
+        return Failure(ConflictError(_row_place(edit), wanted, "no such row"))
+    if edit.type is EditType.REMOVE:
+        return _merge_remove(edit, state, state.row)
+    return _merge_cells(edit, state, state.row)
+
+
+def check_edit(edit: RowEdit, value: bytes) -> tuple[Finding, ...]:
+    """Return what is wrong with the row that an edit leads to."""
+    if edit.type is EditType.REMOVE:
+        return ()
+    return check_row(edit.kind, decode_row(edit.kind, value))
+
+
+def _row_place(edit: RowEdit) -> str:
+    return f"{edit.kind.value}/{edit.name}"
+
+
+def _merge_add(edit: RowEdit, state: RowState) -> Result[bytes, ConflictError]:
+    if state.row is not None:
+        found = "a row added meanwhile"
+        return Failure(ConflictError(_row_place(edit), "a new row", found))
+    cells = {column: change.new for column, change in edit.cells.items()}
+    row = make_row(edit.kind, cells)
+    return Success(msgspec.json.encode(_stamped(row, edit, state)))
+
+
+def _merge_remove(
+    edit: RowEdit, state: RowState, row: AnyRow
+) -> Result[bytes, ConflictError]:
+    if state.version != edit.version:
+        found = f"version {state.version}"
+        wanted = f"version {edit.version} removed"
+        return Failure(ConflictError(_row_place(edit), wanted, found))
+    value = msgspec.to_builtins(_stamped(row, edit, state))
+    return Success(msgspec.json.encode({**value, "deleted": True}))
+
+
+def _merge_cells(
+    edit: RowEdit, state: RowState, row: AnyRow
+) -> Result[bytes, ConflictError]:
+    current = cells_of(edit.kind, row)
+    for column, change in edit.cells.items():
+        if current[column] not in (change.old, change.new):
+            return Failure(
+                ConflictError(
+                    place(edit.kind, edit.name, column),
+                    show_cell(column, change.new),
+                    show_cell(column, current[column]),
+                )
+            )
+    wanted = {column: change.new for column, change in edit.cells.items()}
+    merged = make_row(edit.kind, {**current, **wanted})
+    return Success(msgspec.json.encode(_stamped(merged, edit, state)))
+
+
+def _stamped(row: AnyRow, edit: RowEdit, state: RowState) -> AnyRow:
+    earlier = tuple(found for found in state.edits if found)[:MAX_EARLIER_EDITS]
+    return msgspec.structs.replace(row, edit=edit.edit, earlier_edits=earlier)
--- /dev/null
+++ b/src/oleandershift/keys.py
@@ -0,0 +1,53 @@
+"""Callers' keys: made here, kept in the table only as hashes."""
+
+import hashlib
+import secrets
+
+from oleandershift.checks import MAX_KEYS
+from oleandershift.exceptions import Finding, TableError
+from oleandershift.ids import TeamId
+
+KEY_BYTES = 32
+KEY_PREFIX = "ole_"
+
+
+def new_key() -> str:
+    """Return a new random key."""
+    return KEY_PREFIX + secrets.token_urlsafe(KEY_BYTES)
+
+
+def hash_key(key: str) -> str:
+    """Return the hash under which the table knows a key: hex SHA-256."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def with_key(
+    team: TeamId, key_hashes: tuple[str, ...], key_hash: str
+) -> tuple[str, ...]:
+    """Return a team's hashes with one more.
+
+    Raises
+    ------
+    TableError
+        When the team has as many keys as may be valid at once.
+    """
+    if len(key_hashes) >= MAX_KEYS:
+        where = f"teams/{team} key_hashes"
+        expected = f"at most {MAX_KEYS}; remove the older key first"
+        raise TableError((Finding(where, f"{len(key_hashes) + 1} keys", expected),))
+    return (*key_hashes, key_hash)
+
+
+def without_key(
+    team: TeamId, key_hashes: tuple[str, ...], newest: bool
+) -> tuple[str, ...]:
+    """Return a team's hashes without the older one, or without the newest.
+
+    Raises
+    ------
+    TableError
+        When the team has no key.
+    """
+    if not key_hashes:
+        raise TableError((Finding(f"teams/{team} key_hashes", "0 keys", "a key"),))
+    return key_hashes[:-1] if newest else key_hashes[1:]
--- a/src/oleandershift/rows.py
+++ b/src/oleandershift/rows.py
@@ -45,6 +45,8 @@
         Largest request body.
     edit : EditId
         Last edit of the row.
+    earlier_edits : tuple of EditId
+        Edits before the last, newest first; a bounded number.
     """
 
     name: ServiceId
@@ -52,6 +54,7 @@
     non_idempotent: tuple[str, ...] = ()
     max_body_bytes: int = 1 << 20
     edit: EditId = EditId("")
+    earlier_edits: tuple[EditId, ...] = ()
 
 
 class UpstreamRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,6 +76,8 @@
         `leaving` ends new work on it.
     edit : EditId
         Last edit of the row.
+    earlier_edits : tuple of EditId
+        Edits before the last, newest first; a bounded number.
     """
 
     name: UpstreamId
@@ -82,6 +87,7 @@
     slots: int = 8
     state: UpstreamState = UpstreamState.ACTIVE
     edit: EditId = EditId("")
+    earlier_edits: tuple[EditId, ...] = ()
 
 
 class TeamRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,6 +107,8 @@
         Requests a second per router; 0 means no limit.
     edit : EditId
         Last edit of the row.
+    earlier_edits : tuple of EditId
+        Edits before the last, newest first; a bounded number.
     """
 
     name: TeamId
@@ -110,6 +118,7 @@
     max_running: int = 1000
     max_rate: float = 0.0
     edit: EditId = EditId("")
+    earlier_edits: tuple[EditId, ...] = ()
 
 
 AnyRow: TypeAlias = ServiceRow | UpstreamRow | TeamRow
--- /dev/null
+++ b/src/oleandershift/sheet.py
@@ -0,0 +1,228 @@
+"""The table as a spreadsheet saves it: CSV in and out."""
+
+import csv
+import io
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass, field
+
+from returns.result import Failure, Result, Success
+
+from oleandershift.cells import (
+    Cell,
+    cells_of,
+    columns,
+    expected_cell,
+    format_cell,
+    parse_cell,
+)
+from oleandershift.edits import RowState
+from oleandershift.exceptions import Finding
+from oleandershift.rows import Kind
+
+BYTE_ORDER_MARK = "\ufeff"
+KIND_COLUMN = "kind"
+VERSION_COLUMN = "version"
+DELIMITERS = ";\t,"
+FIRST_DATA_ROW = 2
+
+_ALL_COLUMNS = dict.fromkeys(column for kind in Kind for column in columns(kind))
+_DECIMAL_COLUMNS = frozenset({"weight", "max_rate"})
+
+
+@dataclass(frozen=True)
+class SheetRow:
+    """One row of a sheet.
+
+    Parameters
+    ----------
+    place : str
+        Number of the row, as the spreadsheet counts.
+    kind : Kind
+        Kind of the row.
+    name : str
+        Name of the row.
+    cells : dict of str to Cell
+        Values by column; columns that the sheet lacks and empty cells are left out.
+    emptied : frozenset of str
+        Columns whose cell is empty.
+    version : int or None
+        Version of the row when it was exported.
+    """
+
+    place: str
+    kind: Kind
+    name: str
+    cells: dict[str, Cell] = field(default_factory=dict)
+    emptied: frozenset[str] = frozenset()
+    version: int | None = None
+
+
+SheetResult = Result[tuple[SheetRow, ...], tuple[Finding, ...]]
+
+
+def read_sheet(data: bytes, kind: Kind | None = None) -> SheetResult:
+    """Return the rows of a CSV file, or everything that is wrong with it.
+
+    Parameters
+    ----------
+    data : bytes
+        UTF-8 with or without a byte order mark; `,`, `;` or tabulator between cells;
+        any line ends. With `;`, numbers may have a decimal comma.
+    kind : Kind, optional
+        Kind of all rows; without it the sheet has a column `kind`.
+    """
+    try:
+        text = data.decode("utf-8-sig")
+    except UnicodeDecodeError as exc:
+        return Failure((Finding(f"byte {exc.start}", "", "text in UTF-8"),))
+    delimiter = _delimiter(text)
+    lines = list(csv.reader(io.StringIO(text, newline=""), delimiter=delimiter))
+    if not lines:
+        return Failure((Finding("row 1", "", "a row of column names"),))
+    reader = _Reader(kind, [cell.strip().lower() for cell in lines[0]], delimiter)
+    return reader.read(lines[1:])
+
+
+def write_sheet(
+    states: Iterable[RowState], kind: Kind | None = None, delimiter: str = ","
+) -> bytes:
+    """Return rows as a CSV file that a spreadsheet opens and `read_sheet` reads.
+
+    Parameters
+    ----------
+    states : iterable of RowState
+        Live rows.
+    kind : Kind, optional
+        Kind of all rows; without it a column `kind` tells.
+    delimiter : str
+        Stands between cells.
+    """
+    header = [*(columns(kind) if kind else (KIND_COLUMN, *_ALL_COLUMNS))]
+    header.append(VERSION_COLUMN)
+    out = io.StringIO(newline="")
+    writer = csv.DictWriter(out, header, restval="", delimiter=delimiter)
+    writer.writeheader()
+    for state in states:
+        writer.writerow(_line(state, kind is None))
+    return (BYTE_ORDER_MARK + out.getvalue()).encode()
+
+
+def _line(state: RowState, with_kind: bool) -> dict[str, str]:
+    assert state.row is not None
+    cells = cells_of(state.kind, state.row)
+    line = {column: format_cell(value) for column, value in cells.items()}
+    line[VERSION_COLUMN] = str(state.version)
+    if with_kind:
+        line[KIND_COLUMN] = state.kind.value
+    return line
+
+
+def _delimiter(text: str) -> str:
+    first = text.partition("\n")[0]
+    return max(reversed(DELIMITERS), key=first.count)
+
+
+class _Reader:
+    """Reads the lines of one sheet and collects findings."""
+
+    def __init__(self, kind: Kind | None, header: list[str], delimiter: str) -> None:
+        self._kind = kind
+        self._header = header
+        self._decimal_comma = delimiter != ","
+        self._findings: list[Finding] = []
+        self._places: dict[tuple[Kind, str], str] = {}
+
+    def read(self, lines: Sequence[Sequence[str]]) -> SheetResult:
+        """Return the rows, or the findings."""
+        self._check_header()
+        if self._findings:
+            return Failure(tuple(self._findings))
+        rows = [
+            row
+            for number, line in enumerate(lines, FIRST_DATA_ROW)
+            for row in self._row(f"row {number}", line)
+        ]
+        if self._findings:
+            return Failure(tuple(self._findings))
+        return Success(tuple(rows))
+
+    def _find(self, place: str, value: str, expected: str) -> None:
+        self._findings.append(Finding(place, value, expected))
+
+    def _check_header(self) -> None:
+        allowed = {*_ALL_COLUMNS, VERSION_COLUMN, KIND_COLUMN}
+        if self._kind is not None:
+            allowed = {*columns(self._kind), VERSION_COLUMN, KIND_COLUMN}
+        for number, column in enumerate(self._header, 1):
+            where = f"row 1, column {number}"
+            if column not in allowed:
+                self._find(where, column, "one of " + ", ".join(sorted(allowed)))
+            elif column in self._header[: number - 1]:
+                self._find(where, column, "each column once")
+        needed = ["name"] if self._kind else ["name", KIND_COLUMN]
+        for column in needed:
+            if column not in self._header:
+                self._find("row 1", "", f"a column {column}")
+
+    def _row(self, place: str, line: Sequence[str]) -> Iterator[SheetRow]:
+        if not any(cell.strip() for cell in line):
+            return
+        if any(cell.strip() for cell in line[len(self._header) :]):
+            self._find(place, line[len(self._header)], "no cell past the last column")
+            return
+        texts = dict(zip(self._header, (cell.strip() for cell in line), strict=False))
+        kind = self._kind_of(place, texts.pop(KIND_COLUMN, ""))
+        version = self._version(place, texts.pop(VERSION_COLUMN, ""))
+        if kind is None:
+            return
+        self._check_place(place, kind, texts.get("name", ""))
+        name = texts.get("name", "")
+        cells = dict(self._cells(place, kind, texts))
+        empty = frozenset(c for c, t in texts.items() if not t and c in columns(kind))
+        yield SheetRow(place, kind, name, cells, empty, version)
+
+    def _kind_of(self, place: str, text: str) -> Kind | None:
+        if self._kind is not None and text in ("", self._kind.value):
+            return self._kind
+        allowed = [self._kind] if self._kind else list(Kind)
+        for kind in allowed:
+            if kind.value == text:
+                return kind
+        words = ", ".join(kind.value for kind in allowed)
+        self._find(f"{place}, column {KIND_COLUMN}", text, words)
+        return None
+
+    def _version(self, place: str, text: str) -> int | None:
+        if not text:
+            return None
+        if not text.isascii() or not text.isdigit():
+            self._find(f"{place}, column {VERSION_COLUMN}", text, "a whole number")
+            return None
+        return int(text)
+
+    def _check_place(self, place: str, kind: Kind, name: str) -> None:
+        if not name:
+            self._find(f"{place}, column name", name, "the name of the row")
+            return
+        first = self._places.setdefault((kind, name), place)
+        if first != place:
+            expected = f"each name once; it stands in {first} too"
+            self._find(f"{place}, column name", name, expected)
+
+    def _cells(
+        self, place: str, kind: Kind, texts: dict[str, str]
+    ) -> Iterator[tuple[str, Cell]]:
+        for column, text in texts.items():
+            if not text:
+                continue
+            where = f"{place}, column {column}"
+            if column not in columns(kind):
+                self._find(where, text, f"no value, as {kind.value} have no {column}")
+                continue
+            if column in _DECIMAL_COLUMNS and self._decimal_comma:
+                text = text.replace(",", ".")
+            result = parse_cell(column, text)
+            if isinstance(result, Failure):
+                self._find(where, text, expected_cell(column))
+            else:
+                yield column, result.unwrap()
