Grant slots in fair order over the whole fleet

Cause: routers had no way to share upstream slots between teams. Change: sans-IO allocator per service and region, its clients (routers, and the other regions' allocators), registers of virtual service that merge in any order, the router's fair policy with team queues and admission, and the allocator daemon with a bounded load poller.

--- /dev/null
+++ b/src/oleandershift/charging.py
@@ -0,0 +1,92 @@
+"""What teams are charged: estimates at the grant, corrections until the end."""
+
+from collections.abc import Iterable, Mapping
+
+from oleandershift.backlog import NEVER, Backlog
+from oleandershift.costs import CostModel
+from oleandershift.ids import RegionId, TeamId
+from oleandershift.messages import AllocatorTotals, ProcessId, TeamLoad
+from oleandershift.rows import TeamRow
+from oleandershift.totals import Totals
+
+ESTIMATE_FACTOR = 4.0
+RETURN_CREDIT_TOKENS = 2000.0
+RETURN_GRACE_SECONDS = 2.0
+
+
+class Charging:
+    """Keeps the virtual service of the teams in step with what they are granted.
+
+    Parameters
+    ----------
+    process : ProcessId
+        The allocator incarnation that charges.
+    region : RegionId
+        Its region.
+    backlog : Backlog
+        Told of each team's virtual service.
+    """
+
+    def __init__(self, process: ProcessId, region: RegionId, backlog: Backlog) -> None:
+        self.totals = Totals(process, region)
+        self._backlog = backlog
+        self._rows: dict[TeamId, TeamRow] = {}
+        self._costs: CostModel[TeamId] = CostModel()
+        self._floor = 0.0
+
+    def configure(self, rows: Mapping[TeamId, TeamRow]) -> None:
+        """Take the teams' weights and limits."""
+        for team, row in rows.items():
+            if self._rows.get(team) != row:
+                self._rows[team] = row
+                self._backlog.set_team(team, row.weight, row.max_running)
+
+    def weight(self, team: TeamId) -> float:
+        """Return a team's weight; 1 when the table lacks it."""
+        row = self._rows.get(team)
+        return row.weight if row else 1.0
+
+    def estimate(self, load: TeamLoad) -> float:
+        """Return the expected cost of a team's next request at a client, tokens."""
+        hint = None
+        if load.waiting > 0 and load.waiting_cost > 0.0:
+            hint = load.waiting_cost / load.waiting
+        guess = hint or self._costs.estimate(load.team)
+        return self._costs.bounded(load.team, guess, ESTIMATE_FACTOR)
+
+    def charge(self, team: TeamId, tokens: float) -> None:
+        """Charge a team; negative to give back."""
+        if tokens == 0.0:
+            return
+        self.totals.charge(team, tokens / self.weight(team))
+        self._backlog.set_virtual(team, self.totals.virtual(team))
+
+    def observe(self, team: TeamId, cost: float) -> None:
+        """Take the cost of an ended request, tokens."""
+        self._costs.observe(team, cost)
+
+    def note_grant(self) -> None:
+        """Remember the least virtual service for when nothing is backlogged."""
+        least = self._backlog.least()
+        if least is not None:
+            self._floor = max(self._floor, least)
+
+    def lift(self, now: float, team: TeamId, idle_since: float) -> None:
+        """Lift a team that has just become backlogged.
+
+        It is lifted to the least virtual service of the other backlogged teams, less a
+        credit when it was idle for a moment only: it must neither save up service that
+        it did not ask for, nor lose its turn by an instant without a request.
+        """
+        floor = self._backlog.least_of_others(team)
+        if floor is None:
+            floor = self._floor
+        if idle_since != NEVER and now - idle_since < RETURN_GRACE_SECONDS:
+            floor -= RETURN_CREDIT_TOKENS / self.weight(team)
+        self.totals.lift(team, floor)
+        self._backlog.set_virtual(team, self.totals.virtual(team))
+
+    def merge(self, registers: Iterable[AllocatorTotals]) -> None:
+        """Take other incarnations' registers."""
+        for team in self.totals.merge(registers):
+            self._backlog.set_virtual(team, self.totals.virtual(team))
--- /dev/null
+++ b/src/oleandershift/io/allocator.py
@@ -0,0 +1,165 @@
+"""Allocator daemon: runs the roles that fall on this VM."""
+
+import resource
+import time
+from collections.abc import Iterable
+from typing import Any
+
+import pykka
+
+from oleandershift.allocation import AllocatorAction
+from oleandershift.dispatch import Send, UpstreamLoad
+from oleandershift.events import EventName
+from oleandershift.io.daemon import DaemonActor, Runtime
+from oleandershift.io.loads import LoadPoller
+from oleandershift.messages import (
+    DrainCommand,
+    Envelope,
+    MembersView,
+    RowsUpdate,
+    StatusReport,
+)
+from oleandershift.notes import Note
+from oleandershift.roles import Roles
+from oleandershift.subscription import HEARTBEAT_SECONDS, Subscription
+
+LINGER_SECONDS = 5.0
+"""How long a draining allocator goes on, so that its successor is found."""
+
+PAGE_BYTES = resource.getpagesize()
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as found:
+        return int(found.read().split()[1]) * PAGE_BYTES
+
+
+class AllocatorActor(DaemonActor):
+    """Carries out what the allocators decide.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Settings, links and time line.
+    """
+
+    def __init__(self, runtime: Runtime) -> None:
+        super().__init__(runtime.stopped)
+        self._runtime = runtime
+        self._links = runtime.links
+        self._subscription = Subscription(runtime.links.address)
+        self._roles = Roles(runtime.process.vm, runtime.region, runtime.links.address)
+        self._poller = LoadPoller(self._tell_load)
+        self._next_report = 0.0
+        self._stop_at: float | None = None
+        self._was_ready = False
+
+    def on_start(self) -> None:
+        """Begin to poll upstreams."""
+        self._poller.start()
+
+    def on_stop(self) -> None:
+        """Stop polling and let the process exit."""
+        self._poller.close()
+        super().on_stop()
+
+    def on_envelope(self, envelope: Envelope) -> None:
+        """Take a message of another process."""
+        now = time.time()
+        body = envelope.body
+        if isinstance(body, RowsUpdate | MembersView):
+            self._on_agent(now, envelope)
+        elif isinstance(body, DrainCommand):
+            self.on_drain(now, body.deadline)
+        else:
+            self._act(self._roles.on_envelope(now, envelope))
+
+    def on_tick(self, now: float) -> None:
+        """Take the passage of time."""
+        for body in self._subscription.on_tick(now, self._is_ready()):
+            self._links.send(self._runtime.agent_address, body)
+        self._act(self._roles.on_tick(now))
+        if now >= self._next_report:
+            self._next_report = now + HEARTBEAT_SECONDS
+            self._report(now)
+        if self._stop_at is not None and now >= self._stop_at:
+            self.stop()
+
+    def on_drain(self, now: float, deadline: float) -> None:
+        """Go on granting until the roles have moved, then stop."""
+        if self._stop_at is not None:
+            return
+        self._stop_at = min(deadline, now + LINGER_SECONDS)
+        self._runtime.events.write(EventName.DRAINING)
+
+    def on_other(self, message: object) -> Any:
+        """Take a load report of the poller."""
+        if isinstance(message, UpstreamLoad):
+            self._act(self._roles.on_load(time.time(), message))
+            return None
+        return super().on_other(message)
+
+    def _tell_load(self, load: UpstreamLoad) -> None:
+        if self.actor_ref.is_alive():
+            self.actor_ref.tell(load)
+
+    def _is_ready(self) -> bool:
+        return self._subscription.is_complete() and self._stop_at is None
+
+    def _on_agent(self, now: float, envelope: Envelope) -> None:
+        if envelope.sender.vm != self._runtime.process.vm:
+            return
+        changes = self._subscription.on_message(
+            envelope.sender.incarnation, envelope.body
+        )
+        if not self._subscription.is_complete():
+            return
+        if changes.rows or changes.members or not self._was_ready:
+            self._configure(now)
+        if not self._was_ready:
+            self._was_ready = True
+            self._runtime.events.write(EventName.READY)
+
+    def _configure(self, now: float) -> None:
+        subscription = self._subscription
+        actions = self._roles.configure(
+            now, subscription.table, subscription.members, subscription.leaving
+        )
+        self._poller.set_upstreams(self._roles.polled())
+        self._act(actions)
+
+    def _act(self, actions: Iterable[AllocatorAction]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._links.send(action.address, action.body, action.region)
+            else:
+                self._write(action)
+
+    def _write(self, note: Note) -> None:
+        self._runtime.events.write(
+            note.event,
+            grant=note.grant,
+            team=note.team,
+            service=note.service,
+            upstream=note.upstream,
+            detail=note.detail,
+        )
+
+    def _report(self, now: float) -> None:
+        report = StatusReport(
+            self._runtime.process,
+            now,
+            self._is_ready(),
+            self._stop_at is not None,
+            self._subscription.digest(),
+            upstreams=self._roles.upstreams(),
+            traffic=self._links.traffic(),
+            cpu_seconds=time.process_time(),
+            resident_bytes=_resident_bytes(),
+        )
+        self._links.send(self._runtime.agent_address, report)
+
+
+def start(runtime: Runtime) -> pykka.ActorRef[Any]:
+    """Start the daemon's actor."""
+    return AllocatorActor.start(runtime)
--- /dev/null
+++ b/src/oleandershift/io/loads.py
@@ -0,0 +1,89 @@
+"""Polling of upstreams' load reports in a worker thread."""
+
+import threading
+import time
+from collections.abc import Callable
+
+import msgspec
+import urllib3
+from loguru import logger
+
+from oleandershift.dispatch import UpstreamLoad
+from oleandershift.rows import UpstreamRow
+
+POLL_SECONDS = 1.0
+PROBES_PER_SECOND = 20
+PROBE_TIMEOUT_SECONDS = 0.5
+MAX_REPORT_BYTES = 4096
+STEP_SECONDS = 1.0 / PROBES_PER_SECOND
+
+
+class _Report(msgspec.Struct, frozen=True):
+    """Body of an upstream's answer to `GET /-/load`."""
+
+    running: int
+    waiting: int
+    slots: int = 0
+    tokens_per_second: float = 0.0
+
+
+class LoadPoller:
+    """Asks upstreams in turn, at most `PROBES_PER_SECOND` a second in all.
+
+    Parameters
+    ----------
+    on_load : callable
+        Called on the worker thread with each report.
+    """
+
+    def __init__(self, on_load: Callable[[UpstreamLoad], None]) -> None:
+        self._on_load = on_load
+        self._rows: tuple[UpstreamRow, ...] = ()
+        self._closing = threading.Event()
+        self._http = urllib3.PoolManager(num_pools=100, maxsize=1)
+        self._decoder = msgspec.json.Decoder(_Report)
+        self._thread = threading.Thread(target=self._run, name="loads", daemon=True)
+
+    def start(self) -> None:
+        """Begin to poll."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop polling."""
+        self._closing.set()
+        self._thread.join()
+        self._http.clear()
+
+    def set_upstreams(self, rows: tuple[UpstreamRow, ...]) -> None:
+        """Take the upstreams to ask."""
+        self._rows = rows
+
+    def _run(self) -> None:
+        while not self._closing.wait(STEP_SECONDS):
+            rows = self._rows
+            next_round = time.monotonic() + POLL_SECONDS
+            for row in rows:
+                if self._closing.wait(STEP_SECONDS):
+                    return
+                self._ask(row)
+            self._closing.wait(max(0.0, next_round - time.monotonic()))
+
+    def _ask(self, row: UpstreamRow) -> None:
+        try:
+            answer = self._http.request(
+                "GET",
+                f"{row.url}/-/load",
+                timeout=PROBE_TIMEOUT_SECONDS,
+                retries=False,
+                preload_content=False,
+            )
+            data = answer.read(MAX_REPORT_BYTES)
+            answer.drain_conn()
+            answer.release_conn()
+            report = self._decoder.decode(data)
+        except (urllib3.exceptions.HTTPError, msgspec.DecodeError) as exc:
+            logger.debug("no load report of {}: {}", row.name, exc)
+            return
+        self._on_load(
+            UpstreamLoad(row.name, time.time(), report.running, report.waiting)
+        )
--- /dev/null
+++ b/src/oleandershift/ledger.py
@@ -0,0 +1,138 @@
+"""Grants that an allocator has open."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from oleandershift.backlog import ClientKey
+from oleandershift.ids import RegionId, TeamId, UpstreamId
+from oleandershift.messages import Grant, GrantUse
+from oleandershift.streams import UseKey
+
+
+@dataclass(frozen=True)
+class Origin:
+    """The grant of another region's allocator that a sub-grant passes on.
+
+    Parameters
+    ----------
+    region : RegionId
+        Region of the allocator that made it.
+    use : GrantUse
+        The grant as it was received.
+    """
+
+    region: RegionId
+    use: GrantUse
+
+
+@dataclass
+class OpenGrant:
+    """A grant from when it is made until its slot is free.
+
+    Parameters
+    ----------
+    key : UseKey
+        Incarnation of the granting allocator, and its id of the grant.
+    client : ClientKey
+        Who holds it.
+    remote : bool
+        The client is another region's allocator.
+    grant : Grant
+        As it was sent.
+    charged : float
+        Charged by now, tokens.
+    origin : Origin or None
+        For a sub-grant.
+    mentioned_at : float or None
+        When the client first mentioned it.
+    sent_at : float
+        When it was last sent.
+    orphaned_at : float or None
+        When its client vanished.
+    """
+
+    key: UseKey
+    client: ClientKey
+    remote: bool
+    grant: Grant
+    charged: float
+    origin: Origin | None = None
+    mentioned_at: float | None = None
+    sent_at: float = 0.0
+    orphaned_at: float | None = None
+
+    @property
+    def team(self) -> TeamId:
+        """Return the team that it is charged to."""
+        return self.grant.team
+
+    @property
+    def upstream(self) -> UpstreamId:
+        """Return the upstream whose slot it takes."""
+        return self.grant.upstream
+
+
+class Ledger:
+    """Open grants, found by key, by client and by upstream where they lack one."""
+
+    def __init__(self) -> None:
+        self._grants: dict[UseKey, OpenGrant] = {}
+        self._of_client: defaultdict[ClientKey, dict[UseKey, OpenGrant]] = defaultdict(
+            dict
+        )
+        self._unmentioned: defaultdict[ClientKey, dict[UseKey, OpenGrant]] = (
+            defaultdict(dict)
+        )
+        self._orphans: dict[UseKey, OpenGrant] = {}
+
+    def get(self, key: UseKey) -> OpenGrant | None:
+        """Return an open grant."""
+        return self._grants.get(key)
+
+    def add(self, held: OpenGrant) -> None:
+        """Take a grant that was made or adopted."""
+        self._grants[held.key] = held
+        self._of_client[held.client][held.key] = held
+        if held.mentioned_at is None:
+            self._unmentioned[held.client][held.key] = held
+
+    def mention(self, now: float, held: OpenGrant) -> None:
+        """Note that the client has spoken of the grant."""
+        held.mentioned_at = now
+        self._unmentioned[held.client].pop(held.key, None)
+
+    def close(self, held: OpenGrant) -> None:
+        """Drop a grant whose slot is free."""
+        self._grants.pop(held.key, None)
+        self._orphans.pop(held.key, None)
+        self._of_client[held.client].pop(held.key, None)
+        self._unmentioned[held.client].pop(held.key, None)
+
+    def orphan(self, now: float, client: ClientKey) -> None:
+        """Note that a client has vanished; all of its grants may be in use."""
+        for held in self._of_client.pop(client, {}).values():
+            held.orphaned_at = now
+            held.mentioned_at = held.mentioned_at or now
+            self._orphans[held.key] = held
+        self._unmentioned.pop(client, None)
+
+    def reclaim(self, held: OpenGrant, client: ClientKey) -> None:
+        """Give an orphan to the client that speaks of it."""
+        self._orphans.pop(held.key, None)
+        self._of_client[held.client].pop(held.key, None)
+        held.orphaned_at = None
+        held.client = client
+        self._of_client[client][held.key] = held
+
+    def holds(self, client: ClientKey) -> bool:
+        """Tell whether a client has open grants."""
+        return bool(self._of_client.get(client))
+
+    def unmentioned(self, client: ClientKey) -> Iterable[OpenGrant]:
+        """Return a client's grants that it has not spoken of."""
+        return tuple(self._unmentioned.get(client, {}).values())
+
+    def orphans(self) -> Iterable[OpenGrant]:
+        """Return the grants whose client has vanished."""
+        return tuple(self._orphans.values())
--- /dev/null
+++ b/src/oleandershift/peers.py
@@ -0,0 +1,148 @@
+"""Other regions' allocators of the service, seen as their client."""
+
+from collections.abc import Callable, Iterable
+
+from oleandershift.ids import RegionId, Seq, ServiceId, TeamId, VmId
+from oleandershift.messages import (
+    Grant,
+    Grants,
+    GrantUse,
+    ProcessId,
+    Snapshot,
+    TeamLoad,
+)
+from oleandershift.streams import PEER_PACE, SnapshotStream, UseKey
+from oleandershift.totals import Totals
+
+SIGNIFICANT_FACTOR = 2
+
+
+def aggregated(team: TeamId, loads: Iterable[TeamLoad]) -> TeamLoad:
+    """Return the sum of a team's loads, in whole numbers to save bytes."""
+    found = tuple(loads)
+    waiting = [load for load in found if load.waiting > 0]
+    deadlines = [load.earliest_deadline for load in waiting if load.earliest_deadline]
+    return TeamLoad(
+        team,
+        sum(load.waiting for load in found),
+        sum(load.running for load in found),
+        round(sum(load.waiting_cost for load in waiting)),
+        int(min((load.oldest for load in waiting), default=0)),
+        int(min(deadlines, default=0)),
+    )
+
+
+def _differs(old: int, new: int) -> bool:
+    """Tell whether a count has changed enough to be worth a message."""
+    if (old == 0) != (new == 0):
+        return True
+    return new > old * SIGNIFICANT_FACTOR or old > new * SIGNIFICANT_FACTOR
+
+
+class Peer:
+    """The allocator of one other region, whose slots this region may be granted.
+
+    Parameters
+    ----------
+    region : RegionId
+        Its region.
+    vm : VmId
+        Where the role falls.
+    address : str
+        Its link address.
+    """
+
+    def __init__(self, region: RegionId, vm: VmId, address: str) -> None:
+        self.region = region
+        self.vm = vm
+        self.address = address
+        self.stream = SnapshotStream(PEER_PACE)
+        self._sent: dict[TeamId, TeamLoad] = {}
+        self._totals_at: dict[Seq, Seq] = {}
+        self._seen: dict[UseKey, float] = {}
+
+    def move(self, vm: VmId, address: str) -> None:
+        """Take the place that the role has moved to."""
+        if (vm, address) != (self.vm, self.address):
+            self.vm, self.address = vm, address
+            self.stream.restart()
+
+    def note_load(self, load: TeamLoad) -> None:
+        """Note a team's load; it is sent once it differs enough."""
+        sent = self._sent.get(load.team)
+        if sent is None:
+            sent = TeamLoad(load.team, 0)
+        if _differs(sent.waiting, load.waiting) or _differs(sent.running, load.running):
+            self.stream.touch_team(load.team, urgent=sent.waiting == 0)
+
+    def on_grants(self, now: float, message: Grants) -> tuple[Grant, ...]:
+        """Take the peer's answer and return the grants that are new."""
+        if message.allocator.vm != self.vm:
+            return ()
+        if not self.stream.expects(message.allocator):
+            return ()
+        self.stream.on_ack(now, message.allocator, message.ack)
+        incarnation = message.allocator.incarnation
+        fresh = []
+        for grant in message.grants:
+            key = (incarnation, grant.grant)
+            if key not in self._seen:
+                self._seen[key] = grant.deadline
+                fresh.append(grant)
+        return tuple(fresh)
+
+    def is_placeable(self, now: float, grant: Grant) -> bool:
+        """Tell whether there is time left to use a grant."""
+        return now < grant.deadline
+
+    def put_use(self, use: GrantUse) -> None:
+        """Report on one of the peer's grants."""
+        self.stream.put_use(use, urgent=use.done)
+
+    def expire(self, now: float) -> None:
+        """Forget grants that may no longer be used."""
+        for key in [key for key, deadline in self._seen.items() if deadline < now]:
+            del self._seen[key]
+
+    def snapshot(
+        self,
+        now: float,
+        service: ServiceId,
+        process: ProcessId,
+        region: RegionId,
+        reply_to: str,
+        load_of: Callable[[TeamId], TeamLoad],
+        totals: Totals,
+    ) -> Snapshot:
+        """Return the snapshot that is due.
+
+        Parameters
+        ----------
+        now : float
+            The current instant.
+        service, process, region, reply_to
+            As in `Snapshot`.
+        load_of : callable
+            Returns a team's load in this region.
+        totals : Totals
+            Registers to pass on.
+        """
+        delta = self.stream.advance(now)
+        teams = tuple(load_of(team) for team in delta.teams)
+        for load in teams:
+            self._sent[load.team] = load
+        known = self._totals_at.get(delta.base, Seq(0)) if delta.base else Seq(0)
+        self._totals_at[delta.seq] = totals.position
+        for seq in [seq for seq in self._totals_at if seq < self.stream.acked]:
+            del self._totals_at[seq]
+        return Snapshot(
+            service,
+            process,
+            region,
+            reply_to,
+            delta.base,
+            delta.seq,
+            teams,
+            delta.grants,
+            service_totals=totals.since(known),
+        )
--- /dev/null
+++ b/src/oleandershift/totals.py
@@ -0,0 +1,129 @@
+"""Virtual service of each team over the whole fleet.
+
+Each allocator incarnation writes one register; registers merge in any order, however
+often, so that all allocators of a service come to the same totals.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+from oleandershift.changes import ChangeLog
+from oleandershift.ids import RegionId, Seq, TeamId
+from oleandershift.messages import AllocatorTotals, ProcessId, TeamTotal
+
+_Entry = tuple[ProcessId, TeamId]
+
+
+def _rounded(total: TeamTotal) -> TeamTotal:
+    """Return a total in whole tokens, which take fewer bytes than fractions."""
+    return TeamTotal(total.team, total.seq, round(total.virtual), round(total.lift))
+
+
+class Totals:
+    """Sum over all registers of a service, and this incarnation's own register.
+
+    Parameters
+    ----------
+    writer : ProcessId
+        The incarnation whose register this object writes.
+    region : RegionId
+        Its region.
+
+    Attributes
+    ----------
+    position : Seq
+        Number of the last change.
+    """
+
+    def __init__(self, writer: ProcessId, region: RegionId) -> None:
+        self._writer = writer
+        self._regions: dict[ProcessId, RegionId] = {writer: region}
+        self._entries: dict[_Entry, TeamTotal] = {}
+        self._sums: defaultdict[TeamId, float] = defaultdict(float)
+        self._lifts: defaultdict[TeamId, float] = defaultdict(float)
+        self._log: ChangeLog[_Entry] = ChangeLog()
+        self.position = Seq(0)
+
+    def virtual(self, team: TeamId) -> float:
+        """Return a team's virtual service, tokens over weight."""
+        return self._sums.get(team, 0.0) + self._lifts.get(team, 0.0)
+
+    def charge(self, team: TeamId, virtual: float) -> None:
+        """Add virtual service to this incarnation's register.
+
+        Parameters
+        ----------
+        team : TeamId
+            The team.
+        virtual : float
+            Tokens over weight; negative when an estimate was too high.
+        """
+        held = self._own(team)
+        self._sums[team] += virtual
+        self._write(
+            TeamTotal(team, Seq(held.seq + 1), held.virtual + virtual, held.lift)
+        )
+
+    def lift(self, team: TeamId, floor: float) -> None:
+        """Raise a team's virtual service to a floor; never lower it."""
+        wanted = floor - self._sums.get(team, 0.0)
+        if wanted <= self._lifts.get(team, 0.0):
+            return
+        held = self._own(team)
+        self._lifts[team] = wanted
+        self._write(TeamTotal(team, Seq(held.seq + 1), held.virtual, wanted))
+
+    def merge(self, registers: Iterable[AllocatorTotals]) -> frozenset[TeamId]:
+        """Take other incarnations' entries; return the teams that changed."""
+        changed: set[TeamId] = set()
+        for register in registers:
+            if register.allocator == self._writer:
+                continue
+            self._regions[register.allocator] = register.region
+            for total in register.teams:
+                if self._take(register.allocator, total):
+                    changed.add(total.team)
+        return frozenset(changed)
+
+    def relay(self, writer: ProcessId) -> None:
+        """Mark another incarnation's register so that it is passed on."""
+        for entry in self._entries:
+            if entry[0] == writer:
+                self._mark(entry)
+
+    def since(self, base: Seq) -> tuple[AllocatorTotals, ...]:
+        """Return entries to send to a peer that has everything up to `base`.
+
+        Base 0 returns every register. Otherwise these are this incarnation's changes
+        and the relayed ones: others speak for themselves.
+        """
+        entries = self._entries if base == 0 else self._log.since(base)
+        grouped: defaultdict[ProcessId, list[TeamTotal]] = defaultdict(list)
+        for entry in entries:
+            grouped[entry[0]].append(_rounded(self._entries[entry]))
+        return tuple(
+            AllocatorTotals(writer, self._regions[writer], tuple(totals))
+            for writer, totals in grouped.items()
+        )
+
+    def _own(self, team: TeamId) -> TeamTotal:
+        return self._entries.get((self._writer, team)) or TeamTotal(team, Seq(0), 0.0)
+
+    def _write(self, total: TeamTotal) -> None:
+        entry = (self._writer, total.team)
+        self._entries[entry] = total
+        self._mark(entry)
+
+    def _mark(self, entry: _Entry) -> None:
+        self.position = Seq(self.position + 1)
+        self._log.mark(entry, self.position)
+
+    def _take(self, writer: ProcessId, total: TeamTotal) -> bool:
+        entry = (writer, total.team)
+        held = self._entries.get(entry)
+        if held is not None and held.seq >= total.seq:
+            return False
+        self._entries[entry] = total
+        self._sums[total.team] += total.virtual - (held.virtual if held else 0.0)
+        self._lifts[total.team] = max(self._lifts[total.team], total.lift)
+        return True
