Add the local fleet

Each process has its own session, so that Ctrl-C reaches only the launcher, which stops the others by their handles. Latency between regions is left out: it would need a proxy on every link. Not run whole yet: routers do not exist; a daemon that ends is reported with its exit code, and no process stays behind (run: python -m standins.fleet). make test: green.

--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,331 @@
+"""Local fleet: stand-ins and daemons, each a process of its own."""
+
+import argparse
+import time
+from collections.abc import Sequence
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+import msgspec
+import urllib3
+
+from oleandershift.ids import VmId
+from oleandershift.messages import Role
+from oleandershift.rows import AnyRow, Kind, ServiceMode, encode_row
+from standins.fleet_file import (
+    FILE_NAME,
+    PLATFORM_CONTROL_PORT,
+    PLATFORM_PORT,
+    addresses,
+    write,
+)
+from standins.platform import VmEntry
+from standins.presets import (
+    CONTROL_PORT,
+    PRESETS,
+    UPSTREAM_PORT,
+    FleetPlan,
+    UpstreamPlan,
+    VmPlan,
+    plan,
+)
+from standins.processes import ChildProcess, exit_on_signals, stop_all
+
+AGENT_PORT = 7101
+READY_SECONDS = 30.0
+STOP_SECONDS = 3.0
+POLL_SECONDS = 0.05
+DEFAULT_NET = "127.30"
+DAEMONS = (Role.AGENT, Role.ALLOCATOR, Role.ROUTER)
+
+
+class FleetError(Exception):
+    """The fleet did not come up."""
+
+
+@dataclass(frozen=True)
+class FleetConfig:
+    """Settings of a local fleet.
+
+    Parameters
+    ----------
+    preset : str
+        `kyushu` or `derwent`.
+    net : str
+        First two numbers of its loopback addresses.
+    out : Path
+        Folder for `fleet.json` and logs.
+    policy : str
+        Routers' policy.
+    seed : int
+        Of keys and of the teams' entries.
+    router_args : tuple of str
+        Further flags of the routers.
+    engine_args : tuple of str
+        Further flags of the engines.
+    log_level : str
+        Of the daemons.
+    """
+
+    preset: str = "kyushu"
+    net: str = DEFAULT_NET
+    out: Path = Path("out/fleet")
+    policy: str = "fcfs"
+    seed: int = 1
+    router_args: tuple[str, ...] = ()
+    engine_args: tuple[str, ...] = ()
+    log_level: str = "INFO"
+
+
+class Fleet(AbstractContextManager["Fleet"]):
+    """Nine VMs in three regions with a platform and upstreams, on loopback addresses.
+
+    Parameters
+    ----------
+    cfg : FleetConfig
+        Settings.
+
+    Attributes
+    ----------
+    plan : FleetPlan
+        What it is made of.
+    addresses : FleetFile
+        Every address and key.
+    """
+
+    def __init__(self, cfg: FleetConfig) -> None:
+        self.cfg = cfg
+        self.plan: FleetPlan = plan(PRESETS[cfg.preset], cfg.net, cfg.seed)
+        self._logs = cfg.out / "logs"
+        self._platform_ip = f"{cfg.net}.0.1"
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+        self.addresses = addresses(self.plan, cfg.policy, self._platform_ip, self._logs)
+        self._platform = self._platform_process()
+        self._upstreams = {
+            one.row.name: self._upstream_process(one) for one in self.plan.upstreams
+        }
+        self._daemons = {
+            (vm.vm, role): self._daemon_process(vm, role)
+            for vm in self.plan.vms
+            for role in DAEMONS
+        }
+
+    def __enter__(self) -> Self:
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start everything and wait until every router is ready.
+
+        Raises
+        ------
+        FleetError
+            When a process ends, or a router is not ready in time.
+        """
+        self._logs.mkdir(parents=True, exist_ok=True)
+        for old in self._logs.iterdir():
+            old.unlink()
+        try:
+            self._start_all()
+        except BaseException:
+            self.stop()
+            raise
+        write(self.cfg.out / FILE_NAME, self.addresses)
+
+    def stop(self) -> None:
+        """Stop every process."""
+        stop_all(self._daemons.values(), STOP_SECONDS)
+        stop_all((*self._upstreams.values(), self._platform), STOP_SECONDS)
+
+    def daemon(self, vm: VmId, role: Role) -> ChildProcess:
+        """Return one daemon's process."""
+        return self._daemons[vm, role]
+
+    def daemons(self, role: Role) -> tuple[ChildProcess, ...]:
+        """Return the processes of a role."""
+        return tuple(self._daemons[vm.vm, role] for vm in self.plan.vms)
+
+    def vm_processes(self, vm: VmId) -> tuple[ChildProcess, ...]:
+        """Return the processes of a VM."""
+        return tuple(self._daemons[vm, role] for role in DAEMONS)
+
+    def upstream(self, name: str) -> ChildProcess:
+        """Return an upstream's process."""
+        return self._upstreams[name]  # type: ignore[index]
+
+    def restart_vm(self, vm: VmId, drain_seconds: float) -> None:
+        """Replace a VM's processes in good order.
+
+        The router drains first, as its VM's agent and allocator serve it until then.
+
+        Raises
+        ------
+        FleetError
+            When a process has not drained in time, or the router is not ready again.
+        """
+        for role in reversed(DAEMONS):
+            child = self._daemons[vm, role]
+            child.terminate()
+            if child.wait(drain_seconds) is None:
+                raise FleetError(f"{child.name} has not drained")
+        for role in DAEMONS:
+            self._daemons[vm, role].start()
+        self.wait_ready([vm])
+
+    def wait_ready(self, vms: Sequence[VmId] | None = None) -> None:
+        """Wait until the routers of some VMs, or of all, are ready.
+
+        Raises
+        ------
+        FleetError
+            When one is not in time.
+        """
+        deadline = time.monotonic() + READY_SECONDS
+        for vm in vms or [one.vm for one in self.plan.vms]:
+            url = self.addresses.vm(vm).http + "/readyz"
+            self._wait_for(url, deadline, self.vm_processes(vm))
+
+    def _start_all(self) -> None:
+        outside = (self._platform, *self._upstreams.values())
+        for child in outside:
+            child.start()
+        deadline = time.monotonic() + READY_SECONDS
+        self._wait_for(f"{self.addresses.platform}/v1/vms", deadline, outside)
+        for upstream in self.addresses.upstreams:
+            self._wait_for(f"{upstream.url}/-/load", deadline, outside)
+        self._seed_platform()
+        for child in self._daemons.values():
+            child.start()
+        self.wait_ready()
+
+    def _wait_for(
+        self, url: str, deadline: float, needed: Sequence[ChildProcess]
+    ) -> None:
+        while not self._answers(url):
+            for child in needed:
+                if not child.is_running():
+                    raise FleetError(
+                        f"{child.name} ended with {child.exit_code()}:\n"
+                        f"{child.last_errors()}"
+                    )
+            if time.monotonic() > deadline:
+                names = ", ".join(child.name for child in needed)
+                raise FleetError(f"{url} is not ready; see {self._logs} for {names}")
+            time.sleep(POLL_SECONDS)
+
+    def _answers(self, url: str) -> bool:
+        try:
+            return self._http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _seed_platform(self) -> None:
+        for service in self.plan.services:
+            self._create(Kind.SERVICES, service)
+        for upstream in self.plan.upstreams:
+            self._create(Kind.UPSTREAMS, upstream.row)
+        for team in self.plan.teams:
+            self._create(Kind.TEAMS, team.row)
+        entries = [VmEntry(vm.vm, vm.region, vm.ip) for vm in self.plan.vms]
+        url = f"{self.addresses.platform_control}/vms"
+        self._http.request("PUT", url, body=msgspec.json.encode(entries))
+
+    def _create(self, kind: Kind, row: AnyRow) -> None:
+        url = f"{self.addresses.platform}/v1/objects/{kind.value}/{row.name}"
+        headers = {"If-None-Match": "*"}
+        answer = self._http.request("PUT", url, body=encode_row(row), headers=headers)
+        if answer.status != 201:
+            raise FleetError(f"{url} answered {answer.status}")
+
+    def _platform_process(self) -> ChildProcess:
+        args = ("--ip", self._platform_ip, "--port", str(PLATFORM_PORT))
+        control = ("--control-port", str(PLATFORM_CONTROL_PORT))
+        return ChildProcess(
+            "platform",
+            "standins.platform",
+            (*args, *control),
+            self._logs,
+            takes_log_file=False,
+        )
+
+    def _upstream_process(self, one: UpstreamPlan) -> ChildProcess:
+        is_engine = one.mode is ServiceMode.ENGINE
+        args = (
+            *("--name", one.row.name),
+            *("--region", one.row.region),
+            *("--ip", one.ip),
+            *("--port", str(UPSTREAM_PORT)),
+            *("--control-port", str(CONTROL_PORT)),
+            *("--slots", str(one.row.slots)),
+            *(self.cfg.engine_args if is_engine else ()),
+        )
+        module = "standins.engine" if is_engine else "standins.plain"
+        return ChildProcess(one.row.name, module, args, self._logs)
+
+    def _daemon_process(self, vm: VmPlan, role: Role) -> ChildProcess:
+        args = [
+            *("--vm", vm.vm),
+            *("--region", vm.region),
+            *("--data-centre", f"{vm.region}-1"),
+            *("--ip", vm.ip),
+            *("--log-level", self.cfg.log_level),
+        ]
+        if role is not Role.ALLOCATOR:
+            args += ["--platform-url", self.addresses.platform]
+        if role is Role.AGENT:
+            args += ["--seeds", self._seeds(vm)]
+        if role is Role.ROUTER:
+            args += ["--policy", self.cfg.policy, *self.cfg.router_args]
+        module = f"oleandershift.cli.{role.value}"
+        return ChildProcess(f"{vm.vm}-{role.value}", module, args, self._logs)
+
+    def _seeds(self, vm: VmPlan) -> str:
+        firsts = {other.region: other for other in reversed(self.plan.vms)}
+        others = (other for other in firsts.values() if other is not vm)
+        return ",".join(f"{other.ip}:{AGENT_PORT}" for other in others)
+
+
+def add_fleet_flags(parser: argparse.ArgumentParser) -> None:
+    """Add the flags that every tool with a fleet has."""
+    parser.add_argument("--net", default=DEFAULT_NET, help="loopback subnet, 127.x")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--log-level", default="INFO", choices=("DEBUG", "INFO", "WARNING", "ERROR")
+    )
+
+
+def main() -> int:
+    """Run a fleet until Ctrl-C."""
+    parser = argparse.ArgumentParser("standins.fleet", description=__doc__)
+    add_fleet_flags(parser)
+    parser.add_argument("--preset", choices=sorted(PRESETS), default="kyushu")
+    parser.add_argument("--policy", default="fair")
+    parser.add_argument("--out", type=Path, default=Path("out/fleet"))
+    cfg = parser.parse_args()
+    exit_on_signals()
+    fleet = Fleet(FleetConfig(**vars(cfg)))
+    try:
+        with fleet:
+            print(f"ready: {cfg.out / FILE_NAME}; Ctrl-C to stop", flush=True)
+            while True:
+                time.sleep(1)
+    except KeyboardInterrupt:
+        return 0
+    except FleetError as exc:
+        print(exc)
+        return 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
