Add the load generator

Callers of several teams in closed or open loop, from seeded work whose costs are heavy-tailed; each answer is checked by its unique text, its token count and its end.

--- /dev/null
+++ b/standins/load.py
@@ -0,0 +1,211 @@
+"""Load generator: callers of several teams, in closed or open loop."""
+
+import argparse
+import queue
+import random
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from standins.calls import Caller, CallRecord, Verdict
+from standins.fleet_file import FleetFile, TeamAccess, read
+from standins.workload import Mix, WorkItem, work_of
+
+MOST_RETRY_SECONDS = 1.0
+JOIN_SECONDS = 150.0
+OPEN_LOOP_CALLERS = 256
+HISTOGRAM_MOST_MS = 600_000
+
+
+@dataclass(frozen=True)
+class TeamLoad:
+    """Load of one team.
+
+    Parameters
+    ----------
+    callers : int
+        Requests kept going in closed loop; 0 for none.
+    rate : float
+        Requests a second in open loop; 0 for none.
+    mix : Mix
+        What they are.
+    """
+
+    callers: int = 0
+    rate: float = 0.0
+    mix: Mix = field(default_factory=Mix)
+
+
+class _Source:
+    """A team's work, handed to its callers in order."""
+
+    def __init__(self, items: Iterator[WorkItem]) -> None:
+        self._items = items
+        self._lock = threading.Lock()
+
+    def take(self) -> WorkItem:
+        with self._lock:
+            return next(self._items)
+
+
+class LoadGenerator:
+    """Sends the load of several teams and checks every answer.
+
+    Parameters
+    ----------
+    fleet : FleetFile
+        Where to send it.
+    loads : mapping of str to TeamLoad
+        Load by team.
+    seed : int
+        Of the work and of open-loop arrivals.
+    """
+
+    def __init__(
+        self, fleet: FleetFile, loads: Mapping[str, TeamLoad], seed: int
+    ) -> None:
+        self._fleet = fleet
+        self._seed = seed
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._records: list[CallRecord] = []
+        self._waiting: queue.SimpleQueue[WorkItem | None] = queue.SimpleQueue()
+        self._threads: list[threading.Thread] = []
+        teams = {team.name: team for team in fleet.teams}
+        for name, load in loads.items():
+            self._plan(teams[name], load)
+
+    def start(self) -> None:
+        """Begin to send."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Send no more, and wait for every answer."""
+        self._stopping.set()
+        for _ in range(OPEN_LOOP_CALLERS):
+            self._waiting.put(None)
+        deadline = time.monotonic() + JOIN_SECONDS
+        for thread in self._threads:
+            thread.join(max(deadline - time.monotonic(), 0.0))
+
+    def run(self, seconds: float) -> tuple[CallRecord, ...]:
+        """Send for some time; return the calls once all have been answered."""
+        self.start()
+        self._stopping.wait(seconds)
+        self.stop()
+        return self.records()
+
+    def records(self) -> tuple[CallRecord, ...]:
+        """Return the calls so far."""
+        with self._lock:
+            return tuple(self._records)
+
+    def _plan(self, team: TeamAccess, load: TeamLoad) -> None:
+        source = _Source(work_of(self._fleet, team, load.mix, self._seed))
+        for _ in range(load.callers):
+            self._add(self._keep_calling, source)
+        if load.rate:
+            self._add(self._arrive, source, load.rate, team.name)
+            have = sum(1 for t in self._threads if t.name == "open-loop")
+            for _ in range(have, OPEN_LOOP_CALLERS):
+                self._add(self._serve_arrivals, name="open-loop")
+
+    def _add(self, target: object, *args: object, name: str = "caller") -> None:
+        self._threads.append(
+            threading.Thread(target=target, args=args, name=name, daemon=True)  # type: ignore[arg-type]
+        )
+
+    def _keep_calling(self, source: _Source) -> None:
+        caller = Caller()
+        while not self._stopping.is_set():
+            record = self._call(caller, source.take())
+            if record.verdict is not Verdict.WHOLE:
+                pause = record.retry_after or MOST_RETRY_SECONDS
+                self._stopping.wait(min(pause, MOST_RETRY_SECONDS))
+        caller.close()
+
+    def _arrive(self, source: _Source, rate: float, team: str) -> None:
+        rng = random.Random(f"{self._seed}/{team}/arrivals")
+        while not self._stopping.wait(rng.expovariate(rate)):
+            self._waiting.put(source.take())
+
+    def _serve_arrivals(self) -> None:
+        caller = Caller()
+        while (item := self._waiting.get()) is not None:
+            self._call(caller, item)
+        caller.close()
+
+    def _call(self, caller: Caller, item: WorkItem) -> CallRecord:
+        record = caller.call(item)
+        with self._lock:
+            self._records.append(record)
+        return record
+
+
+def backlogged(
+    fleet: FleetFile, mix: Mix, spare: int, per_slot: float = 1.5
+) -> dict[str, TeamLoad]:
+    """Return closed-loop loads that keep every team backlogged at its fair share.
+
+    Parameters
+    ----------
+    fleet : FleetFile
+        The fleet.
+    mix : Mix
+        What the requests are.
+    spare : int
+        Callers of each team beyond those that its share keeps busy.
+    per_slot : float
+        Callers for each slot of the team's share.
+    """
+    slots = sum(one.slots for one in fleet.of_service(fleet.engine_service))
+    weights = sum(team.weight for team in fleet.teams)
+    return {
+        team.name: TeamLoad(
+            callers=round(per_slot * slots * team.weight / weights) + spare, mix=mix
+        )
+        for team in fleet.teams
+    }
+
+
+def verdicts(records: Sequence[CallRecord]) -> Counter[Verdict]:
+    """Return how many calls ended in each way."""
+    return Counter(record.verdict for record in records)
+
+
+def histogram(seconds: Sequence[float]) -> HdrHistogram:
+    """Return an HDR histogram of times, in milliseconds."""
+    made = HdrHistogram(1, HISTOGRAM_MOST_MS, 3)
+    for value in seconds:
+        made.record_value(max(1, round(value * 1000)))
+    return made
+
+
+def main() -> int:
+    """Send load to a running fleet and print what became of it."""
+    parser = argparse.ArgumentParser("standins.load", description=__doc__)
+    parser.add_argument("--fleet", type=Path, default=Path("out/fleet/fleet.json"))
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--spare", type=int, default=3)
+    parser.add_argument("--seed", type=int, default=1)
+    cfg = parser.parse_args()
+    fleet = read(cfg.fleet)
+    loads = backlogged(fleet, Mix(plain=0.1), cfg.spare)
+    records = LoadGenerator(fleet, loads, cfg.seed).run(cfg.seconds)
+    times = histogram([record.finished - record.sent for record in records])
+    for verdict, count in verdicts(records).items():
+        print(f"{verdict.value:8} {count}")
+    for percentile in (50, 95, 99):
+        print(f"p{percentile} {times.get_value_at_percentile(percentile)} ms")
+    whole = verdicts(records)[Verdict.WHOLE]
+    return 0 if whole == len(records) else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
