--- /dev/null
+++ b/standins/sampling.py
@@ -0,0 +1,177 @@
+"""Control traffic, processor time and memory of a running fleet."""
+
+from collections import defaultdict
+from collections.abc import Iterable
+
+import msgspec
+from returns.result import Success
+
+from oleandershift.ids import FleetId
+from oleandershift.io.queries import ask
+from oleandershift.messages import OperatorQuery, QueryKind, Role, StatusReport
+from standins.fleet import Fleet
+from standins.processes import processor_seconds, resident_bytes
+
+QUERY_SECONDS = 3.0
+FLEET = FleetId("oleander")
+
+
+class ProcessSample(msgspec.Struct, frozen=True):
+    """One daemon at one instant."""
+
+    name: str
+    role: str
+    cpu_seconds: float
+    resident_bytes: int
+
+
+class FleetSample(msgspec.Struct, frozen=True):
+    """A fleet at one instant.
+
+    Parameters
+    ----------
+    at : float
+        Seconds since the Unix epoch.
+    regions : dict of str to str
+        Region by VM.
+    reports : tuple of StatusReport
+        Newest report of every daemon that an agent told of.
+    processes : tuple of ProcessSample
+        Every daemon.
+    """
+
+    at: float
+    regions: dict[str, str]
+    reports: tuple[StatusReport, ...]
+    processes: tuple[ProcessSample, ...]
+
+
+class ControlFigures(msgspec.Struct, frozen=True):
+    """Control traffic between two samples.
+
+    Parameters
+    ----------
+    vm_bytes_per_second : dict of str to float
+        Sent by each VM.
+    region_bytes_per_second : dict of str to float
+        Sent from one region to another, by `from>to`.
+    messages_per_second : float
+        Sent by all.
+    """
+
+    vm_bytes_per_second: dict[str, float]
+    region_bytes_per_second: dict[str, float]
+    messages_per_second: float
+
+    @property
+    def mean_vm_bytes(self) -> float:
+        """Return the mean over the VMs."""
+        rates = self.vm_bytes_per_second.values()
+        return sum(rates) / len(rates) if rates else 0.0
+
+    @property
+    def between_regions(self) -> float:
+        """Return bytes a second that left their region, over all."""
+        return sum(
+            rate
+            for pair, rate in self.region_bytes_per_second.items()
+            if len(set(pair.split(">"))) > 1
+        )
+
+
+class RoleFigures(msgspec.Struct, frozen=True):
+    """Load of the processes of a role between two samples.
+
+    Parameters
+    ----------
+    role : str
+        The daemon.
+    cpu_percent, most_cpu_percent : float
+        Of one core; mean and largest.
+    resident_mb, most_resident_mb : float
+        Mean and largest.
+    """
+
+    role: str
+    cpu_percent: float
+    most_cpu_percent: float
+    resident_mb: float
+    most_resident_mb: float
+
+
+def sample(fleet: Fleet, now: float) -> FleetSample:
+    """Return a sample of a fleet."""
+    reports: list[StatusReport] = []
+    for vm in fleet.addresses.vms:
+        query = OperatorQuery(QueryKind.STATUS)
+        reply = ask(vm.query, FLEET, query, QUERY_SECONDS)
+        if isinstance(reply, Success):
+            reports += reply.unwrap().reports
+    regions = {vm.vm: vm.region for vm in fleet.addresses.vms}
+    return FleetSample(now, regions, tuple(reports), _processes(fleet))
+
+
+def control(first: FleetSample, last: FleetSample) -> ControlFigures:
+    """Return the control traffic between two samples."""
+    before = {report.process: report for report in first.reports}
+    by_vm: defaultdict[str, float] = defaultdict(float)
+    by_pair: defaultdict[str, float] = defaultdict(float)
+    messages = 0.0
+    for report in last.reports:
+        earlier = before.get(report.process)
+        if earlier is None or report.at <= earlier.at:
+            continue
+        seconds = report.at - earlier.at
+        was = {count.region: count for count in earlier.traffic}
+        vm = report.process.vm
+        for count in report.traffic:
+            old = was.get(count.region)
+            sent = count.sent_bytes - (old.sent_bytes if old else 0)
+            messages += (count.messages - (old.messages if old else 0)) / seconds
+            by_vm[vm] += sent / seconds
+            by_pair[f"{last.regions[vm]}>{count.region}"] += sent / seconds
+    return ControlFigures(dict(by_vm), dict(sorted(by_pair.items())), messages)
+
+
+def roles(first: FleetSample, last: FleetSample) -> tuple[RoleFigures, ...]:
+    """Return the load of each role between two samples."""
+    before = {process.name: process.cpu_seconds for process in first.processes}
+    seconds = last.at - first.at
+    return tuple(
+        _role(
+            role.value,
+            [
+                (
+                    100 * (process.cpu_seconds - before[process.name]) / seconds,
+                    process.resident_bytes / 1e6,
+                )
+                for process in last.processes
+                if process.role == role.value
+            ],
+        )
+        for role in Role
+    )
+
+
+def _role(role: str, found: Iterable[tuple[float, float]]) -> RoleFigures:
+    cpu, resident = zip(*found, strict=True)
+    return RoleFigures(
+        role,
+        sum(cpu) / len(cpu),
+        max(cpu),
+        sum(resident) / len(resident),
+        max(resident),
+    )
+
+
+def _processes(fleet: Fleet) -> tuple[ProcessSample, ...]:
+    return tuple(
+        ProcessSample(
+            child.name,
+            role.value,
+            processor_seconds(child.pid),
+            resident_bytes(child.pid),
+        )
+        for role in Role
+        for child in fleet.daemons(role)
+    )
