Add the router: callers' HTTP, first come first served, upstream attempts

A request holds a thread of waitress; the thread asks the actor, which holds the policy, for a place to run and carries the answer itself. Ruled out: running the request on the actor, which would make every caller wait for one slow upstream.

How far an attempt got is kept in a state machine without I/O, which alone decides between repeating, resuming and telling the caller. Contract tests run a real router process before an upstream that answers late, crossed, short, twice, cut or with a wrong id; an idempotent call recovers from each, and each refusal leaves the upstream's ledger empty.

--- a/src/oleandershift/cli/router.py
+++ b/src/oleandershift/cli/router.py
@@ -1,6 +1,82 @@
 """Command line of oleander-router."""
 
+from collections.abc import Sequence
 
-def main() -> int:
+from oleandershift.io import daemon, router
+from oleandershift.messages import Role
+from oleandershift.policies import POLICIES
+from oleandershift.settings import COMMON, Setting, choice, integer, seconds, url
+
+
+def _optional_url(value: str) -> str:
+    return url(value) if value else ""
+
+
+SETTINGS = (
+    *COMMON,
+    Setting(
+        "policy",
+        choice(*POLICIES),
+        ", ".join(POLICIES),
+        "how requests are ordered and upstreams chosen",
+        "fcfs",
+    ),
+    Setting(
+        "max_requests",
+        integer(1, 10_000),
+        "1 to 10000",
+        "most requests that wait and run at once, a thread each",
+        "1000",
+    ),
+    Setting(
+        "platform_url",
+        _optional_url,
+        "http://ip:port, or empty for none",
+        "the platform's object API; without it non-idempotent calls are refused",
+        "",
+    ),
+    Setting(
+        "connect_seconds",
+        seconds(0.01, 60.0),
+        "0.01 to 60",
+        "limit of a connect to an upstream",
+        "2",
+    ),
+    Setting(
+        "idle_seconds",
+        seconds(0.1, 3600.0),
+        "0.1 to 3600",
+        "longest silence of an upstream that owes an answer",
+        "60",
+    ),
+    Setting(
+        "grace_seconds",
+        seconds(0.0, 600.0),
+        "0 to 600",
+        "how long a stopping router, not ready any more, still takes requests",
+        "3",
+    ),
+    Setting(
+        "drain_seconds",
+        seconds(0.0, 86_400.0),
+        "0 to 86400",
+        "after that a stopping router exits even with requests running",
+        "600",
+    ),
+)
+"""Settings of the router."""
+
+
+def main(argv: Sequence[str] | None = None) -> int:
     """Run the program."""
-    return 0
+    cfg = daemon.read_settings(
+        "oleander-router",
+        "Takes callers' requests and runs them on upstreams.",
+        SETTINGS,
+        argv,
+    )
+    return daemon.run(Role.ROUTER, cfg.router_port, cfg, router.start)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/oleandershift/io/exchange.py
@@ -0,0 +1,413 @@
+"""Carries one request from the queue to its answer, on the request's own thread."""
+
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+from oleandershift.dispatch import Refuse, Start
+from oleandershift.events import EventName
+from oleandershift.eventstream import EventReader, StreamError
+from oleandershift.ids import RequestId, UpstreamId
+from oleandershift.io.jobs import (
+    Abandoned,
+    AttemptEnded,
+    Cancelled,
+    Job,
+    JobEnded,
+    Progressed,
+    Snapshot,
+    Submit,
+)
+from oleandershift.io.logs import EventLog
+from oleandershift.io.upstreams import (
+    AnswerForm,
+    AnswerHead,
+    Attempt,
+    AttemptError,
+    Connections,
+)
+from oleandershift.lifecycle import (
+    Conclude,
+    Fault,
+    Lifecycle,
+    Phase,
+    Resume,
+    Retry,
+)
+from oleandershift.messages import Outcome
+from oleandershift.problems import (
+    CONTENT_TYPE,
+    QUEUE_REASONS,
+    Problem,
+    Reason,
+    Run,
+    retry_after,
+)
+from oleandershift.retries import Backoff, RetryBudget
+
+PROGRESS_SECONDS = 0.25
+_ABANDONED = {
+    Fault.CALLER_GONE: Reason.CALLER_GONE,
+    Fault.DEADLINE: Reason.DEADLINE,
+}
+_UNHEALTHY = frozenset(Fault) - {Fault.LATE_START, Fault.DEADLINE, Fault.CALLER_GONE}
+
+
+class BrokenAnswerError(OSError):
+    """Part of an answer is with the caller and the rest can't be had.
+
+    Raised to the HTTP server, which then closes the connection in the middle of the
+    body, so that the caller's HTTP library reports an incomplete answer.
+    """
+
+
+@dataclass
+class Answer:
+    """What the caller gets.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of pair
+        All headers.
+    body : iterator of bytes
+        Parts as they arrive.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterator[bytes]
+
+
+class Desk(Protocol):
+    """What a request's thread needs of the router."""
+
+    connections: Connections
+    events: EventLog
+    budget: RetryBudget
+
+    def tell(self, message: object) -> None:
+        """Give the actor a message."""
+
+    def snapshot(self) -> Snapshot:
+        """Return the state in force."""
+
+
+class _UnresumableError(Exception):
+    """A stream broke off for good.
+
+    Parameters
+    ----------
+    fault : Fault
+        Why.
+    """
+
+    def __init__(self, fault: Fault) -> None:
+        super().__init__(fault.value)
+        self.fault = fault
+
+
+class _ProgressMeter:
+    def __init__(self, tell: Callable[[float], None]) -> None:
+        self._tell = tell
+        self._next = 0.0
+
+    def update(self, now: float, cost: float) -> None:
+        if now >= self._next:
+            self._next = now + PROGRESS_SECONDS
+            self._tell(cost)
+
+
+def problem_answer(request: RequestId, problem: Problem) -> Answer:
+    """Return the answer that tells a caller of a problem."""
+    body = problem.document(request)
+    headers = [
+        ("Content-Type", CONTENT_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Oleander-Request-Id", request),
+        ("Oleander-Run", problem.run.value),
+    ]
+    seconds = problem.retry_seconds()
+    if seconds is not None:
+        headers.append(("Retry-After", str(seconds)))
+    return Answer(problem.status.value, headers, iter((body,)))
+
+
+def _health(fault: Fault) -> bool | None:
+    return False if fault in _UNHEALTHY else None
+
+
+def _pause(until: float) -> None:
+    threading.Event().wait(max(0.0, until - time.time()))
+
+
+class Exchange:
+    """One request's way through the router.
+
+    Parameters
+    ----------
+    desk : Desk
+        The router.
+    job : Job
+        The request.
+    """
+
+    def __init__(self, desk: Desk, job: Job) -> None:
+        self._desk = desk
+        self._job = job
+        self._call = job.call
+        self._life = Lifecycle(
+            job.call.idempotent,
+            job.call.deadline,
+            desk.budget,
+            Backoff(random.Random(job.call.request)),
+        )
+        self._attempt: Attempt | None = None
+        self._upstream: UpstreamId | None = None
+        self._reader = EventReader()
+        self._cost = 0.0
+        self._status = 0
+        self._reason = ""
+        self._over = False
+        self._meter = _ProgressMeter(
+            lambda cost: desk.tell(Progressed(job.call.request, cost))
+        )
+
+    def open(self) -> Answer:
+        """Return the answer, whole or begun; blocks until there is one."""
+        while True:
+            start = self._wait_for_start()
+            if isinstance(start, Problem):
+                return self._conclude(start)
+            try:
+                return self._run(start)
+            except AttemptError as exc:
+                self._fail(exc.fault)
+            except _UnresumableError as exc:
+                self._end_attempt(used=True, healthy=_health(exc.fault))
+            step = self._life.step
+            if isinstance(step, Conclude):
+                return self._conclude(step.problem)
+            if isinstance(step, Retry):
+                self._event(EventName.REQUEST_RETRIED)
+                _pause(step.at)
+
+    def close(self) -> None:
+        """Release everything; must follow `open` once the body is done or given up."""
+        if self._over:
+            return
+        self._over = True
+        self._reason = Fault.CALLER_GONE.value
+        self._end_attempt(used=True, healthy=None)
+        self._report()
+
+    # The queue
+
+    def _wait_for_start(self) -> Start | Problem:
+        job = self._job
+        deadline = self._call.deadline
+        if deadline is not None and time.time() >= deadline:
+            return Problem(Reason.DEADLINE, "the deadline passed", self._life.run)
+        self._desk.tell(Submit(job, self._life.avoid, self._life.attempt))
+        decision = job.decisions.get()
+        if isinstance(decision, Start):
+            return decision
+        if isinstance(decision, Abandoned):
+            self._desk.tell(Cancelled(self._call.request))
+            detail = f"given up while it waited ({decision.fault.value})"
+            return Problem(_ABANDONED[decision.fault], detail, self._life.run)
+        return self._refused(decision)
+
+    def _refused(self, refusal: Refuse) -> Problem:
+        reason = QUEUE_REASONS[refusal.reason]
+        detail = f"refused before it ran ({refusal.reason.value})"
+        seconds = retry_after(time.time(), refusal.retry_at)
+        return Problem(reason, detail, self._life.run, seconds)
+
+    # The attempt
+
+    def _run(self, start: Start) -> Answer:
+        self._begin(start)
+        assert self._attempt is not None
+        if time.time() > start.deadline:
+            raise AttemptError(Fault.LATE_START)
+        self._attempt.connect()
+        if time.time() > start.deadline:
+            raise AttemptError(Fault.LATE_START)
+        self._life.sending()
+        self._event(EventName.REQUEST_SENT, detail=self._attempt.tag)
+        head = self._attempt.send()
+        self._life.answering(head.form is AnswerForm.EVENTS)
+        self._event(EventName.REQUEST_FIRST_BYTE)
+        return self._answer(head)
+
+    def _begin(self, start: Start) -> None:
+        row = self._desk.snapshot().table.upstreams.get(start.upstream)
+        self._upstream = start.upstream
+        self._life.assigned(start.upstream)
+        self._event(EventName.REQUEST_GRANTED, grant=start.grant)
+        url = row.url if row is not None else ""
+        self._attempt = Attempt(
+            self._desk.connections, self._call, url, self._life.attempt
+        )
+        self._job.begin(self._attempt)
+        if row is None:
+            raise AttemptError(Fault.LATE_START)
+
+    def _answer(self, head: AnswerHead) -> Answer:
+        self._status = head.status
+        self._cost = head.cost
+        if head.form is AnswerForm.WHOLE:
+            return self._whole_answer(head)
+        headers = self._headers(head)
+        if head.length is not None:
+            headers.append(("Content-Length", str(head.length)))
+        parts = self._bytes()
+        if head.form is AnswerForm.EVENTS:
+            parts = self._events()
+        first = next(parts, b"")
+        return Answer(head.status, headers, self._relay(first, parts))
+
+    def _relay(self, first: bytes, rest: Iterator[bytes]) -> Iterator[bytes]:
+        self._life.relaying()
+        yield first
+        try:
+            yield from rest
+        except (AttemptError, _UnresumableError) as exc:
+            self._break(exc.fault)
+        self._finish()
+
+    def _whole_answer(self, head: AnswerHead) -> Answer:
+        assert self._attempt is not None
+        body = self._attempt.whole()
+        self._finish()
+        headers = self._headers(head)
+        headers.append(("Content-Length", str(len(body))))
+        return Answer(head.status, headers, iter((body,)))
+
+    def _headers(self, head: AnswerHead) -> list[tuple[str, str]]:
+        own = [
+            ("Oleander-Request-Id", str(self._call.request)),
+            ("Oleander-Run", Run.RAN.value),
+        ]
+        return [*head.headers, *own]
+
+    def _bytes(self) -> Iterator[bytes]:
+        assert self._attempt is not None
+        return self._attempt.chunks()
+
+    def _events(self) -> Iterator[bytes]:
+        while not self._reader.done:
+            try:
+                yield from self._read_events()
+                if not self._reader.done:
+                    raise AttemptError(Fault.SHORT)
+            except AttemptError as exc:
+                self._resume(exc.fault)
+        self._cost = self._reader.cost
+
+    def _read_events(self) -> Iterator[bytes]:
+        assert self._attempt is not None
+        try:
+            for data in self._attempt.chunks():
+                events = self._reader.feed(data)
+                self._meter.update(time.time(), self._reader.cost)
+                if events:
+                    yield events
+        except StreamError as exc:
+            raise AttemptError(Fault.MALFORMED) from exc
+
+    def _resume(self, fault: Fault) -> None:
+        """Go on with the stream where it broke off.
+
+        Raises
+        ------
+        _UnresumableError
+            When that can't be had; the life cycle has decided what follows.
+        """
+        assert self._attempt is not None
+        while True:
+            self._life.failed(time.time(), fault)
+            step = self._life.step
+            if not isinstance(step, Resume):
+                raise _UnresumableError(fault)
+            _pause(step.at)
+            try:
+                self._reader.restart()
+                self._attempt.resume(self._reader.next_index)
+            except AttemptError as exc:
+                fault = exc.fault
+                continue
+            self._event(EventName.REQUEST_RETRIED, detail="resumed")
+            return
+
+    # Ends
+
+    def _finish(self) -> None:
+        assert self._attempt is not None
+        self._attempt.completed()
+        self._life.ended()
+        self._over = True
+        self._end_attempt(used=True, healthy=self._status < 500)
+        self._report()
+
+    def _break(self, fault: Fault) -> None:
+        self._reason = fault.value
+        self._over = True
+        self._end_attempt(used=True, healthy=_health(fault))
+        self._report()
+        raise BrokenAnswerError(fault.value)
+
+    def _fail(self, fault: Fault) -> None:
+        used = self._life.phase is not Phase.ASSIGNED
+        self._life.failed(time.time(), fault)
+        self._end_attempt(used=used, healthy=_health(fault))
+
+    def _end_attempt(self, used: bool, healthy: bool | None) -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is None or self._upstream is None:
+            return
+        self._job.begin(None)
+        cost = max(self._cost, self._reader.cost)
+        self._desk.tell(
+            AttemptEnded(self._call.request, self._upstream, cost, used, healthy)
+        )
+        attempt.close()
+
+    def _conclude(self, problem: Problem) -> Answer:
+        self._over = True
+        self._status = problem.status.value
+        self._reason = problem.reason.value
+        self._report(problem.run)
+        return problem_answer(self._call.request, problem)
+
+    def _report(self, run: Run | None = None) -> None:
+        outcome = Outcome(
+            request=self._call.request,
+            team=self._call.team,
+            service=self._call.service,
+            status=self._status,
+            run=(run or self._life.run).value,
+            reason=self._reason,
+            at=time.time(),
+            upstream=self._upstream,
+        )
+        self._desk.tell(JobEnded(outcome))
+        name = EventName.REQUEST_FINISHED
+        if run is not None:
+            name = EventName.REQUEST_REFUSED
+        self._event(name, detail=f"{outcome.status} {outcome.run} {outcome.reason}")
+
+    def _event(self, name: EventName, **fields: str) -> None:
+        self._desk.events.write(
+            name,
+            request=self._call.request,
+            team=self._call.team,
+            service=self._call.service,
+            upstream=self._upstream or "",
+            **fields,
+        )
--- /dev/null
+++ b/src/oleandershift/io/front.py
@@ -0,0 +1,208 @@
+"""WSGI application of a router."""
+
+import threading
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from http import HTTPStatus
+from typing import Any, Protocol
+from uuid import uuid4
+
+from returns.result import Failure
+
+from oleandershift.calls import Call, RawRequest, parse_call
+from oleandershift.ids import RequestId
+from oleandershift.io.exchange import Answer, BrokenAnswerError, problem_answer
+from oleandershift.io.jobs import Snapshot
+from oleandershift.problems import Problem, Reason, Run
+
+_HEALTH_PATHS = ("/healthz", "/readyz")
+
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class Carrier(Protocol):
+    """Carries one request; `Exchange` is the real one."""
+
+    def open(self) -> Answer:
+        """Return the answer, whole or begun."""
+
+    def close(self) -> None:
+        """Release everything."""
+
+
+class Router(Protocol):
+    """What the HTTP front needs of the router."""
+
+    def snapshot(self) -> Snapshot:
+        """Return the state in force."""
+
+    def carry(self, call: Call, is_gone: Callable[[], bool]) -> Carrier:
+        """Return a carrier for a checked request."""
+
+
+class Gate:
+    """Bounds the requests that wait and run.
+
+    Parameters
+    ----------
+    limit : int
+        Most requests at once.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._inside = 0
+        self._lock = threading.Lock()
+
+    @property
+    def inside(self) -> int:
+        """Return the number of requests inside."""
+        return self._inside
+
+    def enter(self) -> bool:
+        """Let a request in; False when the router is full."""
+        with self._lock:
+            if self._inside >= self._limit:
+                return False
+            self._inside += 1
+            return True
+
+    def leave(self) -> None:
+        """Take note that a request is over."""
+        with self._lock:
+            self._inside -= 1
+
+
+class _Body:
+    """Body of an answer; closing it releases the request."""
+
+    def __init__(self, answer: Answer, release: Callable[[], None]) -> None:
+        self._parts = answer.body
+        self._release = release
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self._parts
+
+    def close(self) -> None:
+        self._release()
+
+
+def _raw(environ: Mapping[str, Any], body: bytes) -> RawRequest:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    if environ.get("CONTENT_TYPE"):
+        headers["content-type"] = environ["CONTENT_TYPE"]
+    target = environ["REQUEST_URI"]
+    return RawRequest(environ["REQUEST_METHOD"], target, headers, body)
+
+
+def status_line(status: int) -> str:
+    """Return the WSGI status of a number."""
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Unknown"
+
+
+class Front:
+    """WSGI application of a router.
+
+    Parameters
+    ----------
+    router : Router
+        Runs the requests.
+    max_requests : int
+        Most requests that wait and run at once.
+    """
+
+    def __init__(self, router: Router, max_requests: int) -> None:
+        self._router = router
+        self.gate = Gate(max_requests)
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        if environ["PATH_INFO"] in _HEALTH_PATHS:
+            return self._health(environ["PATH_INFO"], start_response)
+        request = RequestId(uuid4().hex)
+        problem = self._closed()
+        if problem is None and not self.gate.enter():
+            problem = Problem(Reason.ROUTER_FULL, "the router holds its limit")
+        if problem is not None:
+            return _start(problem_answer(request, problem), start_response)
+        return self._admitted(environ, start_response, request)
+
+    def _closed(self) -> Problem | None:
+        snapshot = self._router.snapshot()
+        if snapshot.accepting:
+            return None
+        if snapshot.draining:
+            return Problem(Reason.DRAINING, "the router is stopping")
+        return Problem(Reason.NOT_READY, "the router has no table yet")
+
+    def _health(self, path: str, start_response: StartResponse) -> Iterable[bytes]:
+        well = path == "/healthz" or self._router.snapshot().ready
+        status = HTTPStatus.OK if well else HTTPStatus.SERVICE_UNAVAILABLE
+        body = status.phrase.encode() + b"\n"
+        headers = [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))]
+        start_response(status_line(status), headers)
+        return [body]
+
+    def _admitted(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+        request: RequestId,
+    ) -> Iterable[bytes]:
+        try:
+            answer, carrier = self._answer(environ, request)
+        except BaseException:
+            self.gate.leave()
+            raise
+
+        def release() -> None:
+            self.gate.leave()
+            if carrier is not None:
+                carrier.close()
+
+        _start(answer, start_response)
+        return _Body(answer, release)
+
+    def _answer(
+        self, environ: dict[str, Any], request: RequestId
+    ) -> tuple[Answer, Carrier | None]:
+        snapshot = self._router.snapshot()
+        raw = _raw(environ, environ["wsgi.input"].read())
+        parsed = parse_call(raw, snapshot.table, snapshot.keys, request)
+        if isinstance(parsed, Failure):
+            return problem_answer(request, parsed.failure()), None
+        is_gone = environ["waitress.client_disconnected"]
+        carrier = self._router.carry(parsed.unwrap(), is_gone)
+        answer = carrier.open()
+        if environ["SERVER_PROTOCOL"] == "HTTP/1.0":
+            answer = _gathered(answer, request)
+        return answer, carrier
+
+
+def _start(answer: Answer, start_response: StartResponse) -> Iterable[bytes]:
+    start_response(status_line(answer.status), answer.headers)
+    return answer.body
+
+
+def _gathered(answer: Answer, request: RequestId) -> Answer:
+    """Return the answer with its whole body.
+
+    An HTTP/1.0 caller can't tell a cut stream from a whole one without a length.
+    """
+    try:
+        body = b"".join(answer.body)
+    except BrokenAnswerError as exc:
+        detail = f"the upstream's answer broke off ({exc})"
+        problem = Problem(Reason.UPSTREAM_FAILED, detail, Run.UNKNOWN)
+        return problem_answer(request, problem)
+    headers = [pair for pair in answer.headers if pair[0] != "Content-Length"]
+    headers.append(("Content-Length", str(len(body))))
+    return Answer(answer.status, headers, iter((body,)))
--- /dev/null
+++ b/src/oleandershift/io/router.py
@@ -0,0 +1,343 @@
+"""The router process: an actor that holds the policy, and the HTTP front."""
+
+import argparse
+import resource
+import time
+from collections import deque
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import pykka
+
+from oleandershift.calls import Call, KeyIndex
+from oleandershift.dispatch import Action, Policy, QueuedRequest, Refuse, Send, Start
+from oleandershift.events import EventName
+from oleandershift.ids import RequestId, UpstreamId
+from oleandershift.io.daemon import DaemonActor, DrainRequested, Runtime
+from oleandershift.io.exchange import Exchange
+from oleandershift.io.front import Front
+from oleandershift.io.jobs import (
+    AttemptEnded,
+    Cancelled,
+    Job,
+    JobEnded,
+    Progressed,
+    Snapshot,
+    Submit,
+)
+from oleandershift.io.server import Server
+from oleandershift.io.upstreams import Connections
+from oleandershift.lifecycle import Fault
+from oleandershift.messages import DrainCommand, Envelope, Outcome, Role, StatusReport
+from oleandershift.policies import POLICIES
+from oleandershift.replica import Table
+from oleandershift.retries import RetryBudget
+from oleandershift.subscription import Subscription
+
+CHECK_SECONDS = 0.25
+REPORT_SECONDS = 1.0
+REPORTED_OUTCOMES = 256
+PAGE_KIBIBYTES = 4
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * PAGE_KIBIBYTES * 1024
+
+
+def _cpu_seconds() -> float:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
+
+
+class RouterDesk:
+    """What the request threads share with the actor.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        The process.
+
+    Attributes
+    ----------
+    connections, events, budget
+        Shared by the request threads.
+    """
+
+    def __init__(self, runtime: Runtime) -> None:
+        cfg = runtime.cfg
+        self.connections = Connections(cfg.connect_seconds, cfg.idle_seconds)
+        self.events = runtime.events
+        self.budget = RetryBudget()
+        self._snapshot = Snapshot(Table(), KeyIndex(Table()), False, False)
+        self._actor: pykka.ActorRef[Any] | None = None
+
+    def attach(self, actor: pykka.ActorRef[Any]) -> None:
+        """Take the actor that messages go to."""
+        self._actor = actor
+
+    def tell(self, message: object) -> None:
+        """Give the actor a message."""
+        if self._actor is not None and self._actor.is_alive():
+            self._actor.tell(message)
+
+    def snapshot(self) -> Snapshot:
+        """Return the state in force."""
+        return self._snapshot
+
+    def publish(self, snapshot: Snapshot) -> None:
+        """Replace the state in force."""
+        self._snapshot = snapshot
+
+    def carry(self, call: Call, is_gone: Callable[[], bool]) -> Exchange:
+        """Return a carrier for a checked request."""
+        now = time.time()
+        self.events.write(
+            EventName.REQUEST_ACCEPTED,
+            request=call.request,
+            team=call.team,
+            service=call.service,
+        )
+        return Exchange(self, Job(call, now, is_gone))
+
+
+class RouterActor(DaemonActor):
+    """Holds the policy, and carries out what it decides.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        The process.
+    desk : RouterDesk
+        Shared with the request threads.
+    server : Server
+        The HTTP server.
+    front : Front
+        Its application.
+    """
+
+    def __init__(
+        self, runtime: Runtime, desk: RouterDesk, server: Server, front: Front
+    ) -> None:
+        super().__init__(runtime.stopped)
+        self._runtime = runtime
+        self._desk = desk
+        self._server = server
+        self._front = front
+        self._subscription = Subscription(runtime.links.address)
+        self._policy: Policy = POLICIES[runtime.cfg.policy](
+            runtime.process,
+            runtime.region,
+            runtime.links.address,
+            int(runtime.process.incarnation),
+        )
+        self._jobs: dict[RequestId, Job] = {}
+        self._started: dict[RequestId, UpstreamId] = {}
+        self._outcomes: deque[Outcome] = deque(maxlen=REPORTED_OUTCOMES)
+        self._next_check = 0.0
+        self._next_report = 0.0
+        self._drain_deadline: float | None = None
+        self._closing_at: float | None = None
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            Submit: self._submit,
+            Cancelled: self._cancelled,
+            Progressed: self._progressed,
+            AttemptEnded: self._attempt_ended,
+            JobEnded: self._job_ended,
+        }
+
+    def on_start(self) -> None:
+        """Let the request threads reach the actor, and serve."""
+        self._desk.attach(self.actor_ref)
+        self._server.start()
+
+    def on_stop(self) -> None:
+        """Close the sockets."""
+        self._server.close()
+        self._desk.connections.close()
+        super().on_stop()
+
+    # Messages
+
+    def on_envelope(self, envelope: Envelope) -> None:
+        """Take a message of another process."""
+        now = time.time()
+        if envelope.sender.role is Role.AGENT:
+            self._on_agent(now, envelope)
+        self._carry_out(self._policy.on_envelope(now, envelope))
+
+    def on_other(self, message: object) -> None:
+        """Take a message of a request's thread."""
+        self._handlers[type(message)](message)
+
+    def on_tick(self, now: float) -> None:
+        """Take the passage of time."""
+        self._carry_out(self._policy.on_tick(now))
+        for body in self._subscription.on_tick(now, self._desk.snapshot().ready):
+            self._runtime.links.send(self._runtime.agent_address, body)
+        if now >= self._next_check:
+            self._next_check = now + CHECK_SECONDS
+            self._check_jobs(now)
+        if now >= self._next_report:
+            self._next_report = now + REPORT_SECONDS
+            self._report(now)
+        self._check_drain(now)
+
+    def on_drain(self, now: float, deadline: float) -> None:
+        """Take no new requests after a grace, and finish the others."""
+        if self._drain_deadline is not None:
+            return
+        self._drain_deadline = deadline
+        self._closing_at = now + self._runtime.cfg.grace_seconds
+        self._runtime.events.write(EventName.DRAINING)
+        self._server.drain()
+        self._publish()
+
+    def _on_agent(self, now: float, envelope: Envelope) -> None:
+        if isinstance(envelope.body, DrainCommand):
+            self.actor_ref.tell(DrainRequested(envelope.body.deadline))
+            return
+        incarnation = envelope.sender.incarnation
+        was_ready = self._subscription.is_complete()
+        changes = self._subscription.on_message(incarnation, envelope.body)
+        ready = self._subscription.is_complete()
+        if not (changes.rows or changes.members or ready != was_ready):
+            return
+        if ready and not was_ready:
+            self._runtime.events.write(EventName.READY)
+        self._carry_out(
+            self._policy.configure(
+                now,
+                self._subscription.table,
+                self._subscription.members,
+                self._subscription.leaving,
+            )
+        )
+        self._publish()
+
+    def _publish(self) -> None:
+        table = self._subscription.table
+        complete = self._subscription.is_complete()
+        draining = self._drain_deadline is not None
+        closed = self._closing_at is not None and time.time() >= self._closing_at
+        self._desk.publish(
+            Snapshot(
+                table=table,
+                keys=KeyIndex(table),
+                ready=complete and not draining,
+                accepting=complete and not closed,
+                draining=draining,
+            )
+        )
+
+    # Requests
+
+    def _submit(self, message: Submit) -> None:
+        job = message.job
+        call = job.call
+        self._jobs[call.request] = job
+        queued = QueuedRequest(
+            request=call.request,
+            team=call.team,
+            service=call.service,
+            kind=call.kind,
+            arrived=job.arrived,
+            deadline=call.deadline,
+            hint=call.hint,
+            avoid=message.avoid,
+            attempt=message.attempt,
+        )
+        self._carry_out(self._policy.submit(time.time(), queued))
+
+    def _cancelled(self, message: Cancelled) -> None:
+        now = time.time()
+        if self._started.pop(message.request, None) is not None:
+            self._carry_out(self._policy.finish(now, message.request, 0.0, False))
+            return
+        self._carry_out(self._policy.cancel(now, message.request))
+
+    def _progressed(self, message: Progressed) -> None:
+        if message.request in self._started:
+            now = time.time()
+            self._carry_out(self._policy.progress(now, message.request, message.cost))
+
+    def _attempt_ended(self, message: AttemptEnded) -> None:
+        if self._started.pop(message.request, None) is None:
+            return
+        now = time.time()
+        self._carry_out(
+            self._policy.finish(now, message.request, message.cost, message.used)
+        )
+
+    def _job_ended(self, message: JobEnded) -> None:
+        self._jobs.pop(message.outcome.request, None)
+        self._outcomes.append(message.outcome)
+
+    def _carry_out(self, actions: Iterable[Action]) -> None:
+        due = deque(actions)
+        while due:
+            action = due.popleft()
+            if isinstance(action, Send):
+                self._runtime.links.send(action.address, action.body, action.region)
+            else:
+                due.extend(self._decide(action))
+
+    def _decide(self, decision: Start | Refuse) -> list[Action]:
+        """Give a request's thread its decision; hand back what nobody waits for."""
+        job = self._jobs.get(decision.request)
+        if job is None and isinstance(decision, Start):
+            return self._policy.finish(time.time(), decision.request, 0.0, False)
+        if job is None:
+            return []
+        if isinstance(decision, Start):
+            self._started[decision.request] = decision.upstream
+        job.decisions.put(decision)
+        return []
+
+    def _check_jobs(self, now: float) -> None:
+        for job in self._jobs.values():
+            if not job.call.idempotent and job.attempt is not None:
+                continue
+            if job.is_gone():
+                job.abandon(Fault.CALLER_GONE)
+            elif job.call.deadline is not None and now >= job.call.deadline:
+                job.abandon(Fault.DEADLINE)
+
+    # Status and drain
+
+    def _report(self, now: float) -> None:
+        snapshot = self._desk.snapshot()
+        report = StatusReport(
+            process=self._runtime.process,
+            at=now,
+            ready=snapshot.ready,
+            draining=snapshot.draining,
+            table_digest=self._subscription.digest(),
+            teams=self._policy.teams(),
+            traffic=self._runtime.links.traffic(),
+            outcomes=tuple(self._outcomes),
+            cpu_seconds=_cpu_seconds(),
+            resident_bytes=_resident_bytes(),
+        )
+        self._runtime.links.send(self._runtime.agent_address, report)
+
+    def _check_drain(self, now: float) -> None:
+        if self._closing_at is None or now < self._closing_at:
+            return
+        if self._desk.snapshot().accepting:
+            self._publish()
+            self._carry_out(self._policy.drain(now))
+        assert self._drain_deadline is not None
+        idle = self._front.gate.inside == 0 and self._server.is_flushed()
+        if idle or now >= self._drain_deadline:
+            self._report(now)
+            self.stop()
+
+
+def start(runtime: Runtime) -> pykka.ActorRef[Any]:
+    """Start the actor and the HTTP server."""
+    cfg: argparse.Namespace = runtime.cfg
+    desk = RouterDesk(runtime)
+    front = Front(desk, cfg.max_requests)
+    server = Server(front, cfg.ip, cfg.http_port, cfg.max_requests)
+    return RouterActor.start(runtime, desk, server, front)
--- /dev/null
+++ b/src/oleandershift/retries.py
@@ -0,0 +1,71 @@
+"""Retry budget and backoff with jitter."""
+
+import random
+from dataclasses import dataclass
+
+RATIO = 0.2
+RESERVE = 10.0
+BASE_SECONDS = 0.05
+LIMIT_SECONDS = 1.0
+MAX_ATTEMPTS = 4
+
+
+@dataclass
+class RetryBudget:
+    """Lets retries be at most a share of first attempts.
+
+    Each first attempt adds `ratio` of a retry, up to `reserve`; each retry takes one.
+    While upstreams fail, retries therefore add at most `ratio` to the load.
+
+    Parameters
+    ----------
+    ratio : float
+        Retries for each first attempt.
+    reserve : float
+        Retries that can be saved up, with which a router also starts.
+    """
+
+    ratio: float = RATIO
+    reserve: float = RESERVE
+
+    def __post_init__(self) -> None:
+        self._left = self.reserve
+
+    def deposit(self) -> None:
+        """Take note of a first attempt."""
+        self._left = min(self.reserve, self._left + self.ratio)
+
+    def allows(self) -> bool:
+        """Tell whether a retry may be made."""
+        return self._left >= 1.0
+
+    def spend(self) -> None:
+        """Take note of a retry."""
+        self._left -= 1.0
+
+
+class Backoff:
+    """Exponential backoff with full jitter.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Seeded source of the jitter.
+    base, limit : float
+        Seconds before the first retry, and at most.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        base: float = BASE_SECONDS,
+        limit: float = LIMIT_SECONDS,
+    ) -> None:
+        self._rng = rng
+        self._base = base
+        self._limit = limit
+
+    def instant(self, now: float, attempt: int) -> float:
+        """Return when to try again after attempt number `attempt` failed."""
+        longest = min(self._limit, self._base * 2 ** (attempt - 1))
+        return now + self._rng.uniform(0.0, longest)
--- /dev/null
+++ b/standins/faulty.py
@@ -0,0 +1,306 @@
+"""An upstream that misbehaves as each request's `X-Fault` header asks.
+
+It keeps a ledger of what it executed, which judges what a router claims.
+"""
+
+import argparse
+import json
+import socket
+import threading
+import time
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+LATE_SECONDS = 0.3
+EVENTS = 5
+EVENT_SECONDS = 0.01
+CUT_AFTER_EVENTS = 2
+
+
+class FaultName(Enum):
+    """What goes wrong with a request."""
+
+    NONE = "none"
+    LATE = "late"
+    WRONG_ID = "wrong-id"
+    NO_ID = "no-id"
+    CROSSED = "crossed"
+    SHORT = "short"
+    TWICE = "twice"
+    CLOSE_BEFORE = "close-before"
+    CLOSE_AFTER = "close-after"
+    NO_LENGTH = "no-length"
+    BAD_STATUS = "bad-status"
+    ERROR = "error"
+    CUT_STREAM = "cut-stream"
+    CUT_STREAM_START = "cut-stream-start"
+    CUT_CHUNKED = "cut-chunked"
+    CHUNKED = "chunked"
+    GAP = "gap"
+    REPEAT = "repeat"
+    NO_DONE = "no-done"
+    HANG = "hang"
+    FORGET = "forget"
+
+
+@dataclass(frozen=True)
+class Execution:
+    """One execution of a request.
+
+    Parameters
+    ----------
+    tag : str
+        Request id and attempt.
+    path, key, echo : str
+        Its path, idempotency key, and the caller's own mark.
+    """
+
+    tag: str
+    path: str
+    key: str
+    echo: str
+
+
+class Ledger:
+    """What the upstream executed and was asked to cancel."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._executions: list[Execution] = []
+        self._faults: Counter[str] = Counter()
+        self.cancelled: list[str] = []
+
+    def add(self, execution: Execution) -> None:
+        """Take note of an execution."""
+        with self._lock:
+            self._executions.append(execution)
+
+    def executions(self) -> tuple[Execution, ...]:
+        """Return all executions."""
+        with self._lock:
+            return tuple(self._executions)
+
+    def first(self, echo: str) -> bool:
+        """Tell whether a fault is due: only the first time that a mark is seen."""
+        with self._lock:
+            self._faults[echo] += 1
+            return self._faults[echo] == 1
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    server: "_Server"
+
+    def log_message(self, *_: object) -> None:
+        """Stay quiet."""
+
+    def do_GET(self) -> None:
+        """Answer a call."""
+        self._serve()
+
+    do_POST = do_GET  # noqa: N815
+    do_PUT = do_GET  # noqa: N815
+
+    def _serve(self) -> None:
+        self.tag = self.headers.get("Oleander-Request-Id", "")
+        body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
+        if self.path.startswith("/-/"):
+            self._control()
+            return
+        self.echo = self.headers.get("X-Echo", "")
+        fault = FaultName(self.headers.get("X-Fault", "none"))
+        once = self.headers.get("X-Fault-Once", "") == "yes"
+        if once and not self.server.ledger.first(self.echo):
+            fault = FaultName.NONE
+        if fault is FaultName.CLOSE_BEFORE:
+            self._cut()
+            return
+        key = self.headers.get("Idempotency-Key", "")
+        self.server.ledger.add(Execution(self.tag, self.path, key, self.echo))
+        streaming = b'"stream": true' in body or b'"stream":true' in body
+        if streaming:
+            self._stream(fault)
+        else:
+            self._answer(fault)
+
+    def _control(self) -> None:
+        ledger = self.server.ledger
+        verb = self.path.split("/")[2].partition("?")[0]
+        if verb == "ledger":
+            records = [vars(record) for record in ledger.executions()]
+            self._whole(json.dumps(records).encode())
+        elif verb == "cancel":
+            ledger.cancelled.append(self.path.removeprefix("/-/cancel/"))
+            self._whole(b"{}")
+        elif verb == "resume":
+            self._resume()
+        else:
+            self._whole(b'{"running":0,"waiting":0,"slots":8,"tokens_per_second":0}')
+
+    def _answer(self, fault: FaultName) -> None:
+        body = json.dumps({"echo": self.echo, "pad": "x" * 200}).encode()
+        if fault in (FaultName.CHUNKED, FaultName.CUT_CHUNKED):
+            self._chunked(body, fault is FaultName.CUT_CHUNKED)
+            return
+        if fault is FaultName.HANG:
+            time.sleep(LATE_SECONDS * 20)
+        if fault is FaultName.LATE:
+            time.sleep(LATE_SECONDS)
+        if fault is FaultName.CLOSE_AFTER:
+            self._cut()
+            return
+        if fault is FaultName.CROSSED:
+            body = json.dumps({"echo": "another caller's"}).encode()
+        status = 500 if fault is FaultName.ERROR else 200
+        self._whole(body, fault, status)
+
+    def _whole(
+        self, body: bytes, fault: FaultName = FaultName.NONE, status: int = 200
+    ) -> None:
+        tag = self.tag
+        if fault in (FaultName.WRONG_ID, FaultName.CROSSED):
+            tag = "0" * 32 + "/1"
+        lines = [f"HTTP/1.1 {status} Fine", "Content-Type: application/json"]
+        if fault is FaultName.BAD_STATUS:
+            lines[0] = "HTTP/1.1 fine"
+        if fault is not FaultName.NO_ID:
+            lines.append(f"Oleander-Request-Id: {tag}")
+        if fault is not FaultName.NO_LENGTH:
+            lines.append(f"Content-Length: {len(body)}")
+        lines.append("Oleander-Cost: 10")
+        message = "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        if fault is FaultName.SHORT:
+            message = message[: -len(body) // 2]
+        if fault is FaultName.TWICE:
+            message += message
+        self.wfile.write(message)
+        if fault in (FaultName.SHORT, FaultName.NO_LENGTH, FaultName.BAD_STATUS):
+            self._cut()
+
+    def _cut(self) -> None:
+        self.close_connection = True
+        try:
+            self.wfile.flush()
+            self.connection.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def _head(self, media: str) -> None:
+        self.send_response(200)
+        self.send_header("Content-Type", media)
+        self.send_header("Oleander-Request-Id", self.tag)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+
+    def _chunk(self, data: bytes) -> None:
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+        self.wfile.flush()
+
+    def _chunked(self, body: bytes, cut: bool) -> None:
+        self._head("application/json")
+        self._chunk(body[:20])
+        time.sleep(EVENT_SECONDS)
+        if cut:
+            self._cut()
+            return
+        self._chunk(body[20:])
+        self.wfile.write(b"0\r\n\r\n")
+
+    def _stream(self, fault: FaultName) -> None:
+        self.server.echoes[self.tag] = self.echo
+        if fault is FaultName.FORGET:
+            self.server.echoes.pop(self.tag)
+        self._head("text/event-stream")
+        cut_at = {
+            FaultName.CUT_STREAM: CUT_AFTER_EVENTS,
+            FaultName.FORGET: CUT_AFTER_EVENTS,
+            FaultName.CUT_STREAM_START: 0,
+        }.get(fault)
+        for index in range(EVENTS):
+            if index == cut_at:
+                self._cut()
+                return
+            if fault is FaultName.GAP and index == CUT_AFTER_EVENTS:
+                continue
+            self._event(index)
+            if fault is FaultName.REPEAT:
+                self._event(index)
+            time.sleep(LATE_SECONDS if fault is FaultName.LATE else EVENT_SECONDS)
+        self._end(fault is not FaultName.NO_DONE)
+
+    def _event(self, index: int) -> None:
+        data = {"index": index, "tokens": 2, "text": f"{self.echo}:{index} "}
+        self._chunk(f"id: {index}\ndata: {json.dumps(data)}\n\n".encode())
+
+    def _end(self, done: bool) -> None:
+        usage = {"usage": {"total_tokens": EVENTS * 2}}
+        self._chunk(f"data: {json.dumps(usage)}\n\n".encode())
+        if done:
+            self._chunk(b"data: [DONE]\n\n")
+        self.wfile.write(b"0\r\n\r\n")
+
+    def _resume(self) -> None:
+        tag, _, query = self.path.removeprefix("/-/resume/").partition("?from=")
+        echo = self.server.echoes.get(tag)
+        if echo is None:
+            self.send_error(404)
+            return
+        self.tag, self.echo = tag, echo
+        self._head("text/event-stream")
+        for index in range(int(query), EVENTS):
+            self._event(index)
+        self._end(True)
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 256
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        super().__init__(address, _Handler)
+        self.ledger = Ledger()
+        self.echoes: dict[str, str] = {}
+
+    def handle_error(self, *_: object) -> None:
+        """Stay quiet: callers and proxies cut connections on purpose."""
+
+
+class FaultyUpstream:
+    """The upstream on a thread of its own.
+
+    Parameters
+    ----------
+    ip : str
+        Address to bind to.
+    port : int
+        TCP port; 0 takes a free one.
+    """
+
+    def __init__(self, ip: str = "127.0.0.1", port: int = 0) -> None:
+        self._server = _Server((ip, port))
+        self.ledger = self._server.ledger
+        self.url = f"http://{ip}:{self._server.server_address[1]}"
+        self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop serving."""
+        self._server.shutdown()
+        self._server.server_close()
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run the upstream until it is killed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--ip", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    given = parser.parse_args(argv)
+    _Server((given.ip, given.port)).serve_forever()
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
