--- a/src/oleandershift/cli/router.py
+++ b/src/oleandershift/cli/router.py
@@ -19,7 +19,7 @@
         choice(*POLICIES),
         ", ".join(POLICIES),
         "how requests are ordered and upstreams chosen",
-        "fcfs",
+        "fair",
     ),
     Setting(
         "max_requests",
