Name the policy of router tests that run without an allocator

Cause: 18 integration tests ran a router alone and relied on the former default policy; with fair as the default their requests waited for grants that no process makes. Change: the tests' router names fcfs; assertions are as before. Conclusion: the tests of the data path need no allocator.

--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -106,6 +106,7 @@
             "log-file": str(self.log),
             "max-requests": "64",
             "grace-seconds": "0.5",
+            "policy": "fcfs",
             **self.flags,
         }
         flags = [f"--{name}={value}" for name, value in settings.items()]
