Run non-idempotent calls at most once, by claims in the platform

A call marked non-idempotent needs proof, before it is sent, that no other attempt sends it. The proof is a claim object that only this attempt can have created; a lost answer to the create is settled by reading back, and without proof the call is refused as not run.

A create whose answer was lost can still take effect after the read-back said 'absent'. Deleting the claim afterwards was ruled out, as the create may come after the delete; the withdrawal writes the claim as withdrawn instead, so that the late create meets it and fails, and the next attempt may replace it.

--- a/src/oleandershift/cli/router.py
+++ b/src/oleandershift/cli/router.py
@@ -49,6 +49,13 @@
         "longest silence of an upstream that owes an answer",
         "60",
     ),
+    Setting(
+        "claim_seconds",
+        seconds(0.1, 60.0),
+        "0.1 to 60",
+        "limit of a platform call while a non-idempotent request waits for it",
+        "6",
+    ),
     Setting(
         "grace_seconds",
         seconds(0.0, 600.0),
--- a/src/oleandershift/io/exchange.py
+++ b/src/oleandershift/io/exchange.py
@@ -83,6 +83,28 @@
     body: Iterator[bytes]
 
 
+@dataclass(frozen=True)
+class Ending:
+    """How an exchange ended.
+
+    Parameters
+    ----------
+    run : Run
+        Whether the call ran; `RAN` only with a whole answer.
+    status : int
+        HTTP status of the answer.
+    headers : tuple of pair
+        Its headers.
+    body : bytes or None
+        Its body, where it came whole before it was passed on.
+    """
+
+    run: Run
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+
+
 class Desk(Protocol):
     """What a request's thread needs of the router."""
 
@@ -154,10 +176,22 @@
         The router.
     job : Job
         The request.
+    send_by : float or None
+        Instant past which it must not be sent.
+    on_end : callable or None
+        Called once with the ending.
     """
 
-    def __init__(self, desk: Desk, job: Job) -> None:
+    def __init__(
+        self,
+        desk: Desk,
+        job: Job,
+        send_by: float | None = None,
+        on_end: Callable[[Ending], None] | None = None,
+    ) -> None:
         self._desk = desk
+        self._send_by = send_by
+        self._on_end = on_end
         self._job = job
         self._call = job.call
         self._life = Lifecycle(
@@ -173,6 +207,7 @@
         self._status = 0
         self._reason = ""
         self._over = False
+        self._kept: tuple[tuple[tuple[str, str], ...], bytes | None] = ((), None)
         self._meter = _ProgressMeter(
             lambda cost: desk.tell(Progressed(job.call.request, cost))
         )
@@ -233,11 +268,8 @@
     def _run(self, start: Start) -> Answer:
         self._begin(start)
         assert self._attempt is not None
-        if time.time() > start.deadline:
-            raise AttemptError(Fault.LATE_START)
         self._attempt.connect()
-        if time.time() > start.deadline:
-            raise AttemptError(Fault.LATE_START)
+        self._check_deadlines(time.time(), start)
         self._life.sending()
         self._event(EventName.REQUEST_SENT, detail=self._attempt.tag)
         head = self._attempt.send()
@@ -245,6 +277,12 @@
         self._event(EventName.REQUEST_FIRST_BYTE)
         return self._answer(head)
 
+    def _check_deadlines(self, now: float, start: Start) -> None:
+        if self._send_by is not None and now > self._send_by:
+            raise AttemptError(Fault.DEADLINE)
+        if now > start.deadline:
+            raise AttemptError(Fault.LATE_START)
+
     def _begin(self, start: Start) -> None:
         row = self._desk.snapshot().table.upstreams.get(start.upstream)
         self._upstream = start.upstream
@@ -284,9 +322,10 @@
     def _whole_answer(self, head: AnswerHead) -> Answer:
         assert self._attempt is not None
         body = self._attempt.whole()
-        self._finish()
         headers = self._headers(head)
         headers.append(("Content-Length", str(len(body))))
+        self._kept = (tuple(headers), body)
+        self._finish()
         return Answer(head.status, headers, iter((body,)))
 
     def _headers(self, head: AnswerHead) -> list[tuple[str, str]]:
@@ -397,11 +436,18 @@
             upstream=self._upstream,
         )
         self._desk.tell(JobEnded(outcome))
+        if self._on_end is not None:
+            self._on_end(Ending(self._final_run(run), self._status, *self._kept))
         name = EventName.REQUEST_FINISHED
         if run is not None:
             name = EventName.REQUEST_REFUSED
         self._event(name, detail=f"{outcome.status} {outcome.run} {outcome.reason}")
 
+    def _final_run(self, run: Run | None) -> Run:
+        if run is None and self._life.phase is not Phase.ENDED:
+            return Run.UNKNOWN
+        return run or self._life.run
+
     def _event(self, name: EventName, **fields: str) -> None:
         self._desk.events.write(
             name,
--- a/src/oleandershift/io/router.py
+++ b/src/oleandershift/io/router.py
@@ -5,6 +5,7 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Any
 
 import pykka
@@ -13,9 +14,10 @@
 from oleandershift.dispatch import Action, Policy, QueuedRequest, Refuse, Send, Start
 from oleandershift.events import EventName
 from oleandershift.ids import RequestId, UpstreamId
+from oleandershift.io.claiming import ClaimDesk, ClaimedExchange, Settler
 from oleandershift.io.daemon import DaemonActor, DrainRequested, Runtime
 from oleandershift.io.exchange import Exchange
-from oleandershift.io.front import Front
+from oleandershift.io.front import Carrier, Front
 from oleandershift.io.jobs import (
     AttemptEnded,
     Cancelled,
@@ -25,6 +27,7 @@
     Snapshot,
     Submit,
 )
+from oleandershift.io.platform import PlatformClient
 from oleandershift.io.server import Server
 from oleandershift.io.upstreams import Connections
 from oleandershift.lifecycle import Fault
@@ -69,6 +72,12 @@
         self.connections = Connections(cfg.connect_seconds, cfg.idle_seconds)
         self.events = runtime.events
         self.budget = RetryBudget()
+        self.settler: Settler | None = None
+        store: PlatformClient | None = None
+        if cfg.platform_url:
+            store = PlatformClient(cfg.platform_url)
+            self.settler = Settler(store, runtime.events)
+        self.claims = ClaimDesk(store, self.settler, cfg.claim_seconds, runtime.events)
         self._snapshot = Snapshot(Table(), KeyIndex(Table()), False, False)
         self._actor: pykka.ActorRef[Any] | None = None
 
@@ -89,7 +98,13 @@
         """Replace the state in force."""
         self._snapshot = snapshot
 
-    def carry(self, call: Call, is_gone: Callable[[], bool]) -> Exchange:
+    def close(self) -> None:
+        """Close connections and the background work."""
+        self.connections.close()
+        if self.settler is not None:
+            self.settler.close()
+
+    def carry(self, call: Call, is_gone: Callable[[], bool]) -> Carrier:
         """Return a carrier for a checked request."""
         now = time.time()
         self.events.write(
@@ -98,7 +113,11 @@
             team=call.team,
             service=call.service,
         )
-        return Exchange(self, Job(call, now, is_gone))
+        job = Job(call, now, is_gone)
+        if call.idempotent:
+            return Exchange(self, job)
+        make = partial(Exchange, self, job)
+        return ClaimedExchange(self.claims, call, make)
 
 
 class RouterActor(DaemonActor):
@@ -154,7 +173,7 @@
     def on_stop(self) -> None:
         """Close the sockets."""
         self._server.close()
-        self._desk.connections.close()
+        self._desk.close()
         super().on_stop()
 
     # Messages
@@ -329,6 +348,7 @@
             self._carry_out(self._policy.drain(now))
         assert self._drain_deadline is not None
         idle = self._front.gate.inside == 0 and self._server.is_flushed()
+        idle = idle and self._desk.claims.is_idle()
         if idle or now >= self._drain_deadline:
             self._report(now)
             self.stop()
