Add the soak test, with the upstreams' ledgers as judge

Random calls go through three real routers to upstreams that misbehave, with a proxy that cuts at every stage before each, a platform that is away, slow or loses answers, and routers frozen or killed. The judge believes only the ledgers.

--- /dev/null
+++ b/standins/soak_calls.py
@@ -0,0 +1,191 @@
+"""Random calls of the soak test, and what their callers saw."""
+
+import json
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+import urllib3
+
+from standins.faulty import EVENTS, FaultName
+from standins.soak_fleet import KEY, SERVICE
+
+TIMEOUT_SECONDS = 30.0
+FAULT_PROBABILITY = 0.3
+HANG_UP_PROBABILITY = 0.03
+HANG_UP_SECONDS = 0.05
+MAX_REPEATS = 3
+
+
+class CallForm(Enum):
+    """What a call asks for."""
+
+    WHOLE = "whole"
+    STREAM = "stream"
+    CHARGE = "charge"
+
+
+_FAULTS = {
+    CallForm.WHOLE: (
+        FaultName.LATE,
+        FaultName.WRONG_ID,
+        FaultName.NO_ID,
+        FaultName.CROSSED,
+        FaultName.SHORT,
+        FaultName.TWICE,
+        FaultName.CLOSE_BEFORE,
+        FaultName.CLOSE_AFTER,
+        FaultName.NO_LENGTH,
+        FaultName.BAD_STATUS,
+        FaultName.CHUNKED,
+        FaultName.CUT_CHUNKED,
+    ),
+    CallForm.STREAM: (
+        FaultName.CUT_STREAM,
+        FaultName.CUT_STREAM_START,
+        FaultName.GAP,
+        FaultName.REPEAT,
+        FaultName.NO_DONE,
+        FaultName.FORGET,
+        FaultName.CLOSE_BEFORE,
+    ),
+}
+_FAULTS[CallForm.CHARGE] = _FAULTS[CallForm.WHOLE]
+
+
+@dataclass(frozen=True)
+class SoakCall:
+    """One call.
+
+    Parameters
+    ----------
+    form : CallForm
+        What it asks for.
+    mark : str
+        Its own text, which the answer repeats; shared by the calls of one key.
+    router : str
+        Where it goes.
+    fault : FaultName
+        What the upstream does to it.
+    timeout : float
+        Seconds after which its caller hangs up.
+    """
+
+    form: CallForm
+    mark: str
+    router: str
+    fault: FaultName
+    timeout: float
+
+
+class Seen(Enum):
+    """What a caller saw."""
+
+    WHOLE = "whole"
+    WRONG = "wrong"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    RAN = "ran"
+    BROKEN = "broken"
+
+
+@dataclass(frozen=True)
+class SoakRecord:
+    """A call and what its caller saw.
+
+    Parameters
+    ----------
+    call : SoakCall
+        The call.
+    seen : Seen
+        What was seen; `BROKEN` covers no answer and a visibly cut one.
+    request : str
+        The router's id; empty without an answer.
+    status : int
+        HTTP status; 0 without an answer.
+    detail : str
+        For reports.
+    """
+
+    call: SoakCall
+    seen: Seen
+    request: str = ""
+    status: int = 0
+    detail: str = ""
+
+
+def plan_calls(rng: random.Random, count: int, routers: list[str]) -> list[SoakCall]:
+    """Return random calls; a charge comes once to `MAX_REPEATS` times."""
+    calls: list[SoakCall] = []
+    while len(calls) < count:
+        form = rng.choice(list(CallForm))
+        mark = f"m{len(calls)}"
+        repeats = rng.randint(1, MAX_REPEATS) if form is CallForm.CHARGE else 1
+        for _ in range(repeats):
+            faulty = rng.random() < FAULT_PROBABILITY
+            fault = rng.choice(_FAULTS[form]) if faulty else FaultName.NONE
+            hangs_up = rng.random() < HANG_UP_PROBABILITY
+            timeout = HANG_UP_SECONDS if hangs_up else TIMEOUT_SECONDS
+            calls.append(SoakCall(form, mark, rng.choice(routers), fault, timeout))
+    return calls[:count]
+
+
+class SoakCaller:
+    """Sends calls and judges the answers by content."""
+
+    def __init__(self) -> None:
+        self._http = urllib3.PoolManager(retries=False, maxsize=100)
+
+    def send(self, call: SoakCall) -> SoakRecord:
+        """Send a call and return what was seen."""
+        path = "/charge" if call.form is CallForm.CHARGE else "/generate"
+        body = {"stream": call.form is CallForm.STREAM}
+        headers = {
+            "Authorization": f"Bearer {KEY}",
+            "X-Echo": call.mark,
+            "X-Fault": call.fault.value,
+        }
+        if call.form is CallForm.CHARGE:
+            headers["Idempotency-Key"] = call.mark
+        try:
+            answer = self._http.request(
+                "POST",
+                f"{call.router}/v1/{SERVICE}{path}",
+                body=json.dumps(body),
+                headers=headers,
+                timeout=call.timeout,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            return SoakRecord(call, Seen.BROKEN, detail=type(exc).__name__)
+        return _seen(call, answer)
+
+
+def _seen(call: SoakCall, answer: urllib3.BaseHTTPResponse) -> SoakRecord:
+    request = answer.headers.get("Oleander-Request-Id", "")
+    run = answer.headers.get("Oleander-Run", "")
+    seen, detail = Seen.WHOLE, ""
+    if answer.status != 200:
+        seen, detail = Seen(run), answer.data.decode(errors="replace")[:200]
+    elif not _is_own(call, answer.data):
+        seen, detail = Seen.WRONG, repr(answer.data[:400])
+    return SoakRecord(call, seen, request, answer.status, detail)
+
+
+def _is_own(call: SoakCall, body: bytes) -> bool:
+    try:
+        if call.form is CallForm.STREAM:
+            return _stream_text(body) == _expected_text(call.mark)
+        return bool(json.loads(body)["echo"] == call.mark)
+    except (ValueError, KeyError, IndexError):
+        return False
+
+
+def _expected_text(mark: str) -> str:
+    return "".join(f"{mark}:{index} " for index in range(EVENTS))
+
+
+def _stream_text(body: bytes) -> str:
+    datas = [part.split(b"data: ")[1] for part in body.strip().split(b"\n\n")]
+    if datas[-1] != b"[DONE]":
+        return ""
+    return "".join(json.loads(data)["text"] for data in datas[:-2])
--- /dev/null
+++ b/standins/soak_fleet.py
@@ -0,0 +1,302 @@
+"""Processes of the soak test: routers, agents, platform and faulty upstreams."""
+
+import hashlib
+import json
+import random
+import socket
+import time
+from contextlib import AbstractContextManager
+from pathlib import Path
+from types import TracebackType
+from typing import Self
+
+import msgspec
+import urllib3
+
+from oleandershift.ids import RegionId, ServiceId, TeamId, UpstreamId
+from oleandershift.rows import (
+    AnyRow,
+    Kind,
+    ServiceRow,
+    TeamRow,
+    UpstreamRow,
+    encode_row,
+)
+from standins.faulty import Execution
+from standins.platform import Loss, Outage, PlatformFaults
+from standins.processes import ChildProcess, stop_all
+from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
+
+ROUTERS = 3
+UPSTREAMS = 4
+SLOTS = 64
+KEY = "soak-key"
+SERVICE = ServiceId("soak")
+READY_SECONDS = 30.0
+STOP_SECONDS = 10.0
+POLL_SECONDS = 0.05
+FREEZE_SECONDS = 1.5
+MAX_CUT_BYTES = 600
+CUT_PROBABILITY = 0.25
+LOSS_PROBABILITY = 0.2
+
+
+def _free_port(ip: str) -> int:
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return int(sock.getsockname()[1])
+
+
+def _flags(**values: object) -> list[str]:
+    return [f"--{name.replace('_', '-')}={value}" for name, value in values.items()]
+
+
+class SoakFleet(AbstractContextManager["SoakFleet"]):
+    """Routers before faulty upstreams, with a cutting proxy before each upstream.
+
+    Parameters
+    ----------
+    ip : str
+        Loopback address of all processes; ports are free ones.
+    out : Path
+        Folder for logs.
+    policy : str
+        Of the routers.
+
+    Attributes
+    ----------
+    router_urls : list of str
+        Where callers send to.
+    """
+
+    def __init__(self, ip: str, out: Path, policy: str) -> None:
+        self._ip = ip
+        self._out = out
+        self._policy = policy
+        self._http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self._outside: list[ChildProcess] = []
+        self._agents: list[ChildProcess] = []
+        self._routers: list[ChildProcess] = []
+        self._upstream_urls: list[str] = []
+        self._proxied_urls: list[str] = []
+        self._proxy_controls: list[str] = []
+        self.router_urls: list[str] = []
+
+    def __enter__(self) -> Self:
+        self._out.mkdir(parents=True, exist_ok=True)
+        try:
+            self._start()
+        except BaseException:
+            self._stop()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stop()
+
+    def inject(self, rng: random.Random) -> str:
+        """Change the faults in force at random; return what was done."""
+        chosen = rng.random()
+        if chosen < 0.02:
+            return self._freeze_router(rng)
+        if chosen < 0.03:
+            return self._restart_router(rng)
+        if chosen < 0.25:
+            return self._break_platform(rng)
+        return self._break_proxy(rng)
+
+    def heal(self) -> None:
+        """End all faults."""
+        self._put(f"{self._platform_control}/faults", PlatformFaults())
+        for control in self._proxy_controls:
+            self._put(f"{control}/faults", ProxyFaults())
+
+    def executions(self) -> list[Execution]:
+        """Return what all upstreams executed, by their own ledgers."""
+        found: list[Execution] = []
+        for url in self._upstream_urls:
+            body = self._http.request("GET", f"{url}/-/ledger").data
+            found += [Execution(**record) for record in json.loads(body)]
+        return found
+
+    def stop_routers(self) -> list[int | None]:
+        """Stop the routers in good order and return their exit codes."""
+        for router in self._routers:
+            router.terminate()
+        return [router.wait(READY_SECONDS) for router in self._routers]
+
+    # Faults
+
+    def _break_proxy(self, rng: random.Random) -> str:
+        faults = ProxyFaults(
+            mode=rng.choice([ProxyMode.CUT, ProxyMode.CUT, ProxyMode.PASS]),
+            stage=rng.choice(list(CutStage)),
+            style=rng.choice(list(CutStyle)),
+            after_bytes=rng.randrange(MAX_CUT_BYTES),
+            delay_seconds=rng.choice([0.0, 0.0, 0.02]),
+            probability=CUT_PROBABILITY,
+            seed=rng.randrange(1 << 30),
+        )
+        self._put(f"{rng.choice(self._proxy_controls)}/faults", faults)
+        return f"proxy {faults.mode.value} {faults.stage.value}"
+
+    def _break_platform(self, rng: random.Random) -> str:
+        faults = rng.choice(
+            [
+                PlatformFaults(),
+                PlatformFaults(outage=rng.choice(list(Outage))),
+                PlatformFaults(slow_seconds=rng.choice([0.05, 0.3])),
+                PlatformFaults(
+                    lose=Loss.RANDOM,
+                    lose_probability=LOSS_PROBABILITY,
+                    lose_seed=rng.randrange(1 << 30),
+                    lose_writes_only=False,
+                ),
+            ]
+        )
+        self._put(f"{self._platform_control}/faults", faults)
+        return f"platform {faults.outage.value} {faults.lose.value}"
+
+    def _freeze_router(self, rng: random.Random) -> str:
+        router = rng.choice(self._routers)
+        router.freeze()
+        time.sleep(FREEZE_SECONDS)
+        router.thaw()
+        return f"{router.name} frozen"
+
+    def _restart_router(self, rng: random.Random) -> str:
+        number = rng.randrange(ROUTERS)
+        router = self._routers[number]
+        router.kill()
+        router.start()
+        self._wait_ready(f"{self.router_urls[number]}/readyz", router)
+        return f"{router.name} killed and started again"
+
+    def _put(self, url: str, value: object) -> None:
+        answer = self._http.request("PUT", url, body=msgspec.json.encode(value))
+        if answer.status != 200:
+            raise RuntimeError(f"{url} answered {answer.status}")
+
+    # Processes
+
+    def _start(self) -> None:
+        platform_port = _free_port(self._ip)
+        control_port = _free_port(self._ip)
+        self._platform = f"http://{self._ip}:{platform_port}"
+        self._platform_control = f"http://{self._ip}:{control_port}"
+        self._run_outside(
+            "platform",
+            "standins.platform",
+            _flags(ip=self._ip, port=platform_port, control_port=control_port),
+        )
+        for number in range(UPSTREAMS):
+            self._start_upstream(number)
+        self._wait_ready(f"{self._platform}/v1/vms", self._outside[0])
+        for url in self._proxied_urls:
+            self._wait_ready(f"{url}/-/load", self._outside[-1])
+        self._seed()
+        for number in range(ROUTERS):
+            self._start_vm(number)
+        for url, router in zip(self.router_urls, self._routers, strict=True):
+            self._wait_ready(f"{url}/readyz", router)
+
+    def _start_upstream(self, number: int) -> None:
+        port, proxied, control = (_free_port(self._ip) for _ in range(3))
+        self._run_outside(
+            f"upstream{number}", "standins.faulty", _flags(ip=self._ip, port=port)
+        )
+        self._run_outside(
+            f"proxy{number}",
+            "standins.proxy",
+            _flags(
+                ip=self._ip,
+                port=proxied,
+                control_port=control,
+                target_ip=self._ip,
+                target_port=port,
+            ),
+        )
+        self._upstream_urls.append(f"http://{self._ip}:{port}")
+        self._proxied_urls.append(f"http://{self._ip}:{proxied}")
+        self._proxy_controls.append(f"http://{self._ip}:{control}")
+
+    def _start_vm(self, number: int) -> None:
+        agent_port, http_port = _free_port(self._ip), _free_port(self._ip)
+        common = _flags(
+            vm=f"vm{number}",
+            region="one",
+            data_centre="one-1",
+            ip=self._ip,
+            agent_port=agent_port,
+            query_port=_free_port(self._ip),
+            allocator_port=_free_port(self._ip),
+            router_port=_free_port(self._ip),
+            http_port=http_port,
+            platform_url=self._platform,
+        )
+        agent = ChildProcess(
+            f"agent{number}", "oleandershift.cli.agent", common, self._out
+        )
+        own = _flags(
+            policy=self._policy,
+            idle_seconds=1,
+            connect_seconds=1,
+            claim_seconds=1,
+            max_requests=100,
+            grace_seconds=0,
+            drain_seconds=20,
+        )
+        router = ChildProcess(
+            f"router{number}", "oleandershift.cli.router", common + own, self._out
+        )
+        self._agents.append(agent)
+        self._routers.append(router)
+        self.router_urls.append(f"http://{self._ip}:{http_port}")
+        agent.start()
+        router.start()
+
+    def _run_outside(self, name: str, module: str, flags: list[str]) -> None:
+        child = ChildProcess(name, module, flags, self._out, takes_log_file=False)
+        self._outside.append(child)
+        child.start()
+
+    def _seed(self) -> None:
+        marks = ("POST /charge",)
+        self._create(Kind.SERVICES, ServiceRow(name=SERVICE, non_idempotent=marks))
+        for number, url in enumerate(self._proxied_urls):
+            name = UpstreamId(f"u{number}")
+            region = RegionId("one")
+            row = UpstreamRow(
+                name=name, service=SERVICE, region=region, url=url, slots=SLOTS
+            )
+            self._create(Kind.UPSTREAMS, row)
+        digest = hashlib.sha256(KEY.encode()).hexdigest()
+        self._create(Kind.TEAMS, TeamRow(name=TeamId("soak"), key_hashes=(digest,)))
+
+    def _create(self, kind: Kind, row: AnyRow) -> None:
+        url = f"{self._platform}/v1/objects/{kind.value}/{row.name}"
+        headers = {"If-None-Match": "*"}
+        answer = self._http.request("PUT", url, body=encode_row(row), headers=headers)
+        if answer.status != 201:
+            raise RuntimeError(f"{url} answered {answer.status}")
+
+    def _wait_ready(self, url: str, child: ChildProcess) -> None:
+        deadline = time.monotonic() + READY_SECONDS
+        while not self._answers(url):
+            if not child.is_running() or time.monotonic() > deadline:
+                raise RuntimeError(f"{child.name} is not ready: {child.last_errors()}")
+            time.sleep(POLL_SECONDS)
+
+    def _answers(self, url: str) -> bool:
+        try:
+            return self._http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def _stop(self) -> None:
+        stop_all((*self._routers, *self._agents, *self._outside), STOP_SECONDS)
