Let an upstream take longer over its answer than a connect may

Cause: urllib3 sets a connection's own time-out on the socket again when it reads the head of an answer, so that the limit of a connect (2 s) ended every answer whose head came later; such requests were tried four times and then failed as unknown. The upstreams were ruled out: their ledgers show the work cancelled after 2 s. Change: after the connect, the connection's time-out is the idle limit. tests/contract/test_connections.py fails before, passes now. make test: green.

--- a/src/oleandershift/io/upstreams.py
+++ b/src/oleandershift/io/upstreams.py
@@ -138,6 +138,7 @@
         except _FAILURES as exc:
             conn.close()
             raise AttemptError(Fault.CONNECT) from exc
+        conn.timeout = self.idle_seconds
         conn.sock.settimeout(self.idle_seconds)
         return conn
 
--- /dev/null
+++ b/tests/contract/test_connections.py
@@ -0,0 +1,26 @@
+"""Contract of the connections to upstreams."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from oleandershift.io.upstreams import Connections
+from standins.plain import PlainService
+from standins.run import UpstreamConfig
+
+
+@pytest.fixture
+def slow_upstream() -> Iterator[PlainService]:
+    standin = PlainService(UpstreamConfig(overhead_seconds=0.5))
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+def test_answer_may_take_longer_than_a_connect(slow_upstream: PlainService) -> None:
+    connections = Connections(connect_seconds=0.1, idle_seconds=10.0)
+    conn = connections.connect(slow_upstream.url)
+    conn.request("GET", "/x")
+    assert conn.getresponse().status == 200
+    conn.close()
+    connections.close()
