--- a/standins/load.py
+++ b/standins/load.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
@@ -19,6 +20,7 @@
 MOST_RETRY_SECONDS = 1.0
 JOIN_SECONDS = 150.0
 OPEN_LOOP_CALLERS = 256
+MOST_FAILURES = 10
 HISTOGRAM_MOST_MS = 600_000
 
 
@@ -179,6 +181,16 @@
     return Counter(record.verdict for record in records)
 
 
+def failures(records: Sequence[CallRecord]) -> tuple[str, ...]:
+    """Return a line on each of the first calls whose answer was not whole."""
+    found = (record for record in records if record.verdict is not Verdict.WHOLE)
+    return tuple(
+        f"{one.verdict.value} {one.status} {one.run or '-'} {one.request or '-'} "
+        f"{one.team} {one.service} {one.echo}: {one.detail}"
+        for one in islice(found, MOST_FAILURES)
+    )
+
+
 def histogram(seconds: Sequence[float]) -> HdrHistogram:
     """Return an HDR histogram of times, in milliseconds."""
     made = HdrHistogram(1, HISTOGRAM_MOST_MS, 3)
@@ -203,6 +215,8 @@
         print(f"{verdict.value:8} {count}")
     for percentile in (50, 95, 99):
         print(f"p{percentile} {times.get_value_at_percentile(percentile)} ms")
+    for line in failures(records):
+        print(line)
     whole = verdicts(records)[Verdict.WHOLE]
     return 0 if whole == len(records) else 1
 
