Add status, explain and drain to the operators' program

Cause: an operator could not see the fleet, why a request ended as it did, or take a VM out of service. Change: status asks every VM's agent twice and works out, sans-IO, shares promised by weight among the teams backlogged at both ends, shares received, the gap, slot utilisation and control traffic by region pair; a VM that does not answer is listed as not reachable. explain asks all agents and names those that are silent. drain orders one VM to stop and can wait for it. OperatorReply gains weights (appended, with a default), which the agent fills in for STATUS.

--- /dev/null
+++ b/src/oleandershift/cli/drain.py
@@ -0,0 +1,66 @@
+"""Command `oleander drain`."""
+
+import argparse
+import time
+
+from oleandershift.cli.options import FLEET, QUERY_ADDRESS, TIMEOUT, add_settings
+from oleandershift.exceptions import NotInForceError, OleanderError, UnreachableError
+from oleandershift.io.query import FleetClient
+from oleandershift.messages import Member, OperatorQuery, QueryKind
+from oleandershift.settings import Setting, seconds
+
+DRAIN_SECONDS = Setting(
+    "drain_seconds",
+    seconds(0, 86_400),
+    "0 to 86400",
+    "time that running work is given to finish, seconds",
+    "600",
+)
+POLL_SECONDS = 0.5
+
+
+def add_parser(
+    subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    """Add the command's parser."""
+    parser = subparsers.add_parser(
+        "drain",
+        help="let a VM finish its work and stop",
+        description="Order a VM's daemons to finish their work, take no more and stop.",
+    )
+    parser.add_argument("vm", help="name of the VM")
+    parser.add_argument(
+        "--wait", action="store_true", help="return when its agent has stopped"
+    )
+    add_settings(parser, (FLEET, QUERY_ADDRESS, TIMEOUT, DRAIN_SECONDS))
+
+
+def _find(members: tuple[Member, ...], vm: str) -> Member:
+    for member in members:
+        if member.vm == vm:
+            return member
+    known = ", ".join(sorted(member.vm for member in members))
+    raise OleanderError(f"there is no VM {vm}; the fleet has {known}")
+
+
+def _wait(client: FleetClient, member: Member, deadline: float) -> None:
+    query = OperatorQuery(QueryKind.MEMBERS)
+    while client.ask_member(member, query) is not None:
+        if time.time() > deadline:
+            raise NotInForceError(f"{member.vm} still drains at the deadline")
+        time.sleep(POLL_SECONDS)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run the command."""
+    client = FleetClient(args.fleet, args.query_address, args.timeout_seconds)
+    member = _find(client.members(), args.vm)
+    deadline = time.time() + args.drain_seconds
+    query = OperatorQuery(QueryKind.DRAIN, deadline=deadline)
+    if client.ask_member(member, query) is None:
+        raise UnreachableError(f"the agent of {member.vm} did not answer")
+    print(f"{member.vm} drains")
+    if args.wait:
+        _wait(client, member, deadline + args.timeout_seconds)
+        print(f"{member.vm} has stopped")
+    return 0
--- /dev/null
+++ b/src/oleandershift/cli/status.py
@@ -0,0 +1,189 @@
+"""Command `oleander status`."""
+
+import argparse
+import time
+from collections.abc import Iterator, Sequence
+
+from oleandershift.cli.options import (
+    FLEET,
+    QUERY_ADDRESS,
+    TIMEOUT,
+    add_json,
+    add_settings,
+    print_json,
+)
+from oleandershift.io.query import FleetClient
+from oleandershift.messages import OperatorQuery, QueryKind
+from oleandershift.settings import Setting, seconds
+from oleandershift.status import FleetStatus, ProcessLine, VmLine, summarise
+
+WINDOW = Setting(
+    "window_seconds",
+    seconds(1, 60),
+    "1 to 60",
+    "time over which shares and traffic are measured, seconds",
+    "3",
+)
+STALE_SECONDS = 5.0
+DIGEST_DIGITS = 8
+MIBIBYTE = 1 << 20
+
+
+def add_parser(
+    subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    """Add the command's parser."""
+    parser = subparsers.add_parser(
+        "status",
+        help="show VMs, upstreams, teams and their shares",
+        description="Ask every VM's agent twice and show the state of the fleet.",
+    )
+    add_settings(parser, (FLEET, QUERY_ADDRESS, TIMEOUT, WINDOW))
+    add_json(parser)
+
+
+def _table(head: Sequence[str], rows: Sequence[Sequence[str]]) -> Iterator[str]:
+    widths = [max(map(len, column)) for column in zip(head, *rows, strict=True)]
+    for row in (head, *rows):
+        cells = (f"{cell:<{w}}" for cell, w in zip(row, widths, strict=True))
+        yield "  ".join(cells).rstrip()
+    yield ""
+
+
+def _percent(value: float | None) -> str:
+    return "-" if value is None else f"{100 * value:.1f}%"
+
+
+def _process_text(line: ProcessLine) -> str:
+    notes = [line.role.value]
+    if line.draining:
+        notes.append("draining")
+    elif not line.ready:
+        notes.append("not ready")
+    if line.age_seconds > STALE_SECONDS:
+        notes.append(f"silent {line.age_seconds:.0f} s")
+    if not line.in_force:
+        notes.append("other table")
+    return " ".join(notes)
+
+
+def _vm_row(line: VmLine) -> tuple[str, ...]:
+    if not line.reachable:
+        processes = "NOT REACHABLE"
+    else:
+        processes = ", ".join(map(_process_text, line.processes)) or "none"
+    memory = sum(p.resident_bytes for p in line.processes) / MIBIBYTE
+    return (
+        line.vm,
+        line.region,
+        line.data_centre,
+        line.state.value,
+        line.platform or "-",
+        line.table_digest[:DIGEST_DIGITS] or "-",
+        f"{memory:.0f}" if line.reachable else "-",
+        processes,
+    )
+
+
+def _vms_text(status: FleetStatus) -> Iterator[str]:
+    reached = sum(line.reachable for line in status.vms)
+    digests = {line.table_digest for line in status.vms if line.reachable}
+    agreed = "one table" if len(digests) < 2 else f"{len(digests)} different tables"
+    yield f"VMs: {reached} of {len(status.vms)} reachable, {agreed} in force"
+    head = ("vm", "region", "dc", "state", "platform", "table", "MiB", "processes")
+    yield from _table(head, [_vm_row(line) for line in status.vms])
+
+
+def _upstreams_text(status: FleetStatus) -> Iterator[str]:
+    busy = _percent(status.busy_while_waiting)
+    yield f"Upstreams: slots busy {busy} of the time in which work waited or ran"
+    head = ("upstream", "service", "region", "state", "slots", "taken", "utilisation")
+    rows = [
+        (
+            line.upstream,
+            line.service,
+            line.region,
+            line.state,
+            str(line.slots),
+            str(line.taken),
+            _percent(line.utilisation),
+        )
+        for line in status.upstreams
+    ]
+    yield from _table(head, rows)
+
+
+def _teams_text(status: FleetStatus) -> Iterator[str]:
+    yield f"Teams, over {status.window_seconds:.1f} s"
+    head = (
+        "service",
+        "team",
+        "weight",
+        "waiting",
+        "running",
+        "served",
+        "refused",
+        "tokens",
+        "promised",
+        "received",
+    )
+    rows = [
+        (
+            share.work.service,
+            share.work.team,
+            f"{share.weight:g}",
+            str(share.work.waiting),
+            str(share.work.running),
+            str(share.work.served),
+            str(share.work.refused),
+            f"{share.work.cost:.0f}",
+            _percent(share.promised),
+            _percent(share.received),
+        )
+        for share in status.teams
+    ]
+    yield from _table(head, rows)
+    for gap in status.gaps:
+        yield (
+            f"gap of {gap.service}: {gap.gap:.0f} tokens a unit of weight, "
+            f"{gap.most} ahead of {gap.least}"
+        )
+
+
+def _traffic_text(status: FleetStatus) -> Iterator[str]:
+    yield "Control traffic"
+    head = ("from", "to", "bytes/s", "messages/s")
+    rows = [
+        (
+            line.source,
+            line.target,
+            f"{line.bytes_per_second:.0f}",
+            f"{line.messages_per_second:.1f}",
+        )
+        for line in status.traffic
+    ]
+    yield from _table(head, rows)
+
+
+def as_text(status: FleetStatus) -> Iterator[str]:
+    """Return the status as lines of text."""
+    yield from _vms_text(status)
+    yield from _upstreams_text(status)
+    yield from _teams_text(status)
+    yield from _traffic_text(status)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run the command."""
+    client = FleetClient(args.fleet, args.query_address, args.timeout_seconds)
+    query = OperatorQuery(QueryKind.STATUS)
+    earlier = client.sample(client.members(), query)
+    time.sleep(args.window_seconds)
+    later = client.sample(client.members(), query)
+    status = summarise(earlier, later)
+    if args.json:
+        print_json(status)
+        return 0
+    for line in as_text(status):
+        print(line)
+    return 0
--- a/src/oleandershift/io/agent.py
+++ b/src/oleandershift/io/agent.py
@@ -43,6 +43,7 @@
     StatusReport,
     Subscribe,
     TableSummary,
+    TeamWeight,
 )
 from oleandershift.objects import ObjectKind
 from oleandershift.processes import LocalProcesses, LocalSend
@@ -269,6 +270,14 @@
             table_digest=self._replication.digest(),
             versions=versions,
             platform=self._platform.value,
+            weights=self._weights(reports),
+        )
+
+    def _weights(self, reports: Iterable[StatusReport]) -> tuple[TeamWeight, ...]:
+        named = {status.team for report in reports for status in report.teams}
+        teams = self._table.teams
+        return tuple(
+            TeamWeight(team, teams[team].weight) for team in named if team in teams
         )
 
     def _drain_vm(self, deadline: float) -> None:
--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -528,6 +528,13 @@
     deadline: float = 0.0
 
 
+class TeamWeight(msgspec.Struct, frozen=True, array_like=True):
+    """Weight of one team in an agent's table."""
+
+    team: TeamId
+    weight: float
+
+
 class OperatorReply(Message, frozen=True, tag=True, array_like=True):
     """An agent's answer.
 
@@ -547,6 +554,8 @@
         For `TABLE`: versions in force at the least advanced local process.
     platform : str
         `ok`, `slow` or `away`, as the agent sees it.
+    weights : tuple of TeamWeight
+        For `STATUS`: weights of the teams in `reports`.
     """
 
     vm: VmId
@@ -556,6 +565,7 @@
     table_digest: bytes = b""
     versions: tuple[RowVersion, ...] = ()
     platform: str = "ok"
+    weights: tuple[TeamWeight, ...] = ()
 
 
 Body: TypeAlias = (
--- /dev/null
+++ b/tests/integration/test_query.py
@@ -0,0 +1,131 @@
+"""Tests of operators' queries over real sockets."""
+
+import socket
+import time
+from collections.abc import Iterator
+
+import msgspec
+import pytest
+
+from oleandershift.cli import operator
+from oleandershift.ids import (
+    DataCentreId,
+    FleetId,
+    Incarnation,
+    RegionId,
+    RequestId,
+    ServiceId,
+    TeamId,
+    VmId,
+)
+from oleandershift.io.logs import EventLog
+from oleandershift.io.queries import Identity, QueryServer
+from oleandershift.messages import (
+    Member,
+    OperatorQuery,
+    OperatorReply,
+    Outcome,
+    ProcessId,
+    QueryKind,
+    Role,
+)
+
+FLEET = FleetId("oleander")
+REGION = RegionId("south")
+OUTCOME = Outcome(
+    RequestId("r1"), TeamId("a"), ServiceId("draft"), 429, "not-run", "team-rate", 1.0
+)
+
+
+def free_port() -> int:
+    with socket.socket() as bound:
+        bound.bind(("127.0.0.1", 0))
+        return int(bound.getsockname()[1])
+
+
+def make_member(vm: str, query_port: int) -> Member:
+    dc = DataCentreId("dc")
+    return Member(
+        VmId(vm), REGION, dc, "127.0.0.1", 1, query_port, 3, 4, 5, Incarnation(1)
+    )
+
+
+class FakeAgent:
+    """Answers queries as an agent does, and remembers them."""
+
+    def __init__(self) -> None:
+        self.port = free_port()
+        self.asked: list[OperatorQuery] = []
+        members = (make_member("vm-1", self.port), make_member("vm-2", free_port()))
+        self._reply = OperatorReply(VmId("vm-1"), members=members)
+        process = ProcessId(VmId("vm-1"), Role.AGENT, Incarnation(1))
+        self.server = QueryServer(
+            Identity(FLEET, process, REGION),
+            f"tcp://127.0.0.1:{self.port}",
+            self._answer,
+            EventLog(process, REGION),
+        )
+
+    def _answer(self, query: OperatorQuery) -> OperatorReply:
+        self.asked.append(query)
+        if query.kind is QueryKind.EXPLAIN and query.subject == "r1":
+            return msgspec.structs.replace(self._reply, outcomes=(OUTCOME,))
+        return self._reply
+
+
+@pytest.fixture
+def agent() -> Iterator[FakeAgent]:
+    made = FakeAgent()
+    made.server.start()
+    yield made
+    made.server.close()
+
+
+def run(agent: FakeAgent, *args: str) -> int:
+    address = f"127.0.0.1:{agent.port}"
+    timeout = "--timeout-seconds=0.5"
+    return operator.main([*args, "--query-address", address, timeout])
+
+
+def test_explain_names_silent_vm(
+    agent: FakeAgent, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(agent, "explain", "r1") == 0
+    shown = capsys.readouterr()
+    assert "status 429, not-run: team-rate" in shown.out
+    assert "did not answer: vm-2" in shown.err
+
+
+def test_unknown_request_fails(agent: FakeAgent) -> None:
+    assert run(agent, "explain", "r2") == 1
+
+
+def test_status_lists_unreachable_vm(
+    agent: FakeAgent, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert run(agent, "status", "--window-seconds=1") == 0
+    shown = capsys.readouterr().out
+    assert "1 of 2 reachable" in shown
+    assert "NOT REACHABLE" in shown
+
+
+def test_drain_reaches_the_named_vm(agent: FakeAgent) -> None:
+    assert run(agent, "drain", "vm-1", "--drain-seconds=60") == 0
+    last = agent.asked[-1]
+    assert last.kind is QueryKind.DRAIN
+    assert last.deadline > time.time()
+
+
+@pytest.mark.parametrize(
+    ("vm", "code"),
+    [("vm-2", 6), ("vm-9", 1)],
+)
+def test_drain_of_absent_vm_fails(agent: FakeAgent, vm: str, code: int) -> None:
+    assert run(agent, "drain", vm) == code
+
+
+def test_no_agent_is_exit_code_6(capsys: pytest.CaptureFixture[str]) -> None:
+    address = f"127.0.0.1:{free_port()}"
+    args = ["status", "--query-address", address, "--timeout-seconds=0.3"]
+    assert operator.main(args) == 6
+    assert "no agent answered" in capsys.readouterr().err
