--- /dev/null
+++ b/standins/capacity/daemons.py
@@ -0,0 +1,140 @@
+"""Memory and processor time of the real daemons of one VM."""
+
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from oleandershift.ids import FleetId
+from oleandershift.io.queries import ask
+from oleandershift.messages import OperatorQuery, QueryKind, Role, Row
+from standins.capacity.measure import Report
+from standins.capacity.processes import cpu_seconds, resident_bytes
+from standins.capacity.samples import region, rows
+from standins.platform import Platform
+
+IP = "127.25.1.1"
+PORTS = {
+    "agent-port": 27101,
+    "allocator-port": 27102,
+    "router-port": 27103,
+    "query-port": 27104,
+    "http-port": 27180,
+}
+READY_SECONDS = 30.0
+STOP_SECONDS = 10.0
+IDLE_SECONDS = 5.0
+MIBIBYTE = 1 << 20
+SCALES = ((16, 9), (5500, 12_000))
+FLEET = FleetId("capacity")
+
+
+@dataclass
+class Vm:
+    """Daemons of one VM, with a platform in this process.
+
+    Parameters
+    ----------
+    table : iterable of Row
+        Rows that the platform holds.
+    policy : str
+        The router's policy.
+    """
+
+    table: Iterable[Row]
+    policy: str = "fair"
+    platform: Platform = field(default_factory=lambda: Platform(ip=IP))
+    processes: dict[Role, "subprocess.Popen[bytes]"] = field(default_factory=dict)
+
+    @property
+    def query_address(self) -> str:
+        """Return the address of the agent's query socket."""
+        return f"{IP}:{PORTS['query-port']}"
+
+    @property
+    def url(self) -> str:
+        """Return the router's URL."""
+        return f"http://{IP}:{PORTS['http-port']}"
+
+    def start(self, logs: Path) -> None:
+        """Start everything and wait until all daemons are ready."""
+        for row in self.table:
+            self.platform.store.put(row.kind, row.name, row.value, None)
+        self.platform.start()
+        for role in (Role.AGENT, Role.ALLOCATOR, Role.ROUTER):
+            self.processes[role] = self._spawn(role, logs)
+        self._wait_ready()
+
+    def _spawn(self, role: Role, logs: Path) -> "subprocess.Popen[bytes]":
+        args = [f"--{name}={port}" for name, port in PORTS.items()]
+        args += [f"--ip={IP}", "--vm=vm-0000", f"--region={region(0)}"]
+        args += ["--data-centre=dc-00", f"--fleet={FLEET}"]
+        args += [f"--log-file={logs / role.value}.jsonl"]
+        if role is not Role.ALLOCATOR:
+            args.append(f"--platform-url={self.platform.url}")
+        if role is Role.ROUTER:
+            args += [f"--policy={self.policy}", "--max-requests=1000"]
+        module = f"oleandershift.cli.{role.value}"
+        return subprocess.Popen([sys.executable, "-m", module, *args])
+
+    def _wait_ready(self) -> None:
+        deadline = time.monotonic() + READY_SECONDS
+        query = OperatorQuery(QueryKind.STATUS)
+        while time.monotonic() < deadline:
+            reply = ask(self.query_address, FLEET, query, 1.0).value_or(None)
+            reports = () if reply is None else reply.reports
+            if sum(report.ready for report in reports) == len(self.processes):
+                return
+            time.sleep(0.1)
+        raise TimeoutError("the daemons are not ready")
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for process in self.processes.values():
+            process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.platform.stop()
+
+    def resident_mib(self, role: Role) -> float:
+        """Return the resident memory of one daemon."""
+        return resident_bytes(str(self.processes[role].pid)) / MIBIBYTE
+
+    def cpu(self, role: Role) -> float:
+        """Return the processor time of one daemon so far, seconds."""
+        return cpu_seconds(str(self.processes[role].pid))
+
+
+@contextmanager
+def running(vm: Vm) -> Iterator[Vm]:
+    """Run a VM's daemons for a while."""
+    with tempfile.TemporaryDirectory() as logs:
+        try:
+            vm.start(Path(logs))
+            yield vm
+        finally:
+            vm.stop()
+
+
+def measure(report: Report) -> None:
+    """Measure the idle daemons with a small and a large table."""
+    report.section("daemons")
+    for teams, upstreams in SCALES:
+        with running(Vm(rows(teams, upstreams))) as vm:
+            time.sleep(IDLE_SECONDS)
+            before = {role: vm.cpu(role) for role in vm.processes}
+            time.sleep(IDLE_SECONDS)
+            size = f"{teams} teams, {upstreams} upstreams"
+            for role in vm.processes:
+                used = (vm.cpu(role) - before[role]) / IDLE_SECONDS
+                name = f"{role.value} idle, {size}"
+                report.add(name, vm.resident_mib(role), "MiB")
+                report.add(name, 100 * used, "% of a core")
--- /dev/null
+++ b/standins/capacity/samples.py
@@ -0,0 +1,78 @@
+"""Members and rows as a large fleet has them."""
+
+from collections.abc import Iterator
+
+from oleandershift.ids import (
+    DataCentreId,
+    Incarnation,
+    RegionId,
+    ServiceId,
+    TeamId,
+    UpstreamId,
+    VmId,
+)
+from oleandershift.messages import Member, Row
+from oleandershift.rows import Kind, ServiceRow, TeamRow, UpstreamRow, encode_row
+
+NOW = 1_790_000_000.0
+SERVICES = 6
+REGIONS = 11
+DATA_CENTRES = 27
+
+
+def region(number: int) -> RegionId:
+    """Return the region that a numbered thing falls into."""
+    return RegionId(f"region-{number % REGIONS:02d}")
+
+
+def service(number: int) -> ServiceId:
+    """Return the service that a numbered upstream serves."""
+    return ServiceId(f"model-{number // REGIONS % SERVICES}")
+
+
+def make_member(number: int) -> Member:
+    """Return one VM."""
+    return Member(
+        VmId(f"vm-{number:04d}"),
+        region(number),
+        DataCentreId(f"dc-{number % DATA_CENTRES:02d}"),
+        f"10.{number // 250}.{number % 250}.7",
+        7101,
+        7104,
+        7102,
+        7103,
+        8080,
+        Incarnation(int(NOW * 1e9)),
+    )
+
+
+def team_row(number: int, version: int = 1) -> Row:
+    """Return one team's row."""
+    row = TeamRow(
+        name=TeamId(f"team-{number:04d}"),
+        weight=1.0 + number % 5,
+        key_hashes=(f"{number:064x}",),
+    )
+    return Row(Kind.TEAMS.value, row.name, version, encode_row(row))
+
+
+def upstream_row(number: int, version: int = 1) -> Row:
+    """Return one upstream's row."""
+    row = UpstreamRow(
+        name=UpstreamId(f"engine-{number:05d}"),
+        service=service(number),
+        region=region(number),
+        url=f"http://127.25.{100 + number // 250}.{1 + number % 250}:9",
+    )
+    return Row(Kind.UPSTREAMS.value, row.name, version, encode_row(row))
+
+
+def rows(teams: int, upstreams: int) -> Iterator[Row]:
+    """Return the rows of a whole table."""
+    for number in range(SERVICES):
+        made = ServiceRow(name=ServiceId(f"model-{number}"))
+        yield Row(Kind.SERVICES.value, made.name, 1, encode_row(made))
+    for number in range(teams):
+        yield team_row(number)
+    for number in range(upstreams):
+        yield upstream_row(number)
