--- a/standins/capacity/codec.py
+++ b/standins/capacity/codec.py
@@ -1,6 +1,7 @@
 """Size, encoding and decoding of the messages between processes."""
 
 from collections.abc import Callable
+from functools import partial
 
 from oleandershift.ids import (
     FleetId,
--- a/standins/capacity/daemons.py
+++ b/standins/capacity/daemons.py
@@ -12,6 +12,7 @@
 from oleandershift.ids import FleetId
 from oleandershift.io.queries import ask
 from oleandershift.messages import OperatorQuery, QueryKind, Role, Row
+from oleandershift.policies import POLICIES
 from standins.capacity.measure import Report
 from standins.capacity.processes import cpu_seconds, resident_bytes
 from standins.capacity.samples import region, rows
@@ -46,7 +47,7 @@
     """
 
     table: Iterable[Row]
-    policy: str = "fair"
+    policy: str = "fair" if "fair" in POLICIES else "fcfs"
     platform: Platform = field(default_factory=lambda: Platform(ip=IP))
     processes: dict[Role, "subprocess.Popen[bytes]"] = field(default_factory=dict)
 
