Keep the host of each upstream's URL in the agent

Cause: an agent that watches the platform's VM list parsed the URL of every upstream twice a second. With 12,000 upstreams and 5,500 teams it used 14.6% of a core while idle (python -m standins.capacity daemons, 5 s). Ruled out: the table's replica (one edit costs 14 us at that size). Change: the host is kept by URL in a bounded cache.

--- a/src/oleandershift/leaving.py
+++ b/src/oleandershift/leaving.py
@@ -1,6 +1,7 @@
 """Upstreams that the platform's list calls leaving, as agents tell each other."""
 
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from urllib.parse import urlsplit
 
 from oleandershift.ids import Seq, UpstreamId
@@ -8,6 +9,7 @@
 from oleandershift.rows import UpstreamRow
 
 MILLISECONDS = 1000
+MAX_CACHED_HOSTS = 1 << 16
 
 
 class LeavingUpstreams:
@@ -68,4 +70,9 @@
 
 def upstream_host(row: UpstreamRow) -> str:
     """Return the host that an upstream stands on."""
-    return urlsplit(row.url).hostname or ""
+    return _host_of(row.url)
+
+
+@lru_cache(maxsize=MAX_CACHED_HOSTS)
+def _host_of(url: str) -> str:
+    return urlsplit(url).hostname or ""
