--- a/standins/capacity/daemons.py
+++ b/standins/capacity/daemons.py
@@ -14,7 +14,7 @@
 from oleandershift.messages import OperatorQuery, QueryKind, Role, Row
 from oleandershift.policies import POLICIES
 from standins.capacity.measure import Report
-from standins.capacity.processes import cpu_seconds, resident_bytes
+from standins.capacity.processes import cpu_seconds, proportional_bytes, resident_bytes
 from standins.capacity.samples import region, rows
 from standins.platform import Platform
 
@@ -109,6 +109,10 @@
         """Return the resident memory of one daemon."""
         return resident_bytes(str(self.processes[role].pid)) / MIBIBYTE
 
+    def proportional_mib(self, role: Role) -> float:
+        """Return the memory of one daemon with shared pages divided."""
+        return proportional_bytes(str(self.processes[role].pid)) / MIBIBYTE
+
     def cpu(self, role: Role) -> float:
         """Return the processor time of one daemon so far, seconds."""
         return cpu_seconds(str(self.processes[role].pid))
@@ -137,5 +141,6 @@
             for role in vm.processes:
                 used = (vm.cpu(role) - before[role]) / IDLE_SECONDS
                 name = f"{role.value} idle, {size}"
-                report.add(name, vm.resident_mib(role), "MiB")
+                report.add(name, vm.resident_mib(role), "MiB resident")
+                report.add(name, vm.proportional_mib(role), "MiB proportional")
                 report.add(name, 100 * used, "% of a core")
