Measure the data path and waiting requests for the capacity page

Change: make capacity also drives a router process with a slow engine stand-in (an event for each token) and holds up to 300 requests waiting.

--- a/standins/capacity/__main__.py
+++ b/standins/capacity/__main__.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from standins.capacity import allocation, codec, daemons, members, table
+from standins.capacity import allocation, codec, daemons, datapath, members, table
 from standins.capacity.measure import Report
 
 OUTPUT = Path("out/capacity.json")
@@ -17,6 +17,7 @@
     "sharing": allocation.measure,
     "membership": members.measure,
     "daemons": daemons.measure,
+    "data-path": datapath.measure,
 }
 
 
--- /dev/null
+++ b/standins/capacity/datapath.py
@@ -0,0 +1,145 @@
+"""Cost of a request and of a streamed token in the router, and of one that waits."""
+
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
+
+import msgspec
+import urllib3
+
+from oleandershift.ids import RegionId, ServiceId, TeamId, UpstreamId
+from oleandershift.keys import hash_key
+from oleandershift.messages import Role, Row
+from oleandershift.rows import Kind, ServiceRow, TeamRow, UpstreamRow, encode_row
+from standins.capacity.daemons import IP, STOP_SECONDS, Vm, running
+from standins.capacity.measure import MICROSECONDS, Report, slope
+from standins.capacity.processes import resident_bytes
+from standins.capacity.samples import region
+
+ENGINE_IP = "127.25.1.2"
+ENGINE_PORT = 27200
+KEY = "ole_capacity"
+QUICK, BLOCKED = ServiceId("quick"), ServiceId("blocked")
+CLIENTS = 32
+WHOLE_REQUESTS = 400
+STREAMS = ((5, 160), (15, 96), (40, 64))
+WAITING = (50, 150, 300)
+TOKENS_PER_SECOND = 10
+"""Slow enough that the engine stand-in sends an event for each token."""
+
+LONG_TOKENS = 100_000
+SETTLE_SECONDS = 2.0
+TIMEOUT = urllib3.Timeout(30)
+
+
+def _rows() -> Iterable[Row]:
+    team = TeamRow(name=TeamId("team"), key_hashes=(hash_key(KEY),))
+    yield Row(Kind.TEAMS.value, team.name, 1, encode_row(team))
+    for service, slots in ((QUICK, 64), (BLOCKED, 1)):
+        made = ServiceRow(name=service)
+        yield Row(Kind.SERVICES.value, service, 1, encode_row(made))
+        upstream = UpstreamRow(
+            name=UpstreamId(f"engine-{service}"),
+            service=service,
+            region=RegionId(region(0)),
+            url=f"http://{ENGINE_IP}:{ENGINE_PORT}",
+            slots=slots,
+        )
+        yield Row(Kind.UPSTREAMS.value, upstream.name, 1, encode_row(upstream))
+
+
+@contextmanager
+def _engine() -> Iterator[None]:
+    args = [f"--ip={ENGINE_IP}", f"--port={ENGINE_PORT}", "--slots=128"]
+    args += [f"--control-port={ENGINE_PORT + 1}", f"--speed={TOKENS_PER_SECOND}"]
+    args += ["--load-factor=0"]
+    command = [sys.executable, "-m", "standins.engine", *args]
+    process = subprocess.Popen(command, stderr=subprocess.DEVNULL)
+    try:
+        yield
+    finally:
+        process.terminate()
+        try:
+            process.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+
+def _body(tokens: int, stream: bool) -> bytes:
+    return msgspec.json.encode({"max_tokens": tokens, "stream": stream})
+
+
+def _request(pool: urllib3.PoolManager, url: str, tokens: int, stream: bool) -> int:
+    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+    answer = pool.request(
+        "POST",
+        f"{url}/v1/{QUICK}/generate",
+        body=_body(tokens, stream),
+        headers=headers,
+        timeout=TIMEOUT,
+        retries=False,
+    )
+    return answer.status
+
+
+def _load(vm: Vm, count: int, tokens: int, stream: bool) -> float:
+    """Send requests and return the router's processor time for each, seconds."""
+    pool = urllib3.PoolManager(maxsize=CLIENTS)
+    before = vm.cpu(Role.ROUTER)
+    with ThreadPoolExecutor(CLIENTS) as workers:
+        sent = [
+            workers.submit(_request, pool, vm.url, tokens, stream) for _ in range(count)
+        ]
+        statuses = [future.result() for future in sent]
+    pool.clear()
+    assert set(statuses) == {200}, set(statuses)
+    return (vm.cpu(Role.ROUTER) - before) / count
+
+
+def _open_waiting(vm: Vm) -> socket.socket:
+    body = _body(LONG_TOKENS, True)
+    head = (
+        f"POST /v1/{BLOCKED}/generate HTTP/1.1\r\nHost: {IP}\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    host, _, port = vm.url.removeprefix("http://").partition(":")
+    conn = socket.create_connection((host, int(port)), timeout=10)
+    conn.sendall(head.encode() + body)
+    return conn
+
+
+def _measure_waiting(report: Report, vm: Vm) -> None:
+    held = [_open_waiting(vm)]
+    time.sleep(SETTLE_SECONDS)
+    points = []
+    pid = str(vm.processes[Role.ROUTER].pid)
+    for count in WAITING:
+        held += [_open_waiting(vm) for _ in range(count + 1 - len(held))]
+        time.sleep(SETTLE_SECONDS)
+        points.append((count, resident_bytes(pid) / 1024))
+        report.add(f"router with {count} waiting", points[-1][1] / 1024, "MiB resident")
+    report.add("router, per waiting request", slope(points), "KiB resident")
+    for conn in held:
+        conn.close()
+
+
+def measure(report: Report) -> None:
+    """Measure the router under requests of each kind."""
+    report.section("data path")
+    with _engine(), running(Vm(_rows())) as vm:
+        _load(vm, CLIENTS, 1, False)
+        whole = _load(vm, WHOLE_REQUESTS, 1, False)
+        report.add("router, whole answer", MICROSECONDS * whole, "us/request")
+        points = []
+        for tokens, count in STREAMS:
+            each = _load(vm, count, tokens, True)
+            points.append((tokens, MICROSECONDS * each))
+            name = f"router, streamed answer of {tokens} tokens"
+            report.add(name, points[-1][1], "us/request")
+        report.add("router, per streamed event of one token", slope(points), "us/event")
+        _measure_waiting(report, vm)
