--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import os
-import socket
 import subprocess
 import sys
 import time
@@ -28,17 +27,12 @@
 )
 from oleandershift.rows import ServiceRow, TeamRow, UpstreamRow, encode_row
 from standins.faulty import FaultyUpstream
+from tests.ports import free_port
 
 KEY = "key-of-the-team"
 WAIT_SECONDS = 30.0
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     deadline = time.monotonic() + WAIT_SECONDS
     while not condition():
--- a/tests/integration/test_allocator.py
+++ b/tests/integration/test_allocator.py
@@ -2,7 +2,6 @@
 
 import queue
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -38,20 +37,13 @@
     TeamLoad,
 )
 from oleandershift.rows import ServiceRow, TeamRow, UpstreamRow, encode_row
+from tests.ports import free_ports
 
 LIMIT_SECONDS = 30.0
 REGION = RegionId("r1")
 SERVICE = ServiceId("drafting")
 
 
-def free_ports(count: int) -> list[int]:
-    held = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [sock.getsockname()[1] for sock in held]
-    for sock in held:
-        sock.close()
-    return ports
-
-
 class Neighbour:
     """Link of a process that this test plays."""
 
--- a/tests/integration/test_query.py
+++ b/tests/integration/test_query.py
@@ -1,6 +1,5 @@
 """Tests of operators' queries over real sockets."""
 
-import socket
 import time
 from collections.abc import Iterator
 
@@ -29,6 +28,7 @@
     QueryKind,
     Role,
 )
+from tests.ports import free_port
 
 FLEET = FleetId("oleander")
 REGION = RegionId("south")
@@ -37,12 +37,6 @@
 )
 
 
-def free_port() -> int:
-    with socket.socket() as bound:
-        bound.bind(("127.0.0.1", 0))
-        return int(bound.getsockname()[1])
-
-
 def make_member(vm: str, query_port: int) -> Member:
     dc = DataCentreId("dc")
     return Member(
