Add oleander table, and bound the cost of membership under loss

Ruled out: longer suspicion alone, as the traffic stays; a full exchange of views on every contact, as it costs 65 KB each at 770 VMs. The membership tests were seen to fail without the own-freeze check, the hearsay rule, the contact of dead members and the retried probe in turn.

--- /dev/null
+++ b/src/oleandershift/cli/edits.py
@@ -0,0 +1,98 @@
+"""Commands of `oleander table` that change rows one at a time."""
+
+import argparse
+
+from oleandershift.cells import KEY_COLUMN, Cell, cells_of, show_cell
+from oleandershift.checks import place
+from oleandershift.cli.session import Session, parse_cells, parse_row
+from oleandershift.edits import RowState
+from oleandershift.exceptions import ConflictError, Finding, TableError
+from oleandershift.ids import TeamId
+from oleandershift.keys import hash_key, new_key, with_key, without_key
+from oleandershift.rows import Kind, TeamRow
+from oleandershift.table import TableState
+
+
+def add_row(args: argparse.Namespace) -> int:
+    """Add a row."""
+    kind, name = parse_row(args.row)
+    cells = parse_cells(kind, args.cells)
+    session = Session.open(args)
+    state = session.read()
+    planner = session.planner(state)
+    planner.add(kind, name, cells)
+    session.carry_out(state, planner.result())
+    return 0
+
+
+def set_cells(args: argparse.Namespace) -> int:
+    """Set cells of a row."""
+    kind, name = parse_row(args.row)
+    cells = parse_cells(kind, args.cells)
+    seen = parse_cells(kind, args.was)
+    session = Session.open(args)
+    state = session.read()
+    _check_seen(state.get(kind, name), seen, cells)
+    planner = session.planner(state)
+    planner.set(kind, name, cells)
+    session.carry_out(state, planner.result())
+    return 0
+
+
+def remove_row(args: argparse.Namespace) -> int:
+    """Remove a row."""
+    kind, name = parse_row(args.row)
+    session = Session.open(args)
+    state = session.read()
+    planner = session.planner(state)
+    planner.remove(kind, name)
+    session.carry_out(state, planner.result())
+    return 0
+
+
+def add_key(args: argparse.Namespace) -> int:
+    """Make a key for a team, and print it after it has been accepted."""
+    session = Session.open(args)
+    state = session.read()
+    team = _team(state, args.team)
+    key = new_key()
+    hashes = with_key(team.name, team.key_hashes, hash_key(key))
+    planner = session.planner(state)
+    planner.set(Kind.TEAMS, team.name, {KEY_COLUMN: hashes})
+    session.carry_out(state, planner.result(), key)
+    return 0
+
+
+def remove_key(args: argparse.Namespace) -> int:
+    """Remove a team's older key, or the newest."""
+    session = Session.open(args)
+    state = session.read()
+    team = _team(state, args.team)
+    hashes = without_key(team.name, team.key_hashes, args.newest)
+    planner = session.planner(state)
+    planner.set(Kind.TEAMS, team.name, {KEY_COLUMN: hashes})
+    session.carry_out(state, planner.result())
+    return 0
+
+
+def _team(state: TableState, name: str) -> TeamRow:
+    row = state.get(Kind.TEAMS, TeamId(name)).row
+    if not isinstance(row, TeamRow):
+        raise TableError((Finding(f"teams/{name}", name, "a team of the table"),))
+    return row
+
+
+def _check_seen(
+    found: RowState, seen: dict[str, Cell], wanted: dict[str, Cell]
+) -> None:
+    """Refuse when a cell is no longer what the operator saw."""
+    if found.row is None:
+        return
+    held = cells_of(found.kind, found.row)
+    for column, value in seen.items():
+        if held[column] != value:
+            raise ConflictError(
+                place(found.kind, found.name, column),
+                show_cell(column, wanted.get(column, value)),
+                show_cell(column, held[column]),
+            )
--- a/src/oleandershift/cli/operator.py
+++ b/src/oleandershift/cli/operator.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure
 
-from oleandershift.cli import timeline
+from oleandershift.cli import table, timeline
 from oleandershift.exceptions import OleanderError, SettingsError
 from oleandershift.settings import load, program_version
 
@@ -40,7 +40,7 @@
         """Run the command and return the exit code."""
 
 
-COMMANDS: tuple[Command, ...] = (timeline,)
+COMMANDS: tuple[Command, ...] = (table, timeline)
 
 
 def _name(command: Command) -> str:
--- /dev/null
+++ b/src/oleandershift/cli/session.py
@@ -0,0 +1,242 @@
+"""What the commands of `oleander table` share: settings, edits, printing."""
+
+import argparse
+import getpass
+import secrets
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
+from returns.result import Failure, Result
+
+from oleandershift.cells import Cell, columns, expected_cell, parse_cell
+from oleandershift.cli.options import FLEET, PLATFORM_URL, address, print_json
+from oleandershift.edits import RowEdit
+from oleandershift.exceptions import Finding, OleanderError, SettingsError, TableError
+from oleandershift.history import History, HistoryEntry, entry_of
+from oleandershift.ids import EditId, FleetId, VmId
+from oleandershift.io.force import Fleet, wait_in_force
+from oleandershift.io.platform import PlatformClient
+from oleandershift.messages import RowVersion
+from oleandershift.plan import Planner
+from oleandershift.rows import Kind
+from oleandershift.settings import Setting, seconds, text
+from oleandershift.table import TableClient, TableState
+
+EDIT_ID_BYTES = 8
+HISTORY_SECONDS = 5.0
+
+TIMEOUT = Setting(
+    "timeout_seconds",
+    seconds(0.1, 600),
+    "0.1 to 600",
+    "longest wait for the platform to take or give one row, seconds",
+    "10",
+)
+
+
+def _optional_address(value: str) -> str:
+    return address(value) if value else ""
+
+
+def _operator() -> str:
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+QUERY_SETTINGS = (PLATFORM_URL, TIMEOUT)
+EDIT_SETTINGS = (
+    *QUERY_SETTINGS,
+    FLEET,
+    Setting("operator", text, "a name", "who makes the edit", _operator()),
+    Setting(
+        "query_address",
+        _optional_address,
+        "ip:port",
+        "query socket of any agent of the fleet, for --wait",
+        "",
+    ),
+)
+
+
+class EditReport(msgspec.Struct, frozen=True):
+    """What an edit command did.
+
+    Parameters
+    ----------
+    accepted : tuple of HistoryEntry
+        Edits that the platform has.
+    in_force : tuple of VmId
+        With `--wait`: the VMs, all of them live, that have them in force.
+    key : str
+        A key made by the edit, which is shown nowhere else.
+    """
+
+    accepted: tuple[HistoryEntry, ...]
+    in_force: tuple[VmId, ...] = ()
+    key: str = ""
+
+
+@dataclass(frozen=True)
+class Session:
+    """One run of a command against the platform.
+
+    Parameters
+    ----------
+    args : argparse.Namespace
+        Checked arguments.
+    table : TableClient
+        The table.
+    history : History
+        Its history.
+    """
+
+    args: argparse.Namespace
+    table: TableClient
+    history: History
+
+    @classmethod
+    def open(cls, args: argparse.Namespace) -> "Session":
+        """Return a session with the platform of the settings."""
+        store = PlatformClient(args.platform_url)
+        return cls(args, TableClient(store), History(store))
+
+    def deadline(self) -> float:
+        """Return the instant by which the platform has to answer now."""
+        return time.time() + float(self.args.timeout_seconds)
+
+    def read(self) -> TableState:
+        """Return the whole table."""
+        return self.table.read(self.deadline())
+
+    def planner(self, state: TableState) -> Planner:
+        """Return a planner of edits against a state of the table."""
+        return Planner(state, lambda: EditId(secrets.token_hex(EDIT_ID_BYTES)))
+
+    def carry_out(
+        self,
+        state: TableState,
+        plan: Result[tuple[RowEdit, ...], tuple[Finding, ...]],
+        key: str = "",
+    ) -> None:
+        """Apply planned edits, write their history, and wait as the flags ask.
+
+        Parameters
+        ----------
+        state : TableState
+            What the plan was made against.
+        plan : Result
+            The edits, or what is wrong with them.
+        key : str
+            A key to show once the edit that holds its hash is accepted.
+
+        Raises
+        ------
+        TableError
+            When the plan has findings; then nothing has been applied.
+        OleanderError
+            When an edit failed; the edits before it are named and stay applied.
+        """
+        if isinstance(plan, Failure):
+            raise TableError(plan.failure())
+        self._check_wait()
+        entries: list[HistoryEntry] = []
+        try:
+            for edit in plan.unwrap():
+                entries.append(self._apply(state, edit))
+        except OleanderError:
+            self._print(EditReport(tuple(entries)))
+            raise
+        self._print(EditReport(tuple(entries), self._wait(entries, key), key))
+
+    def _apply(self, state: TableState, edit: RowEdit) -> HistoryEntry:
+        seen = state.get(edit.kind, edit.name)
+        accepted = self.table.apply(edit, self.deadline(), seen)
+        entry = entry_of(accepted, time.time(), self.args.operator)
+        if not self.history.write(entry, time.time() + HISTORY_SECONDS):
+            note = f"warning: {describe(entry)} is accepted but not in the history"
+            print(note, file=sys.stderr)
+        return entry
+
+    def _check_wait(self) -> None:
+        if self.args.wait is not None and not self.args.query_address:
+            place = "--query-address (OLEANDER_QUERY_ADDRESS)"
+            raise SettingsError((Finding(place, "", "ip:port, for --wait"),))
+
+    def _wait(self, entries: Sequence[HistoryEntry], key: str) -> tuple[VmId, ...]:
+        if self.args.wait is None or not entries:
+            return ()
+        fleet = Fleet(FleetId(self.args.fleet), self.args.query_address)
+        wanted = [RowVersion(e.kind, e.name, e.version) for e in entries]
+        try:
+            return wait_in_force(fleet, wanted, time.time() + self.args.wait)
+        except OleanderError:
+            self._print(EditReport(tuple(entries), key=key))
+            raise
+
+    def _print(self, report: EditReport) -> None:
+        if self.args.json:
+            print_json(report)
+            return
+        for entry in report.accepted:
+            print(f"accepted: {describe(entry)}")
+        if not report.accepted:
+            print("nothing to change")
+        if report.in_force:
+            print(f"in force on {len(report.in_force)} VMs: ", end="")
+            print(", ".join(report.in_force))
+        if report.key:
+            print(f"key, shown this once: {report.key}")
+
+
+def describe(entry: HistoryEntry) -> str:
+    """Return an entry as one line."""
+    cells = ", ".join(f"{c.column} {c.old!r} -> {c.new!r}" for c in entry.cells)
+    row = f"{entry.type} {entry.kind}/{entry.name} (version {entry.version})"
+    return f"{row}: {cells}" if cells else row
+
+
+def parse_row(value: str) -> tuple[Kind, str]:
+    """Return the kind and name in `KIND/NAME`.
+
+    Raises
+    ------
+    TableError
+        When it is not of this form.
+    """
+    kind, slash, name = value.partition("/")
+    kinds = {found.value: found for found in Kind}
+    if kind not in kinds or not slash or not name:
+        expected = f"KIND/NAME, with KIND one of {', '.join(kinds)}"
+        raise TableError((Finding("row", value, expected),))
+    return kinds[kind], name
+
+
+def parse_cells(kind: Kind, assignments: Sequence[str]) -> dict[str, Cell]:
+    """Return the cells in arguments `COLUMN=VALUE`.
+
+    Raises
+    ------
+    TableError
+        With every argument that is wrong.
+    """
+    cells: dict[str, Cell] = {}
+    findings: list[Finding] = []
+    for assignment in assignments:
+        column, equals, value = assignment.partition("=")
+        if not equals or column not in columns(kind):
+            expected = f"COLUMN=VALUE, with COLUMN one of {', '.join(columns(kind))}"
+            findings.append(Finding("cell", assignment, expected))
+            continue
+        result = parse_cell(column, value)
+        if isinstance(result, Failure):
+            findings.append(Finding(f"cell {column}", value, expected_cell(column)))
+        else:
+            cells[column] = result.unwrap()
+    if findings:
+        raise TableError(tuple(findings))
+    return cells
--- /dev/null
+++ b/src/oleandershift/cli/sheets.py
@@ -0,0 +1,135 @@
+"""Commands of `oleander table` that work on whole sheets."""
+
+import argparse
+import sys
+from pathlib import Path
+
+from returns.result import Failure
+
+from oleandershift.checks import check_row
+from oleandershift.cli.options import print_json
+from oleandershift.cli.session import Session
+from oleandershift.edits import EditType, RowEdit
+from oleandershift.exceptions import Finding, OleanderError, TableError
+from oleandershift.history import CellEntry, HistoryEntry, entry_of
+from oleandershift.plan import Planner
+from oleandershift.rows import Kind
+from oleandershift.sheet import read_sheet, write_sheet
+from oleandershift.table import Accepted, TableState, check_table
+
+STANDARD_STREAM = "-"
+
+
+def import_sheet(args: argparse.Namespace) -> int:
+    """Bring the table to what a sheet says; all of it must be right first."""
+    session = Session.open(args)
+    state = session.read()
+    session.carry_out(state, _plan(session, state).result())
+    return 0
+
+
+def export_sheet(args: argparse.Namespace) -> int:
+    """Write the table as a sheet."""
+    kind = Kind(args.kind) if args.kind else None
+    state = Session.open(args).read()
+    data = write_sheet(state.live(kind), kind, ";" if args.semicolon else ",")
+    if args.file == STANDARD_STREAM:
+        sys.stdout.buffer.write(data)
+        return 0
+    try:
+        Path(args.file).write_bytes(data)
+    except OSError as exc:
+        raise OleanderError(f"{args.file}: {exc.strerror}") from exc
+    return 0
+
+
+def diff_sheet(args: argparse.Namespace) -> int:
+    """Show what an import would change."""
+    session = Session.open(args)
+    state = session.read()
+    result = _plan(session, state).result()
+    if isinstance(result, Failure):
+        raise TableError(result.failure())
+    entries = [_entry(edit) for edit in result.unwrap()]
+    if args.json:
+        print_json(entries)
+        return 0
+    for entry in entries:
+        print(f"{entry.type} {entry.kind}/{entry.name}")
+        for cell in entry.cells:
+            print(f"    {cell.column}: {cell.old!r} -> {cell.new!r}")
+    if not entries:
+        print("no difference")
+    return 0
+
+
+def check(args: argparse.Namespace) -> int:
+    """Check the table, or a sheet against it."""
+    session = Session.open(args)
+    state = session.read()
+    findings = _check_state(state)
+    if args.file:
+        result = _plan(session, state).result()
+        findings = result.failure() if isinstance(result, Failure) else ()
+    if args.json:
+        print_json(findings)
+    if findings:
+        raise TableError(findings)
+    if not args.json:
+        print("nothing wrong")
+    return 0
+
+
+def _check_state(state: TableState) -> tuple[Finding, ...]:
+    rows = [(found.kind, found.row) for found in state.live() if found.row]
+    findings = list(state.bad)
+    for kind, row in rows:
+        findings += check_row(kind, row)
+    return (*findings, *check_table(row for _, row in rows))
+
+
+def _plan(session: Session, state: TableState) -> Planner:
+    args = session.args
+    kind = _kind_of(args)
+    result = read_sheet(_read(args.file), kind)
+    if isinstance(result, Failure):
+        raise TableError(result.failure())
+    rows = result.unwrap()
+    planner = session.planner(state)
+    prune = {row.kind for row in rows} if getattr(args, "prune", False) else set()
+    planner.put_sheet(rows, prune)
+    return planner
+
+
+def _kind_of(args: argparse.Namespace) -> Kind | None:
+    """Return the kind of the flag, or of a file named like a kind."""
+    if args.kind:
+        return Kind(args.kind)
+    stem = Path(args.file).stem
+    return next((kind for kind in Kind if kind.value == stem), None)
+
+
+def _read(file: str) -> bytes:
+    if file == STANDARD_STREAM:
+        return sys.stdin.buffer.read()
+    try:
+        return Path(file).read_bytes()
+    except OSError as exc:
+        raise OleanderError(f"{file}: {exc.strerror}") from exc
+
+
+def _entry(edit: RowEdit) -> HistoryEntry:
+    entry = entry_of(Accepted(edit, edit.version), 0.0, "")
+    if edit.type is not EditType.REMOVE:
+        return entry
+    cells = (CellEntry("name", edit.name, ""),)
+    return HistoryEntry(
+        at=0.0,
+        operator="",
+        edit=edit.edit,
+        type=entry.type,
+        kind=entry.kind,
+        name=entry.name,
+        version=entry.version,
+        cells=cells,
+    )
--- a/src/oleandershift/gossip.py
+++ b/src/oleandershift/gossip.py
@@ -6,7 +6,7 @@
 from oleandershift.ids import VmId
 from oleandershift.messages import Member
 
-MAX_UPDATES_PER_MESSAGE = 8
+MAX_UPDATES_PER_MESSAGE = 12
 TRANSMISSIONS_PER_DOUBLING = 3
 
 
@@ -29,6 +29,11 @@
         self._updates[member.vm] = member
         self._sent[member.vm] = 0
 
+    def drop(self, vm: VmId) -> None:
+        """Forget the change of a VM, as it is known already or out of date."""
+        self._updates.pop(vm, None)
+        self._sent.pop(vm, None)
+
     def take(self, fleet_size: int) -> tuple[Member, ...]:
         """Return the changes for one message and count their transmission.
 
@@ -49,5 +54,4 @@
     def _count(self, vm: VmId, limit: int) -> None:
         self._sent[vm] += 1
         if self._sent[vm] >= limit:
-            del self._updates[vm]
-            del self._sent[vm]
+            self.drop(vm)
--- a/src/oleandershift/members.py
+++ b/src/oleandershift/members.py
@@ -20,11 +20,15 @@
 from oleandershift.messages import Ack, Body, Member, MemberState, MembersView, Ping
 
 PROBE_PERIOD_SECONDS = 0.5
-INDIRECT_AFTER_SECONDS = 0.3
+RETRY_PROBE_SECONDS = 0.3
 PROBE_FAILS_AFTER_SECONDS = 1.0
 INDIRECT_PROBES = 3
 SUSPICION_SECONDS = 3.0
 CONTACT_PERIOD_SECONDS = 1.0
+FIRST_SYNC_SECONDS = 1.0
+LONGEST_SYNC_SECONDS = 256.0
+UPHEAVAL_UPDATES = 50
+UPHEAVAL_PERIOD_SECONDS = 60.0
 FROZEN_AFTER_SECONDS = 1.0
 DEAD_KEPT_SECONDS = 3600.0
 MAX_RELAYS = 1024
@@ -50,9 +54,8 @@
 @dataclass
 class _Probe:
     vm: VmId
-    indirect_at: float
+    retry_at: float
     fails_at: float
-    indirect: bool = False
 
 
 @dataclass(frozen=True)
@@ -101,6 +104,9 @@
         self._last_tick: float | None = None
         self._next_probe = 0.0
         self._next_contact = 0.0
+        self._sync_period = FIRST_SYNC_SECONDS
+        self._next_sync = 0.0
+        self._next_upheaval = 0.0
 
     # Queries
 
@@ -164,6 +170,8 @@
             jitter = self._rng.uniform(0.75, 1.25)
             self._next_contact = now + CONTACT_PERIOD_SECONDS * jitter
             sends += self._contact()
+        if now >= self._next_sync:
+            sends += self._sync(now)
         return sends
 
     def on_message(self, now: float, sender: VmId, body: Body) -> list[Send]:
@@ -183,7 +191,7 @@
         if isinstance(body, Ack):
             return self._on_ack(now, body)
         if isinstance(body, MembersView):
-            self._merge_view(now, body)
+            self._apply(now, body.members, spread=False)
         return []
 
     # Time
@@ -193,6 +201,7 @@
         last, self._last_tick = self._last_tick, now
         if last is None:
             self._next_probe = now + self._rng.random() * PROBE_PERIOD_SECONDS
+            self._next_sync = now + FIRST_SYNC_SECONDS
             return
         if 0.0 <= now - last <= FROZEN_AFTER_SECONDS:
             return
@@ -211,8 +220,8 @@
             if now >= probe.fails_at:
                 del self._probes[seq]
                 self._suspect(now, probe.vm)
-            elif now >= probe.indirect_at and not probe.indirect:
-                probe.indirect = True
+            elif now >= probe.retry_at:
+                probe.retry_at = now + RETRY_PROBE_SECONDS
                 sends += self._probe_indirectly(seq, probe.vm)
         return sends
 
@@ -245,7 +254,7 @@
         self._probe_seq = Seq(self._probe_seq + 1)
         self._probes[self._probe_seq] = _Probe(
             target.vm,
-            now + INDIRECT_AFTER_SECONDS,
+            now + RETRY_PROBE_SECONDS,
             now + PROBE_FAILS_AFTER_SECONDS,
         )
         return [self._ping(target, self._probe_seq, target.vm)]
@@ -292,9 +301,29 @@
             return []
         if dead and (not strangers or self._rng.random() < len(dead) / self._size()):
             return [self._ping_dead(self._rng.choice(dead))]
+        address = self._rng.choice(strangers)
+        return [Send(address, self._me.region, self._introduction())]
+
+    def _sync(self, now: float) -> list[Send]:
+        """Ask a random peer for all members, seldom unless there is much news."""
+        jitter = self._rng.uniform(0.75, 1.25)
+        self._next_sync = now + self._sync_period * jitter
+        self._sync_period = min(LONGEST_SYNC_SECONDS, self._sync_period * 2)
+        return [
+            Send(link_address(member), member.region, self._introduction())
+            for member in self.sample(self.peers(), 1)
+        ]
+
+    def _introduction(self) -> Ping:
         own = link_address(self._me)
-        ping = Ping(Seq(0), UNKNOWN_VM, own, (self._me,), self.table_digest)
-        return [Send(self._rng.choice(strangers), self._me.region, ping)]
+        return Ping(Seq(0), UNKNOWN_VM, own, (self._me,), self.table_digest)
+
+    def _expect_upheaval(self, now: float) -> None:
+        if len(self._queue) < UPHEAVAL_UPDATES or now < self._next_upheaval:
+            return
+        self._next_upheaval = now + UPHEAVAL_PERIOD_SECONDS
+        self._sync_period = FIRST_SYNC_SECONDS
+        self._next_sync = now + self._rng.random() * FIRST_SYNC_SECONDS
 
     def _ping_dead(self, member: Member) -> Send:
         own = link_address(self._me)
@@ -343,21 +372,17 @@
         if member is not None and member.state is MemberState.LEAVING:
             self._suspicions.pop(vm, None)
 
-    def _merge_view(self, now: float, view: MembersView) -> None:
-        joining = len(self._members) == 1
-        self._apply(now, view.members)
-        if joining:
-            self._queue = UpdateQueue()
-            self._queue.add(self._me)
-
     # Beliefs
 
-    def _apply(self, now: float, updates: Iterable[Member]) -> None:
+    def _apply(
+        self, now: float, updates: Iterable[Member], spread: bool = True
+    ) -> None:
         for update in updates:
             if update.vm == self._me.vm:
                 self._refute(update)
             else:
-                self._consider(now, update)
+                self._consider(now, update, spread)
+        self._expect_upheaval(now)
 
     def _refute(self, update: Member) -> None:
         if self._me.state is MemberState.DEAD or not _supersedes(update, self._me):
@@ -367,11 +392,11 @@
         )
         self._declare(self._me.state)
 
-    def _consider(self, now: float, update: Member) -> None:
+    def _consider(self, now: float, update: Member, spread: bool) -> None:
         held = self._members.get(update.vm)
         if held is None:
             if update.state is not MemberState.DEAD:
-                self._set(now, update)
+                self._set(now, update, spread)
             return
         if not _supersedes(update, held):
             return
@@ -379,12 +404,15 @@
             update = msgspec.structs.replace(update, state=MemberState.SUSPECT)
             if not _supersedes(update, held):
                 return
-        self._set(now, update)
+        self._set(now, update, spread)
 
-    def _set(self, now: float, member: Member) -> None:
+    def _set(self, now: float, member: Member, spread: bool = True) -> None:
         held = self._members.get(member.vm)
         self._members[member.vm] = member
-        self._queue.add(member)
+        if spread:
+            self._queue.add(member)
+        else:
+            self._queue.drop(member.vm)
         if held is None or self._published(held) != self._published(member):
             self.seq = Seq(self.seq + 1)
         self._died.pop(member.vm, None)
--- a/src/oleandershift/plan.py
+++ b/src/oleandershift/plan.py
@@ -1,7 +1,6 @@
 """What it takes to bring the table to what a sheet or an operator asks for."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
 
 from returns.result import Failure, Result, Success
 
@@ -24,19 +23,6 @@
 _ADD_ORDER = (Kind.SERVICES, Kind.UPSTREAMS, Kind.TEAMS)
 
 
-@dataclass(frozen=True)
-class Plan:
-    """Edits that bring the table to what is asked, in order.
-
-    Parameters
-    ----------
-    edits : tuple of RowEdit
-        The edits; services come before the upstreams that need them, and go after.
-    """
-
-    edits: tuple[RowEdit, ...]
-
-
 class Planner:
     """Collects edits against one state of the table, and their findings.
 
@@ -60,7 +46,7 @@
         }
         self._places: dict[str, str] = {}
 
-    def put_sheet(self, rows: Iterable[SheetRow], prune: Kind | None = None) -> None:
+    def put_sheet(self, rows: Iterable[SheetRow], prune: Iterable[Kind] = ()) -> None:
         """Ask for the rows of a sheet.
 
         Parameters
@@ -68,18 +54,17 @@
         rows : iterable of SheetRow
             The rows; an empty cell asks for the default, a missing column for no
             change.
-        prune : Kind, optional
-            Kind of which rows that the sheet lacks are removed.
+        prune : iterable of Kind
+            Kinds of which rows that the sheet lacks are removed.
         """
         listed = list(rows)
         for row in listed:
             self._put(row)
-        if prune is None:
-            return
-        names = {row.name for row in listed if row.kind is prune}
-        for found in self._state.live(prune):
-            if found.name not in names:
-                self.remove(prune, found.name)
+        names = {(row.kind, row.name) for row in listed}
+        for kind in prune:
+            for found in self._state.live(kind):
+                if (kind, found.name) not in names:
+                    self.remove(kind, found.name)
 
     def add(self, kind: Kind, name: str, cells: Mapping[str, Cell]) -> None:
         """Ask for a new row."""
@@ -113,15 +98,18 @@
             )
         )
 
-    def result(self) -> Result[Plan, tuple[Finding, ...]]:
-        """Return the plan, or everything that is wrong with it."""
+    def result(self) -> Result[tuple[RowEdit, ...], tuple[Finding, ...]]:
+        """Return the edits in the order to apply them, or everything that is wrong.
+
+        Services come before the upstreams that need them, and are removed after.
+        """
         findings = [
             *self._findings,
             *(self._placed(found) for found in check_table(self._after.values())),
         ]
         if findings:
             return Failure(tuple(findings))
-        return Success(Plan(tuple(sorted(self._edits, key=_order))))
+        return Success(tuple(sorted(self._edits, key=_order)))
 
     # Parts
 
--- a/src/oleandershift/table.py
+++ b/src/oleandershift/table.py
@@ -170,12 +170,23 @@
 
     # Commands
 
-    def apply(self, edit: RowEdit, deadline: float) -> Accepted:
+    def apply(
+        self, edit: RowEdit, deadline: float, seen: RowState | None = None
+    ) -> Accepted:
         """Apply an edit exactly once and return when the platform has it.
 
         A call whose answer was lost is repeated under the same condition: the row's
         last edits tell whether the first one took effect.
 
+        Parameters
+        ----------
+        edit : RowEdit
+            The edit.
+        deadline : float
+            Instant by which the platform has to have it.
+        seen : RowState, optional
+            The row as last read; it is read anew when absent or no longer so.
+
         Raises
         ------
         ConflictError
@@ -186,7 +197,7 @@
             When the platform did not answer by `deadline`; whether the edit has been
             applied is then not known.
         """
-        state = self.read_row(edit.kind, edit.name, deadline)
+        state = seen or self.read_row(edit.kind, edit.name, deadline)
         while not is_applied(edit, state):
             value = _merged(edit, state)
             state = self._write(edit, state, value, deadline)
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,168 @@
+"""Tests of membership on virtual time."""
+
+from collections.abc import Callable
+
+import pytest
+
+from oleandershift.ids import Seq, VmId
+from oleandershift.members import Membership, link_address
+from oleandershift.messages import Ack, Member, MemberState, MembersView, Ping
+from standins.membership_loop import MembershipLoop
+
+FIRST = VmId("vm-0000")
+LAST = VmId("vm-0008")
+
+
+@pytest.fixture
+def loop() -> MembershipLoop:
+    made = MembershipLoop(9, seed=7)
+    made.run_until_settled(30)
+    return made
+
+
+def test_nine_vms_find_each_other(loop: MembershipLoop) -> None:
+    assert loop.alive(FIRST) == set(loop.nodes)
+
+
+def test_killed_vm_is_declared_dead(loop: MembershipLoop) -> None:
+    loop.down.add(LAST)
+    assert loop.run_until_settled(30) < 10
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_loss_kills_nobody(seed: int) -> None:
+    loop = MembershipLoop(9, seed)
+    loop.run_until_settled(30)
+    loop.loss = 0.2
+    for _ in range(60):
+        loop.run(1)
+        assert loop.is_settled(), f"seed {seed}"
+
+
+def test_frozen_vm_comes_back(loop: MembershipLoop) -> None:
+    loop.frozen.add(LAST)
+    loop.run(30)
+    assert loop.held_dead(LAST) == 8
+    loop.frozen.clear()
+    loop.run_until_settled(10)
+
+
+def test_frozen_vm_declares_nobody_dead(loop: MembershipLoop) -> None:
+    loop.frozen.add(LAST)
+    loop.run(60)
+    loop.frozen.clear()
+    for _ in range(100):
+        loop.step()
+        assert loop.alive(LAST) == set(loop.nodes)
+
+
+def test_suspicion_does_not_run_out_during_own_freeze(
+    make_member: Callable[..., Member],
+) -> None:
+    node = Membership(make_member("a"), (), seed=1)
+    suspect = make_member("b", state=MemberState.SUSPECT)
+    node.on_tick(1.0)
+    node.on_message(1.0, VmId("c"), MembersView(Seq(1), (suspect,)))
+    node.on_tick(60.0)
+    assert node.members()[VmId("b")].state is MemberState.SUSPECT
+    for i in range(100):
+        node.on_tick(60.0 + i * 0.05)
+    assert node.members()[VmId("b")].state is MemberState.DEAD
+
+
+def test_short_freeze_is_refuted(loop: MembershipLoop) -> None:
+    loop.frozen.add(LAST)
+    loop.run(2.5)
+    loop.frozen.clear()
+    for _ in range(200):
+        loop.step()
+        assert loop.held_dead(LAST) == 0
+
+
+def test_halves_that_declared_each_other_dead_merge() -> None:
+    loop = MembershipLoop(9, seed=7, contacts=0)
+    loop.introduce_all()
+    loop.cut = frozenset(VmId(f"vm-{i:04d}") for i in (0, 3, 6))
+    loop.run(60)
+    assert loop.held_dead(FIRST) == 6
+    loop.cut = frozenset()
+    assert loop.run_until_settled(20) < 5
+
+
+def test_restart_with_nothing_remembered_is_taken(loop: MembershipLoop) -> None:
+    loop.down.add(LAST)
+    loop.run(1)
+    loop.start(8)
+    loop.run(5)
+    newest = loop.nodes[LAST].me.incarnation
+    held = {node.members()[LAST].incarnation for node in loop.nodes.values()}
+    assert held == {newest}
+
+
+def test_leaver_is_seen_leaving_then_dead(loop: MembershipLoop) -> None:
+    sends = loop.nodes[LAST].leave()
+    loop.post(LAST, sends)
+    loop.run(3)
+    assert loop.nodes[FIRST].members()[LAST].state is MemberState.LEAVING
+    loop.post(LAST, loop.nodes[LAST].stop())
+    loop.down.add(LAST)
+    assert loop.run_until_settled(5) < 3
+
+
+def test_hearsay_of_death_only_makes_suspect(
+    make_member: Callable[..., Member],
+) -> None:
+    node = Membership(make_member("a"), (), seed=1)
+    node.on_message(1.0, VmId("b"), MembersView(Seq(1), (make_member("b"),)))
+    dead = make_member("b", state=MemberState.DEAD)
+    node.on_message(1.0, VmId("c"), Ack(Seq(9), VmId("c"), (dead,)))
+    assert node.members()[VmId("b")].state is MemberState.SUSPECT
+    assert node.view().members[1].state is MemberState.ALIVE
+
+
+@pytest.mark.parametrize(
+    ("update", "kept"),
+    [
+        ((1, MemberState.ALIVE), (2, MemberState.ALIVE)),
+        ((1, MemberState.LEAVING), (2, MemberState.ALIVE)),
+        ((2, MemberState.SUSPECT), (2, MemberState.SUSPECT)),
+        ((2, MemberState.LEAVING), (2, MemberState.LEAVING)),
+        ((3, MemberState.ALIVE), (3, MemberState.ALIVE)),
+    ],
+)
+def test_newer_belief_wins(
+    make_member: Callable[..., Member],
+    update: tuple[int, MemberState],
+    kept: tuple[int, MemberState],
+) -> None:
+    node = Membership(make_member("a"), (), seed=1)
+    node.on_message(1.0, VmId("b"), MembersView(Seq(1), (make_member("b", 2),)))
+    member = make_member("b", *update)
+    node.on_message(1.0, VmId("b"), Ack(Seq(9), VmId("b"), (member,)))
+    held = node.members()[VmId("b")]
+    assert (held.incarnation, held.state) == kept
+
+
+def test_suspected_vm_refutes(make_member: Callable[..., Member]) -> None:
+    node = Membership(make_member("a", 5), (), seed=1)
+    doubt = make_member("a", 5, MemberState.SUSPECT)
+    ping = Ping(Seq(1), VmId("a"), "tcp://10.0.0.9:1", (doubt,))
+    (send,) = node.on_message(1.0, VmId("b"), ping)
+    assert isinstance(send.body, Ack)
+    assert send.body.updates[0] == make_member("a", 6)
+
+
+def test_probe_of_a_third_vm_is_relayed(make_member: Callable[..., Member]) -> None:
+    node = Membership(make_member("a"), (), seed=1)
+    view = MembersView(Seq(1), (make_member("b"), make_member("c")))
+    node.on_message(1.0, VmId("b"), view)
+    asker = link_address(make_member("b"))
+    ping = Ping(Seq(41), VmId("c"), asker)
+    (relayed,) = node.on_message(1.0, VmId("b"), ping)
+    assert relayed.address == link_address(make_member("c"))
+    assert isinstance(relayed.body, Ping)
+    answer = Ack(relayed.body.seq, VmId("c"))
+    (back,) = node.on_message(1.0, VmId("c"), answer)
+    assert back.address == asker
+    assert isinstance(back.body, Ack)
+    assert back.body.seq == 41
