--- a/src/oleandershift/calls.py
+++ b/src/oleandershift/calls.py
@@ -1,6 +1,5 @@
 """A caller's HTTP request, checked against the table."""
 
-import hashlib
 import hmac
 import math
 from collections.abc import Mapping
@@ -12,11 +11,13 @@
 
 from oleandershift.dispatch import RequestKind
 from oleandershift.ids import RequestId, ServiceId, TeamId
+from oleandershift.keys import hash_key
 from oleandershift.problems import Problem, Reason
 from oleandershift.replica import Table
 from oleandershift.rows import ServiceRow
 
 PREFIX = "/v1/"
+DIGEST_PREFIX_CHARACTERS = 8
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 200
 HOP_BY_HOP = frozenset(
     (
@@ -108,6 +109,9 @@
 class KeyIndex:
     """Finds the team of a key.
 
+    Hashes are looked up by a prefix and compared in constant time, so that the time
+    of an answer tells nothing about the rest of a hash.
+
     Parameters
     ----------
     table : Table
@@ -115,19 +119,20 @@
     """
 
     def __init__(self, table: Table) -> None:
-        self._teams = {
-            digest: team.name
-            for team in table.teams.values()
-            for digest in team.key_hashes
-        }
+        self._entries: dict[str, list[tuple[str, TeamId]]] = {}
+        for team in table.teams.values():
+            for digest in team.key_hashes:
+                entries = self._entries.setdefault(
+                    digest[:DIGEST_PREFIX_CHARACTERS], []
+                )
+                entries.append((digest, team.name))
 
     def find(self, key: str) -> TeamId | None:
         """Return the team whose key this is."""
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        for known, team in ((digest, self._teams.get(digest)),):
-            if team is not None and hmac.compare_digest(known, digest):
-                return team
-        return None
+        digest = hash_key(key)
+        found = self._entries.get(digest[:DIGEST_PREFIX_CHARACTERS], ())
+        teams = [team for known, team in found if hmac.compare_digest(known, digest)]
+        return teams[0] if teams else None
 
 
 def _plain_path(target: str) -> str:
--- a/src/oleandershift/fcfs.py
+++ b/src/oleandershift/fcfs.py
@@ -54,7 +54,7 @@
 
     def __init__(self) -> None:
         self._table = Table()
-        self._leaving: frozenset[str] = frozenset()
+        self._rows: dict[ServiceId, list[UpstreamRow]] = {}
         self._ejected: frozenset[UpstreamId] = frozenset()
         self._queues: dict[ServiceId, _Queue] = {}
         self._waiting: dict[RequestId, QueuedRequest] = {}
@@ -71,7 +71,10 @@
     ) -> list[Action]:
         """Take the table and members now in force."""
         self._table = table
-        self._leaving = leaving
+        self._rows = {}
+        for row in table.upstreams.values():
+            if row.state is UpstreamState.ACTIVE and row.name not in leaving:
+                self._rows.setdefault(row.service, []).append(row)
         return self._dispatch_all(now)
 
     def submit(self, now: float, req: QueuedRequest) -> list[Action]:
@@ -176,11 +179,7 @@
         self._figure(req).waiting -= 1
 
     def _serving(self, service: ServiceId) -> list[UpstreamRow]:
-        return [
-            row
-            for row in self._table.upstreams_of(service)
-            if row.state is UpstreamState.ACTIVE and row.name not in self._leaving
-        ]
+        return self._rows.get(service, [])
 
     def _dispatch_all(self, now: float) -> list[Action]:
         actions: list[Action] = []
--- /dev/null
+++ b/src/oleandershift/io/answers.py
@@ -0,0 +1,71 @@
+"""Answers to callers."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from oleandershift.ids import RequestId
+from oleandershift.problems import CONTENT_TYPE, Problem, Run
+
+
+class BrokenAnswerError(OSError):
+    """Part of an answer is with the caller and the rest can't be had.
+
+    Raised to the HTTP server, which then closes the connection in the middle of the
+    body, so that the caller's HTTP library reports an incomplete answer.
+    """
+
+
+@dataclass
+class Answer:
+    """What the caller gets.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    headers : list of pair
+        All headers.
+    body : iterator of bytes
+        Parts as they arrive.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterator[bytes]
+
+
+@dataclass(frozen=True)
+class Ending:
+    """How an exchange ended.
+
+    Parameters
+    ----------
+    run : Run
+        Whether the call ran; `RAN` only with a whole answer.
+    status : int
+        HTTP status of the answer.
+    headers : tuple of pair
+        Its headers.
+    body : bytes or None
+        Its body, where it came whole before it was passed on.
+    """
+
+    run: Run
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+
+
+def problem_answer(request: RequestId, problem: Problem) -> Answer:
+    """Return the answer that tells a caller of a problem."""
+    body = problem.document(request)
+    headers = [
+        ("Content-Type", CONTENT_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Oleander-Request-Id", request),
+        ("Oleander-Run", problem.run.value),
+    ]
+    seconds = problem.retry_seconds()
+    if seconds is not None:
+        headers.append(("Retry-After", str(seconds)))
+    return Answer(problem.status.value, headers, iter((body,)))
--- a/src/oleandershift/io/claiming.py
+++ b/src/oleandershift/io/claiming.py
@@ -28,7 +28,8 @@
 )
 from oleandershift.events import EventName
 from oleandershift.ids import AttemptId
-from oleandershift.io.exchange import Answer, Ending, Exchange, problem_answer
+from oleandershift.io.answers import Answer, Ending, problem_answer
+from oleandershift.io.exchange import Exchange
 from oleandershift.io.logs import EventLog
 from oleandershift.objects import (
     ObjectKind,
--- a/src/oleandershift/io/exchange.py
+++ b/src/oleandershift/io/exchange.py
@@ -4,13 +4,18 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 from typing import Protocol
 
 from oleandershift.dispatch import Refuse, Start
 from oleandershift.events import EventName
 from oleandershift.eventstream import EventReader, StreamError
-from oleandershift.ids import RequestId, UpstreamId
+from oleandershift.ids import UpstreamId
+from oleandershift.io.answers import (
+    Answer,
+    BrokenAnswerError,
+    Ending,
+    problem_answer,
+)
 from oleandershift.io.jobs import (
     Abandoned,
     AttemptEnded,
@@ -39,7 +44,6 @@
 )
 from oleandershift.messages import Outcome
 from oleandershift.problems import (
-    CONTENT_TYPE,
     QUEUE_REASONS,
     Problem,
     Reason,
@@ -56,55 +60,6 @@
 _UNHEALTHY = frozenset(Fault) - {Fault.LATE_START, Fault.DEADLINE, Fault.CALLER_GONE}
 
 
-class BrokenAnswerError(OSError):
-    """Part of an answer is with the caller and the rest can't be had.
-
-    Raised to the HTTP server, which then closes the connection in the middle of the
-    body, so that the caller's HTTP library reports an incomplete answer.
-    """
-
-
-@dataclass
-class Answer:
-    """What the caller gets.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status.
-    headers : list of pair
-        All headers.
-    body : iterator of bytes
-        Parts as they arrive.
-    """
-
-    status: int
-    headers: list[tuple[str, str]]
-    body: Iterator[bytes]
-
-
-@dataclass(frozen=True)
-class Ending:
-    """How an exchange ended.
-
-    Parameters
-    ----------
-    run : Run
-        Whether the call ran; `RAN` only with a whole answer.
-    status : int
-        HTTP status of the answer.
-    headers : tuple of pair
-        Its headers.
-    body : bytes or None
-        Its body, where it came whole before it was passed on.
-    """
-
-    run: Run
-    status: int
-    headers: tuple[tuple[str, str], ...] = ()
-    body: bytes | None = None
-
-
 class Desk(Protocol):
     """What a request's thread needs of the router."""
 
@@ -133,32 +88,6 @@
         self.fault = fault
 
 
-class _ProgressMeter:
-    def __init__(self, tell: Callable[[float], None]) -> None:
-        self._tell = tell
-        self._next = 0.0
-
-    def update(self, now: float, cost: float) -> None:
-        if now >= self._next:
-            self._next = now + PROGRESS_SECONDS
-            self._tell(cost)
-
-
-def problem_answer(request: RequestId, problem: Problem) -> Answer:
-    """Return the answer that tells a caller of a problem."""
-    body = problem.document(request)
-    headers = [
-        ("Content-Type", CONTENT_TYPE),
-        ("Content-Length", str(len(body))),
-        ("Oleander-Request-Id", request),
-        ("Oleander-Run", problem.run.value),
-    ]
-    seconds = problem.retry_seconds()
-    if seconds is not None:
-        headers.append(("Retry-After", str(seconds)))
-    return Answer(problem.status.value, headers, iter((body,)))
-
-
 def _health(fault: Fault) -> bool | None:
     return False if fault in _UNHEALTHY else None
 
@@ -208,9 +137,7 @@
         self._reason = ""
         self._over = False
         self._kept: tuple[tuple[tuple[str, str], ...], bytes | None] = ((), None)
-        self._meter = _ProgressMeter(
-            lambda cost: desk.tell(Progressed(job.call.request, cost))
-        )
+        self._next_progress = 0.0
 
     def open(self) -> Answer:
         """Return the answer, whole or begun; blocks until there is one."""
@@ -354,12 +281,18 @@
         try:
             for data in self._attempt.chunks():
                 events = self._reader.feed(data)
-                self._meter.update(time.time(), self._reader.cost)
+                self._tell_progress(time.time())
                 if events:
                     yield events
         except StreamError as exc:
             raise AttemptError(Fault.MALFORMED) from exc
 
+    def _tell_progress(self, now: float) -> None:
+        if now < self._next_progress:
+            return
+        self._next_progress = now + PROGRESS_SECONDS
+        self._desk.tell(Progressed(self._call.request, self._reader.cost))
+
     def _resume(self, fault: Fault) -> None:
         """Go on with the stream where it broke off.
 
--- a/src/oleandershift/io/front.py
+++ b/src/oleandershift/io/front.py
@@ -10,7 +10,7 @@
 
 from oleandershift.calls import Call, RawRequest, parse_call
 from oleandershift.ids import RequestId
-from oleandershift.io.exchange import Answer, BrokenAnswerError, problem_answer
+from oleandershift.io.answers import Answer, BrokenAnswerError, problem_answer
 from oleandershift.io.jobs import Snapshot
 from oleandershift.problems import Problem, Reason, Run
 
--- a/src/oleandershift/io/router.py
+++ b/src/oleandershift/io/router.py
@@ -5,19 +5,17 @@
 import time
 from collections import deque
 from collections.abc import Callable, Iterable
-from functools import partial
 from typing import Any
 
 import pykka
 
-from oleandershift.calls import Call, KeyIndex
+from oleandershift.calls import KeyIndex
 from oleandershift.dispatch import Action, Policy, QueuedRequest, Refuse, Send, Start
 from oleandershift.events import EventName
 from oleandershift.ids import RequestId, UpstreamId
-from oleandershift.io.claiming import ClaimDesk, ClaimedExchange, Settler
 from oleandershift.io.daemon import DaemonActor, DrainRequested, Runtime
-from oleandershift.io.exchange import Exchange
-from oleandershift.io.front import Carrier, Front
+from oleandershift.io.desk import RouterDesk
+from oleandershift.io.front import Front
 from oleandershift.io.jobs import (
     AttemptEnded,
     Cancelled,
@@ -27,14 +25,12 @@
     Snapshot,
     Submit,
 )
-from oleandershift.io.platform import PlatformClient
 from oleandershift.io.server import Server
-from oleandershift.io.upstreams import Connections
 from oleandershift.lifecycle import Fault
 from oleandershift.messages import DrainCommand, Envelope, Outcome, Role, StatusReport
+from oleandershift.outliers import Outliers
+from oleandershift.pauses import PauseDetector
 from oleandershift.policies import POLICIES
-from oleandershift.replica import Table
-from oleandershift.retries import RetryBudget
 from oleandershift.subscription import Subscription
 
 CHECK_SECONDS = 0.25
@@ -53,73 +49,6 @@
     return usage.ru_utime + usage.ru_stime
 
 
-class RouterDesk:
-    """What the request threads share with the actor.
-
-    Parameters
-    ----------
-    runtime : Runtime
-        The process.
-
-    Attributes
-    ----------
-    connections, events, budget
-        Shared by the request threads.
-    """
-
-    def __init__(self, runtime: Runtime) -> None:
-        cfg = runtime.cfg
-        self.connections = Connections(cfg.connect_seconds, cfg.idle_seconds)
-        self.events = runtime.events
-        self.budget = RetryBudget()
-        self.settler: Settler | None = None
-        store: PlatformClient | None = None
-        if cfg.platform_url:
-            store = PlatformClient(cfg.platform_url)
-            self.settler = Settler(store, runtime.events)
-        self.claims = ClaimDesk(store, self.settler, cfg.claim_seconds, runtime.events)
-        self._snapshot = Snapshot(Table(), KeyIndex(Table()), False, False)
-        self._actor: pykka.ActorRef[Any] | None = None
-
-    def attach(self, actor: pykka.ActorRef[Any]) -> None:
-        """Take the actor that messages go to."""
-        self._actor = actor
-
-    def tell(self, message: object) -> None:
-        """Give the actor a message."""
-        if self._actor is not None and self._actor.is_alive():
-            self._actor.tell(message)
-
-    def snapshot(self) -> Snapshot:
-        """Return the state in force."""
-        return self._snapshot
-
-    def publish(self, snapshot: Snapshot) -> None:
-        """Replace the state in force."""
-        self._snapshot = snapshot
-
-    def close(self) -> None:
-        """Close connections and the background work."""
-        self.connections.close()
-        if self.settler is not None:
-            self.settler.close()
-
-    def carry(self, call: Call, is_gone: Callable[[], bool]) -> Carrier:
-        """Return a carrier for a checked request."""
-        now = time.time()
-        self.events.write(
-            EventName.REQUEST_ACCEPTED,
-            request=call.request,
-            team=call.team,
-            service=call.service,
-        )
-        job = Job(call, now, is_gone)
-        if call.idempotent:
-            return Exchange(self, job)
-        make = partial(Exchange, self, job)
-        return ClaimedExchange(self.claims, call, make)
-
-
 class RouterActor(DaemonActor):
     """Holds the policy, and carries out what it decides.
 
@@ -152,6 +81,10 @@
         )
         self._jobs: dict[RequestId, Job] = {}
         self._started: dict[RequestId, UpstreamId] = {}
+        self._outliers = Outliers()
+        self._pause = PauseDetector(time.time())
+        self._held: deque[object] = deque()
+        self._ejected: frozenset[UpstreamId] = frozenset()
         self._outcomes: deque[Outcome] = deque(maxlen=REPORTED_OUTCOMES)
         self._next_check = 0.0
         self._next_report = 0.0
@@ -187,13 +120,25 @@
 
     def on_other(self, message: object) -> None:
         """Take a message of a request's thread."""
+        self._pause.active(time.time())
+        if self._pause.holds(time.time()):
+            self._held.append(message)
+            return
         self._handlers[type(message)](message)
 
     def on_tick(self, now: float) -> None:
         """Take the passage of time."""
+        self._pause.active(now)
+        if self._pause.holds(now):
+            self._refresh(now)
+            return
+        while self._held:
+            held = self._held.popleft()
+            self._handlers[type(held)](held)
+        self._outliers.on_tick(now)
+        self._eject(now)
         self._carry_out(self._policy.on_tick(now))
-        for body in self._subscription.on_tick(now, self._desk.snapshot().ready):
-            self._runtime.links.send(self._runtime.agent_address, body)
+        self._refresh(now)
         if now >= self._next_check:
             self._next_check = now + CHECK_SECONDS
             self._check_jobs(now)
@@ -234,6 +179,11 @@
         )
         self._publish()
 
+    def _refresh(self, now: float) -> None:
+        """Ask the agent for what a paused process may have missed."""
+        for body in self._subscription.on_tick(now, self._desk.snapshot().ready):
+            self._runtime.links.send(self._runtime.agent_address, body)
+
     def _publish(self) -> None:
         table = self._subscription.table
         complete = self._subscription.is_complete()
@@ -284,10 +234,32 @@
         if self._started.pop(message.request, None) is None:
             return
         now = time.time()
+        if message.healthy is not None:
+            self._judge(now, message.upstream, message.healthy)
         self._carry_out(
             self._policy.finish(now, message.request, message.cost, message.used)
         )
 
+    def _judge(self, now: float, upstream: UpstreamId, healthy: bool) -> None:
+        table = self._subscription.table
+        row = table.upstreams.get(upstream)
+        if row is None:
+            return
+        peers = len(table.upstreams_of(row.service))
+        self._outliers.record(now, row.service, upstream, peers, healthy)
+        self._eject(now)
+
+    def _eject(self, now: float) -> None:
+        ejected = self._outliers.ejected()
+        if ejected == self._ejected:
+            return
+        for upstream in ejected - self._ejected:
+            self._runtime.events.write(EventName.UPSTREAM_EJECTED, upstream=upstream)
+        for upstream in self._ejected - ejected:
+            self._runtime.events.write(EventName.UPSTREAM_RESTORED, upstream=upstream)
+        self._ejected = ejected
+        self._carry_out(self._policy.eject(now, ejected))
+
     def _job_ended(self, message: JobEnded) -> None:
         self._jobs.pop(message.outcome.request, None)
         self._outcomes.append(message.outcome)
@@ -334,12 +306,17 @@
             table_digest=self._subscription.digest(),
             teams=self._policy.teams(),
             traffic=self._runtime.links.traffic(),
-            outcomes=tuple(self._outcomes),
+            outcomes=self._new_outcomes(),
             cpu_seconds=_cpu_seconds(),
             resident_bytes=_resident_bytes(),
         )
         self._runtime.links.send(self._runtime.agent_address, report)
 
+    def _new_outcomes(self) -> tuple[Outcome, ...]:
+        found = tuple(self._outcomes)
+        self._outcomes.clear()
+        return found
+
     def _check_drain(self, now: float) -> None:
         if self._closing_at is None or now < self._closing_at:
             return
--- a/src/oleandershift/io/server.py
+++ b/src/oleandershift/io/server.py
@@ -10,7 +10,7 @@
 from waitress.task import ErrorTask, WSGITask
 
 from oleandershift.ids import RequestId
-from oleandershift.io.exchange import problem_answer
+from oleandershift.io.answers import problem_answer
 from oleandershift.io.front import Front, status_line
 from oleandershift.problems import Problem, Reason
 
--- a/standins/faulty.py
+++ b/standins/faulty.py
@@ -111,7 +111,7 @@
             self._control()
             return
         self.echo = self.headers.get("X-Echo", "")
-        fault = FaultName(self.headers.get("X-Fault", "none"))
+        fault = FaultName(self.headers.get("X-Fault", self.server.always.value))
         once = self.headers.get("X-Fault-Once", "") == "yes"
         if once and not self.server.ledger.first(self.echo):
             fault = FaultName.NONE
@@ -259,8 +259,11 @@
     daemon_threads = True
     request_queue_size = 256
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self, address: tuple[str, int], always: FaultName = FaultName.NONE
+    ) -> None:
         super().__init__(address, _Handler)
+        self.always = always
         self.ledger = Ledger()
         self.echoes: dict[str, str] = {}
 
@@ -277,10 +280,17 @@
         Address to bind to.
     port : int
         TCP port; 0 takes a free one.
+    always : FaultName
+        Fault of each request that does not ask for another.
     """
 
-    def __init__(self, ip: str = "127.0.0.1", port: int = 0) -> None:
-        self._server = _Server((ip, port))
+    def __init__(
+        self,
+        ip: str = "127.0.0.1",
+        port: int = 0,
+        always: FaultName = FaultName.NONE,
+    ) -> None:
+        self._server = _Server((ip, port), always)
         self.ledger = self._server.ledger
         self.url = f"http://{ip}:{self._server.server_address[1]}"
         self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
