--- a/src/oleandershift/policies.py
+++ b/src/oleandershift/policies.py
@@ -4,8 +4,10 @@
 from typing import TypeAlias
 
 from oleandershift.dispatch import Policy
+from oleandershift.fair import FairPolicy
 from oleandershift.fcfs import FirstComePolicy
 from oleandershift.ids import RegionId
+from oleandershift.local import GossipPolicy, StaticSplitPolicy
 from oleandershift.messages import ProcessId
 
 PolicyMaker: TypeAlias = Callable[[ProcessId, RegionId, str, int], Policy]
@@ -18,5 +20,22 @@
     return FirstComePolicy()
 
 
-POLICIES: dict[str, PolicyMaker] = {"fcfs": _first_come}
+def _static(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
+    return StaticSplitPolicy(process, region, address)
+
+
+def _gossip(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
+    return GossipPolicy(process, region, address)
+
+
+def _fair(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
+    return FairPolicy(process, region, address)
+
+
+POLICIES: dict[str, PolicyMaker] = {
+    "fcfs": _first_come,
+    "static": _static,
+    "gossip": _gossip,
+    "fair": _fair,
+}
 """Makers by the name that `--policy` takes."""
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,115 @@
+"""Demonstration: a local fleet under mixed load, and what each team got."""
+
+import argparse
+from collections.abc import Sequence
+from pathlib import Path
+
+from oleandershift.policies import POLICIES
+from oleandershift.rendering import as_html
+from oleandershift.timeline import Filter, Timeline
+from standins.calls import CallRecord, Verdict
+from standins.experiment import Outcome, RunReport, run
+from standins.fleet import Fleet, FleetConfig, FleetError, add_fleet_flags
+from standins.load import backlogged, failures, verdicts
+from standins.presets import PRESETS
+from standins.processes import exit_on_signals
+from standins.workload import Mix
+
+PROGRESS_SECONDS = 5.0
+SPARE_CALLERS = 3
+PLAIN_SHARE = 0.1
+PAGE_NAME = "timeline.html"
+
+
+class _Progress:
+    """Prints how a run goes on, now and then."""
+
+    def __init__(self) -> None:
+        self._next = 0.0
+
+    def __call__(self, seconds: float, records: tuple[CallRecord, ...]) -> None:
+        if seconds < self._next:
+            return
+        self._next += PROGRESS_SECONDS
+        whole = verdicts(records)[Verdict.WHOLE]
+        print(
+            f"  {seconds:4.0f} s: {whole} of {len(records)} answers whole", flush=True
+        )
+
+
+def report_lines(report: RunReport) -> list[str]:
+    """Return a run's figures as lines of text."""
+    lines = [
+        f"{'team':18}{'weight':>7}{'tokens':>9}{'over weight':>13}{'backlogged':>12}"
+    ]
+    for team in report.teams:
+        lines.append(
+            f"{team.team:18}{team.weight:7.1f}{team.tokens:9.0f}"
+            f"{team.weighted:13.0f}{team.backlogged:12.0%}"
+        )
+    gap, traffic = report.gap, report.control
+    lines += [
+        f"largest gap      {gap.tokens:.0f} weighted tokens "
+        f"({gap.ahead} ahead of {gap.behind}, over {gap.seconds:.0f} s)",
+        f"utilisation      {report.utilisation:.1%} of slot-time while work waits",
+        f"control traffic  {traffic.mean_vm_bytes:.0f} B/s a VM, "
+        f"{traffic.between_regions:.0f} B/s between regions, "
+        f"{traffic.messages_per_second:.0f} messages/s",
+    ]
+    return lines
+
+
+def write_page(logs: Path, page: Path) -> int:
+    """Write the time line page of a folder of logs; return its number of events."""
+    timeline = Timeline()
+    for log in sorted(logs.glob("*.jsonl")):
+        with log.open("rb") as lines:
+            timeline.add_lines(lines)
+    events = timeline.events(Filter("", "", "", ""))
+    page.write_text(as_html(events, timeline.faults), encoding="utf-8")
+    return len(events)
+
+
+def _show(outcome: Outcome, out: Path) -> None:
+    for line in report_lines(outcome.report):
+        print(line)
+    page = out / PAGE_NAME
+    events = write_page(out / "logs", page)
+    print(f"time line        {page} ({events} events)")
+    counts = verdicts(outcome.records)
+    print(f"answers          {counts[Verdict.WHOLE]} of {len(outcome.records)} whole")
+    for line in failures(outcome.records):
+        print(line)
+
+
+def _all_whole(records: Sequence[CallRecord]) -> bool:
+    return verdicts(records)[Verdict.WHOLE] == len(records) > 0
+
+
+def main() -> int:
+    """Run the demonstration."""
+    parser = argparse.ArgumentParser("standins.demo", description=__doc__)
+    add_fleet_flags(parser)
+    parser.add_argument("--preset", choices=sorted(PRESETS), default="kyushu")
+    parser.add_argument("--policy", choices=sorted(POLICIES), default="fair")
+    parser.add_argument("--out", type=Path, default=Path("out/demo"))
+    parser.add_argument("--seconds", type=float, default=26.0)
+    flags = vars(parser.parse_args())
+    seconds = flags.pop("seconds")
+    cfg = FleetConfig(**flags)
+    exit_on_signals()
+    print("starting 9 VMs in 3 regions, 9 upstreams and a platform", flush=True)
+    try:
+        with Fleet(cfg) as fleet:
+            print(f"ready; load for {seconds:.0f} s, policy {cfg.policy}", flush=True)
+            loads = backlogged(fleet.addresses, Mix(plain=PLAIN_SHARE), SPARE_CALLERS)
+            outcome = run(fleet, loads, cfg.seed, seconds, "demo", _Progress())
+    except FleetError as exc:
+        print(exc)
+        return 1
+    _show(outcome, cfg.out)
+    return 0 if _all_whole(outcome.records) else 1
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/standins/experiment.py
@@ -0,0 +1,181 @@
+"""One measured run of load on a fleet."""
+
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import TypeAlias
+
+import msgspec
+import urllib3
+
+from standins.calls import CallRecord
+from standins.fleet import Fleet
+from standins.fleet_file import FleetFile
+from standins.ledger import Execution
+from standins.load import LoadGenerator, TeamLoad, verdicts
+from standins.measures import (
+    Gap,
+    TeamCurves,
+    TeamService,
+    Waits,
+    Window,
+    join,
+    utilisation,
+    waits,
+)
+from standins.sampling import (
+    ControlFigures,
+    FleetSample,
+    RoleFigures,
+    control,
+    roles,
+    sample,
+)
+
+WARM_UP_SECONDS = 4.0
+LEDGER_SECONDS = 10.0
+
+
+class RunReport(msgspec.Struct, frozen=True):
+    """Figures of one run.
+
+    Parameters
+    ----------
+    preset, policy, case : str
+        What was run.
+    seconds : float
+        Length of the measured window.
+    verdicts : dict of str to int
+        Calls by how they ended.
+    gap : Gap
+        Largest weighted gap within the window.
+    bound : float or None
+        Largest gap that the formula allows, where the policy has one.
+    utilisation : float
+        Share of the engines' slot-time busy while a request waits.
+    tokens_per_second : float
+        Made by the engines within the window.
+    teams : tuple of TeamService
+        Service by team.
+    waits : tuple of Waits
+        By kind and team size.
+    control : ControlFigures
+        Control traffic.
+    roles : tuple of RoleFigures
+        Processor time and memory.
+    """
+
+    preset: str
+    policy: str
+    case: str
+    seconds: float
+    verdicts: dict[str, int]
+    gap: Gap
+    bound: float | None
+    utilisation: float
+    tokens_per_second: float
+    teams: tuple[TeamService, ...]
+    waits: tuple[Waits, ...]
+    control: ControlFigures
+    roles: tuple[RoleFigures, ...]
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """A run's figures, and the calls that they come from."""
+
+    report: RunReport
+    records: tuple[CallRecord, ...]
+
+
+Watcher: TypeAlias = Callable[[float, tuple[CallRecord, ...]], None]
+"""Called each second of a run with the seconds gone and the calls so far."""
+
+
+def ledgers(fleet: FleetFile, service: str) -> tuple[tuple[Execution, ...], ...]:
+    """Return what the upstreams of a service have executed."""
+    http = urllib3.PoolManager(retries=False, timeout=LEDGER_SECONDS)
+    return tuple(
+        msgspec.json.decode(
+            http.request("GET", f"{upstream.control}/ledger").data,
+            type=tuple[Execution, ...],
+        )
+        for upstream in fleet.of_service(service)
+    )
+
+
+def run(
+    fleet: Fleet,
+    loads: Mapping[str, TeamLoad],
+    seed: int,
+    seconds: float,
+    case: str = "backlog",
+    watch: Watcher | None = None,
+) -> Outcome:
+    """Put load on a running fleet and measure it.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        A ready fleet.
+    loads : mapping of str to TeamLoad
+        Load by team.
+    seed : int
+        Of the work.
+    seconds : float
+        Length of the measured window; a warm-up comes before it.
+    case : str
+        Name for the report.
+    watch : callable, optional
+        Sees the run go on; may do harm to the fleet.
+    """
+    generator = LoadGenerator(fleet.addresses, loads, seed)
+    generator.start()
+    time.sleep(WARM_UP_SECONDS)
+    first = sample(fleet, time.time())
+    _wait(generator, seconds, watch)
+    last = sample(fleet, time.time())
+    generator.stop()
+    records = generator.records()
+    return Outcome(_report(fleet, case, first, last, records), records)
+
+
+def _wait(generator: LoadGenerator, seconds: float, watch: Watcher | None) -> None:
+    began = time.monotonic()
+    while (gone := time.monotonic() - began) < seconds:
+        if watch is not None:
+            watch(gone, generator.records())
+        time.sleep(min(1.0, seconds - gone))
+
+
+def _report(
+    fleet: Fleet,
+    case: str,
+    first: FleetSample,
+    last: FleetSample,
+    records: tuple[CallRecord, ...],
+) -> RunReport:
+    window = Window(first.at, last.at)
+    service = fleet.addresses.engine_service
+    slots = sum(one.slots for one in fleet.addresses.of_service(service))
+    weights = {team.name: team.weight for team in fleet.addresses.teams}
+    of_engines = [record for record in records if record.service == service]
+    jobs = join(of_engines, ledgers(fleet.addresses, service))
+    curves = TeamCurves(jobs, weights, window)
+    services = curves.services()
+    seconds = window.end - window.start
+    return RunReport(
+        preset=fleet.cfg.preset,
+        policy=fleet.cfg.policy,
+        case=case,
+        seconds=seconds,
+        verdicts={verdict.value: n for verdict, n in verdicts(records).items()},
+        gap=curves.gap(),
+        bound=None,
+        utilisation=utilisation(jobs, slots, window),
+        tokens_per_second=sum(one.tokens for one in services) / seconds,
+        teams=services,
+        waits=waits(jobs, weights, window),
+        control=control(first, last),
+        roles=roles(first, last),
+    )
