--- a/src/oleandershift/policies.py
+++ b/src/oleandershift/policies.py
@@ -20,22 +20,22 @@
     return FirstComePolicy()
 
 
-def _static(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
-    return StaticSplitPolicy(process, region, address)
+def _fair(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
+    return FairPolicy(process, region, address)
 
 
 def _gossip(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
     return GossipPolicy(process, region, address)
 
 
-def _fair(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
-    return FairPolicy(process, region, address)
+def _static(process: ProcessId, region: RegionId, address: str, seed: int) -> Policy:
+    return StaticSplitPolicy(process, region, address)
 
 
 POLICIES: dict[str, PolicyMaker] = {
+    "fair": _fair,
     "fcfs": _first_come,
-    "static": _static,
     "gossip": _gossip,
-    "fair": _fair,
+    "static": _static,
 }
 """Makers by the name that `--policy` takes."""
