Send the members only with the answer to a members query

Cause: every operators' answer held all members: 66 B each (make capacity, messages), 50 KB at 770 members, asked of 770 agents twice by status.

--- a/src/oleandershift/io/agent.py
+++ b/src/oleandershift/io/agent.py
@@ -255,7 +255,10 @@
     def _answer(self, query: OperatorQuery) -> OperatorReply:
         reports: tuple[StatusReport, ...] = ()
         versions: tuple[RowVersion, ...] = ()
-        if query.kind is QueryKind.STATUS:
+        members: tuple[Member, ...] = ()
+        if query.kind is QueryKind.MEMBERS:
+            members = tuple(self._membership.members().values())
+        elif query.kind is QueryKind.STATUS:
             reports = (*self._processes.reports(), self._own_report())
         elif query.kind is QueryKind.TABLE:
             keys = _keys(query.subject, self._replication.replica.rows())
@@ -264,7 +267,7 @@
             self._drain_vm(query.deadline)
         return OperatorReply(
             vm=self._runtime.process.vm,
-            members=tuple(self._membership.members().values()),
+            members=members,
             reports=reports,
             outcomes=self._processes.outcomes(RequestId(query.subject)),
             table_digest=self._replication.digest(),
--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -543,7 +543,7 @@
     vm : VmId
         The answering VM.
     members : tuple of Member
-        Members it knows.
+        For `MEMBERS`: members it knows.
     reports : tuple of StatusReport
         Newest report of each local process.
     outcomes : tuple of Outcome
