Survive malformed messages: empty, far-future, unaddressable, unforeseen

Cause, each found by a test that failed first (tests/contract/test_links.py, tests/integration/test_query.py): - an empty message ended the receiving thread of every daemon, and of the agent's query socket: unpack() of a NULL body in the socket library; - one stamp years ahead was taken over by the hybrid clock and would have spread to every process, where it stays; a logical part at its end made the next message impossible to encode; - a reply address that is no address raised in Links.send and ended the daemon's actor; - any failure of a message's handler ended the daemon's actor. Ruled out: the decoders themselves (1,500 mutations of each kind of message, row, sheet and log line, and random bytes: one error type or a result), and ticks of the sans-IO objects after mutated messages. Change: messages are received as message objects; stamps more than an hour ahead are dropped; a bad address drops the message; a message whose handler fails is logged and dropped.

--- a/src/oleandershift/clock.py
+++ b/src/oleandershift/clock.py
@@ -19,6 +19,21 @@
     logical: int
 
 
+MAX_AHEAD_NS = 3600 * 1_000_000_000
+MAX_LOGICAL = 1 << 32
+
+
+def is_credible(now_ns: int, remote: Stamp) -> bool:
+    """Tell whether a remote stamp may advance this process's clock.
+
+    A clock never goes back, so one stamp far in the future would spread to every
+    process and stay.
+    """
+    return (
+        0 <= remote.wall <= now_ns + MAX_AHEAD_NS and 0 <= remote.logical < MAX_LOGICAL
+    )
+
+
 class HybridClock:
     """Clock whose stamps follow cause and effect over processes.
 
--- a/src/oleandershift/io/daemon.py
+++ b/src/oleandershift/io/daemon.py
@@ -69,13 +69,22 @@
     def on_receive(self, message: object) -> Any:
         """Pass a message to its handler."""
         if isinstance(message, Envelope):
-            return self.on_envelope(message)
+            return self._take_envelope(message)
         if isinstance(message, Tick):
             return self.on_tick(time.time())
         if isinstance(message, DrainRequested):
             return self.on_drain(time.time(), message.deadline)
         return self.on_other(message)
 
+    def _take_envelope(self, envelope: Envelope) -> None:
+        """Take a message of another process; one that can't be handled is dropped."""
+        try:
+            self.on_envelope(envelope)
+        except Exception:
+            sender = envelope.sender
+            kind = type(envelope.body).__name__
+            logger.exception("dropped {} of {}/{}", kind, sender.vm, sender.role.value)
+
     @abstractmethod
     def on_envelope(self, envelope: Envelope) -> None:
         """Take a message of another process."""
--- a/src/oleandershift/io/links.py
+++ b/src/oleandershift/io/links.py
@@ -33,6 +33,16 @@
     sent_bytes: int = 0
 
 
+def _dialled(address: str) -> pynng.Push0:
+    peer = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+    try:
+        peer.dial(address, block=False)
+    except pynng.NNGException:
+        peer.close()
+        raise
+    return peer
+
+
 class Links:
     """Sends messages to link addresses and hands received ones to a callback.
 
@@ -122,7 +132,7 @@
         data = encode(envelope)
         try:
             self._peer(address).send(data, block=False)
-        except (pynng.TryAgain, pynng.Timeout, pynng.Closed):
+        except pynng.NNGException:
             return False
         self._count(region or self._region, len(data))
         return True
@@ -146,8 +156,7 @@
         with self._lock:
             peer = self._peers.get(address)
             if peer is None:
-                peer = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
-                peer.dial(address, block=False)
+                peer = _dialled(address)
                 self._peers[address] = peer
             return peer
 
@@ -160,7 +169,7 @@
     def _receive(self) -> None:
         while not self._closing.is_set():
             try:
-                data = self._pull.recv()
+                data = self._pull.recv_msg().bytes
             except pynng.Timeout:
                 continue
             except pynng.Closed:
@@ -176,7 +185,9 @@
         if envelope.fleet != self._fleet:
             self._drop(f"fleet {envelope.fleet!r}")
             return
-        self._events.received(Stamp(envelope.wall, envelope.logical))
+        if not self._events.received(Stamp(envelope.wall, envelope.logical)):
+            self._drop(f"clock {envelope.wall}.{envelope.logical}")
+            return
         try:
             self._on_envelope(envelope)
         except Exception:
--- a/src/oleandershift/io/logs.py
+++ b/src/oleandershift/io/logs.py
@@ -8,7 +8,7 @@
 import msgspec
 from loguru import logger
 
-from oleandershift.clock import HybridClock, Stamp
+from oleandershift.clock import HybridClock, Stamp, is_credible
 from oleandershift.events import Event, EventName
 from oleandershift.ids import RegionId
 from oleandershift.messages import ProcessId
@@ -36,10 +36,20 @@
         with self._lock:
             return self._clock.tick(time.time_ns())
 
-    def received(self, remote: Stamp) -> None:
-        """Advance the clock past a received message."""
+    def received(self, remote: Stamp) -> bool:
+        """Advance the clock past a received message.
+
+        Returns
+        -------
+        bool
+            False when the stamp is not credible; the clock then stays as it is.
+        """
+        now_ns = time.time_ns()
+        if not is_credible(now_ns, remote):
+            return False
         with self._lock:
-            self._clock.receive(time.time_ns(), remote)
+            self._clock.receive(now_ns, remote)
+        return True
 
     def write(self, name: EventName, level: str = "INFO", **fields: str) -> None:
         """Log an event; `fields` are those of `Event`."""
--- a/src/oleandershift/io/queries.py
+++ b/src/oleandershift/io/queries.py
@@ -96,7 +96,7 @@
     def _serve(self) -> None:
         while not self._closing.is_set():
             try:
-                data = self._socket.recv()
+                data = self._socket.recv_msg().bytes
             except pynng.Timeout:
                 continue
             except pynng.Closed:
--- /dev/null
+++ b/tests/contract/test_links.py
@@ -0,0 +1,125 @@
+"""Contract of the links: bad messages are counted, logged and dropped."""
+
+import json
+import queue
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import pykka
+import pynng
+import pytest
+from loguru import logger
+
+from oleandershift.ids import FleetId
+from oleandershift.io.daemon import DaemonActor
+from oleandershift.io.links import Links
+from oleandershift.io.logs import EventLog, configure
+from oleandershift.messages import MAX_MESSAGE_BYTES, Envelope, encode
+from tests.integration.conftest import free_port, wait_until
+from tests.samples import BODIES, FLEET, REGION, ROUTER, envelope
+
+GOOD = msgspec.structs.replace(envelope(BODIES[0]), wall=time.time_ns())
+
+
+class Receiver:
+    """Links that remember what they received."""
+
+    def __init__(self, log: Path) -> None:
+        configure("INFO", str(log))
+        self.log = log
+        self.received: queue.Queue[Envelope] = queue.Queue()
+        self.events = EventLog(ROUTER, REGION)
+        self.links = Links(
+            FLEET,
+            ROUTER,
+            REGION,
+            f"tcp://127.0.0.1:{free_port()}",
+            self.received.put,
+            self.events,
+        )
+        self.links.start()
+
+    def drops(self) -> list[str]:
+        """Return the logged details of dropped messages."""
+        lines = [json.loads(line) for line in self.log.read_text().splitlines()]
+        events = [line.get("event", {}) for line in lines]
+        return [e["detail"] for e in events if e.get("name") == "message-dropped"]
+
+
+@pytest.fixture
+def receiver(tmp_path: Path) -> Iterator[Receiver]:
+    made = Receiver(tmp_path / "log.jsonl")
+    yield made
+    made.links.close()
+    logger.remove()
+
+
+BAD = {
+    "empty": b"",
+    "not MessagePack": b"GET / HTTP/1.1\r\n\r\n",
+    "truncated": encode(GOOD)[:-3],
+    "text that is not UTF-8": encode(GOOD).replace(b"south", b"so\xff\xfeh"),
+    "another fleet": encode(envelope(BODIES[0], FleetId("other"))),
+    "clock years ahead": encode(msgspec.structs.replace(GOOD, wall=1 << 63)),
+    "logical clock at its end": encode(
+        msgspec.structs.replace(GOOD, logical=(1 << 64) - 1)
+    ),
+}
+
+
+@pytest.mark.parametrize("data", BAD.values(), ids=BAD.keys())
+def test_bad_message_is_counted_logged_and_dropped(
+    receiver: Receiver, data: bytes
+) -> None:
+    with pynng.Push0(dial=receiver.links.address) as push:
+        push.send(data)
+        push.send(encode(GOOD))
+        received = receiver.received.get(timeout=20)
+    assert received.body == GOOD.body
+    assert receiver.received.empty()
+    assert receiver.links.dropped == 1
+    wait_until(lambda: len(receiver.drops()) == 1, "drop logged")
+    assert receiver.links.send(receiver.links.address, BODIES[0])
+
+
+def test_oversized_message_does_not_stop_the_links(receiver: Receiver) -> None:
+    with pynng.Push0(dial=receiver.links.address) as push:
+        push.send(bytes(MAX_MESSAGE_BYTES + 1))
+    with pynng.Push0(dial=receiver.links.address) as push:
+        push.send(encode(GOOD))
+        assert receiver.received.get(timeout=20).body == GOOD.body
+
+
+@pytest.mark.parametrize("address", ["", "nowhere", "tcp://", "tcp://x\x00:1"])
+def test_message_to_a_bad_address_is_dropped(receiver: Receiver, address: str) -> None:
+    assert not receiver.links.send(address, BODIES[0])
+
+
+class _FragileActor(DaemonActor):
+    """Actor whose handler fails."""
+
+    def on_envelope(self, envelope: Envelope) -> None:
+        raise ValueError("a cell that no check foresaw")
+
+    def on_tick(self, now: float) -> None:
+        """Do nothing."""
+
+    def on_drain(self, now: float, deadline: float) -> None:
+        """Stop."""
+        self.stop()
+
+    def on_other(self, message: object) -> str:
+        """Answer."""
+        return "alive"
+
+
+def test_daemon_survives_a_message_that_its_handler_fails_on() -> None:
+    stopped = threading.Event()
+    ref: pykka.ActorRef[_FragileActor] = _FragileActor.start(stopped)
+    ref.tell(GOOD)
+    assert ref.ask("are you there?", timeout=20) == "alive"
+    assert not stopped.is_set()
+    ref.stop()
--- a/tests/integration/test_query.py
+++ b/tests/integration/test_query.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 import msgspec
+import pynng
 import pytest
 
 from oleandershift.cli import operator
@@ -28,7 +29,9 @@
     ProcessId,
     QueryKind,
     Role,
+    encode,
 )
+from tests.samples import BODIES, envelope
 
 FLEET = FleetId("oleander")
 REGION = RegionId("south")
@@ -129,3 +132,10 @@
     args = ["status", "--query-address", address, "--timeout-seconds=0.3"]
     assert operator.main(args) == 6
     assert "no agent answered" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff", encode(envelope(BODIES[0]))])
+def test_agent_answers_after_a_bad_query(agent: FakeAgent, data: bytes) -> None:
+    with pynng.Req0(dial=f"tcp://127.0.0.1:{agent.port}") as request:
+        request.send(data)
+    assert run(agent, "explain", "r1") == 0
