Test that each daemon listens only on its configured address

The check reads the listening sockets of the process itself, TCP and UDP of both families; it was tried on a socket open to all, which it sees.

--- /dev/null
+++ b/tests/integration/test_listening.py
@@ -0,0 +1,92 @@
+"""Each daemon listens only on its configured address and ports."""
+
+import os
+import socket
+import struct
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.integration.conftest import wait_until
+from tests.ports import free_ports
+
+IP = "127.25.0.9"
+LISTEN = "0A"
+PORTS = ("agent-port", "query-port", "allocator-port", "router-port", "http-port")
+LISTENS_ON = {
+    "agent": {"agent-port", "query-port"},
+    "allocator": {"allocator-port"},
+    "router": {"router-port", "http-port"},
+}
+
+
+def socket_inodes(pid: int) -> set[str]:
+    found = set()
+    for entry in Path(f"/proc/{pid}/fd").iterdir():
+        try:
+            target = os.readlink(entry)
+        except OSError:
+            continue
+        if target.startswith("socket:["):
+            found.add(target[len("socket:[") : -1])
+    return found
+
+
+def listening(pid: int) -> set[tuple[str, int]]:
+    """Return addresses on which a process listens; IPv6 ones as they stand."""
+    inodes = socket_inodes(pid)
+    found = set()
+    for table in ("tcp", "tcp6", "udp", "udp6"):
+        for line in Path(f"/proc/{pid}/net/{table}").read_text().splitlines()[1:]:
+            fields = line.split()
+            waits = fields[3] == LISTEN or table.startswith("udp")
+            if fields[9] in inodes and waits:
+                host, _, port = fields[1].partition(":")
+                found.add((_address(host), int(port, 16)))
+    return found
+
+
+def _address(host: str) -> str:
+    if len(host) > 8:
+        return host
+    return socket.inet_ntoa(struct.pack("<I", int(host, 16)))
+
+
+@pytest.fixture
+def ports() -> dict[str, int]:
+    return dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
+
+
+@pytest.fixture(params=LISTENS_ON)
+def daemon(
+    request: pytest.FixtureRequest, ports: dict[str, int], tmp_path: Path
+) -> Iterator[tuple[str, "subprocess.Popen[bytes]"]]:
+    flags = [f"--{name}={port}" for name, port in ports.items()]
+    flags += [f"--ip={IP}", "--vm=vm-1", "--region=south", "--data-centre=south-1"]
+    flags += [f"--log-file={tmp_path / 'log'}"]
+    if request.param != "allocator":
+        flags.append("--platform-url=http://127.0.0.1:9")
+    module = f"oleandershift.cli.{request.param}"
+    process = subprocess.Popen([sys.executable, "-m", module, *flags])
+    yield request.param, process
+    process.kill()
+    process.wait(30)
+
+
+def test_daemon_listens_only_where_configured(
+    daemon: tuple[str, "subprocess.Popen[bytes]"], ports: dict[str, int]
+) -> None:
+    name, process = daemon
+    wanted = {(IP, ports[port]) for port in LISTENS_ON[name]}
+    wait_until(lambda: wanted <= listening(process.pid), f"{wanted} listened on")
+    assert listening(process.pid) == wanted
+
+
+def test_the_check_sees_a_port_open_to_all() -> None:
+    with socket.socket() as sock:
+        sock.bind(("0.0.0.0", 0))
+        sock.listen()
+        assert ("0.0.0.0", sock.getsockname()[1]) in listening(os.getpid())
