Record metrics through one facade, exported over OTLP by setting

Wired into links, event log, router and allocator. Not done: the gap (it is of the whole fleet; oleander status shows it) and the agent's own report.

--- a/src/oleandershift/io/allocator.py
+++ b/src/oleandershift/io/allocator.py
@@ -157,6 +157,7 @@
             cpu_seconds=time.process_time(),
             resident_bytes=_resident_bytes(),
         )
+        self._runtime.metrics.on_report(report)
         self._links.send(self._runtime.agent_address, report)
 
 
--- a/src/oleandershift/io/daemon.py
+++ b/src/oleandershift/io/daemon.py
@@ -8,7 +8,7 @@
 import time
 from abc import abstractmethod
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import pykka
@@ -20,6 +20,7 @@
 from oleandershift.ids import FleetId, Incarnation, RegionId, VmId
 from oleandershift.io.links import Links
 from oleandershift.io.logs import EventLog, configure
+from oleandershift.io.metrics import Destination, Metrics, NoMetrics, make_metrics
 from oleandershift.messages import Envelope, ProcessId, Role
 from oleandershift.settings import Setting, load, parser
 
@@ -118,6 +119,8 @@
         Message links; not yet listening.
     stopped : threading.Event
         To be set when the process may exit.
+    metrics : Metrics
+        Takes the process's status reports.
     """
 
     cfg: argparse.Namespace
@@ -125,6 +128,7 @@
     events: EventLog
     links: Links
     stopped: threading.Event
+    metrics: Metrics = field(default_factory=NoMetrics)
 
     @property
     def region(self) -> RegionId:
@@ -194,18 +198,21 @@
     threading.stack_size(STACK_BYTES)
     configure(cfg.log_level, cfg.log_file)
     process = ProcessId(VmId(cfg.vm), role, Incarnation(time.time_ns()))
-    events = EventLog(process, RegionId(cfg.region))
+    region = RegionId(cfg.region)
+    metrics = make_metrics(Destination(cfg.metrics), process, region)
+    events = EventLog(process, region, metrics)
     inbox = _Inbox()
     links = Links(
         FleetId(cfg.fleet),
         process,
-        RegionId(cfg.region),
+        region,
         f"tcp://{cfg.ip}:{link_port}",
         inbox,
         events,
+        metrics,
     )
     stopped = threading.Event()
-    ref = start(Runtime(cfg, process, events, links, stopped))
+    ref = start(Runtime(cfg, process, events, links, stopped, metrics))
     inbox.actor = ref
     links.start()
     events.write(EventName.STARTED)
@@ -215,6 +222,7 @@
             ref.tell(Tick())
     events.write(EventName.STOPPED)
     links.close()
+    metrics.close()
     return 0
 
 
--- a/src/oleandershift/io/links.py
+++ b/src/oleandershift/io/links.py
@@ -12,6 +12,7 @@
 from oleandershift.events import EventName
 from oleandershift.ids import FleetId, RegionId
 from oleandershift.io.logs import EventLog
+from oleandershift.io.metrics import Metrics, NoMetrics
 from oleandershift.messages import (
     MAX_MESSAGE_BYTES,
     Body,
@@ -63,6 +64,8 @@
         Called on the receiving thread for each good message.
     events : EventLog
         Clock, and log of dropped messages.
+    metrics : Metrics, optional
+        Takes sent messages.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         address: str,
         on_envelope: Callable[[Envelope], None],
         events: EventLog,
+        metrics: Metrics | None = None,
     ) -> None:
         self.address = address
         self.dropped = 0
@@ -81,6 +85,7 @@
         self._region = region
         self._on_envelope = on_envelope
         self._events = events
+        self._metrics = metrics or NoMetrics()
         self._lock = threading.Lock()
         self._peers: dict[str, pynng.Push0] = {}
         self._traffic: dict[RegionId, _Traffic] = {}
@@ -134,7 +139,9 @@
             self._peer(address).send(data, block=False)
         except pynng.NNGException:
             return False
-        self._count(region or self._region, len(data))
+        target = region or self._region
+        self._count(target, len(data))
+        self._metrics.on_sent(type(body).__name__, target, len(data))
         return True
 
     def forget(self, address: str) -> None:
--- a/src/oleandershift/io/logs.py
+++ b/src/oleandershift/io/logs.py
@@ -11,6 +11,7 @@
 from oleandershift.clock import HybridClock, Stamp, is_credible
 from oleandershift.events import Event, EventName
 from oleandershift.ids import RegionId
+from oleandershift.io.metrics import Metrics, NoMetrics
 from oleandershift.messages import ProcessId
 
 
@@ -23,13 +24,18 @@
         The process.
     region : RegionId
         Its region.
+    metrics : Metrics, optional
+        Takes every event too.
     """
 
-    def __init__(self, process: ProcessId, region: RegionId) -> None:
+    def __init__(
+        self, process: ProcessId, region: RegionId, metrics: Metrics | None = None
+    ) -> None:
         self._process = process
         self._region = region
         self._clock = HybridClock()
         self._lock = threading.Lock()
+        self._metrics = metrics or NoMetrics()
 
     def stamp(self) -> Stamp:
         """Return the stamp of a local event or of a message to be sent."""
@@ -64,6 +70,7 @@
             name=name,
             **fields,
         )
+        self._metrics.on_event(event)
         logger.bind(event=event).log(level, name.value)
 
 
--- /dev/null
+++ b/src/oleandershift/io/metrics.py
@@ -0,0 +1,192 @@
+"""Metrics of one process, and where they go.
+
+A process's shells report events, sent messages and status reports; what becomes of them
+is chosen by the setting `metrics`. The metrics SDK is imported only when it is used, as
+control processes have little memory.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING, Protocol
+
+from oleandershift.events import Event, EventName
+from oleandershift.ids import RegionId
+from oleandershift.messages import ProcessId, StatusReport
+
+if TYPE_CHECKING:
+    from opentelemetry.metrics import Meter
+
+MAX_OPEN_REQUESTS = 20_000
+NANOSECONDS = 1e9
+
+_COUNTED = {
+    EventName.REQUEST_RETRIED: "retries",
+    EventName.REQUEST_CANCELLED: "cancellations",
+    EventName.UPSTREAM_EJECTED: "upstream_ejections",
+    EventName.MESSAGE_DROPPED: "dropped_messages",
+    EventName.PLATFORM_AWAY: "platform_outages",
+    EventName.GRANT_MADE: "grants",
+    EventName.GRANT_RETURNED: "grants_returned",
+}
+
+
+class Destination(Enum):
+    """Where metrics go."""
+
+    NONE = "none"
+    OTLP = "otlp"
+
+
+class Metrics(Protocol):
+    """What a process's shells report."""
+
+    def on_event(self, event: Event) -> None:
+        """Take an event of the time line."""
+
+    def on_sent(self, kind: str, target: RegionId, size: int) -> None:
+        """Take a sent control message of `size` bytes."""
+
+    def on_report(self, report: StatusReport) -> None:
+        """Take the process's own status report."""
+
+    def close(self) -> None:
+        """Export what is left."""
+
+
+class NoMetrics:
+    """Metrics that go nowhere."""
+
+    def on_event(self, event: Event) -> None:
+        """Do nothing."""
+
+    def on_sent(self, kind: str, target: RegionId, size: int) -> None:
+        """Do nothing."""
+
+    def on_report(self, report: StatusReport) -> None:
+        """Do nothing."""
+
+    def close(self) -> None:
+        """Do nothing."""
+
+
+@dataclass
+class _OpenRequests:
+    """Instants of requests under way, the oldest forgotten past a limit."""
+
+    held: OrderedDict[str, int] = field(default_factory=OrderedDict)
+
+    def begin(self, request: str, wall: int) -> None:
+        self.held.setdefault(request, wall)
+        if len(self.held) > MAX_OPEN_REQUESTS:
+            self.held.popitem(last=False)
+
+    def end(self, request: str, wall: int) -> float | None:
+        began = self.held.pop(request, None)
+        return None if began is None else max(wall - began, 0) / NANOSECONDS
+
+
+class MeterMetrics:
+    """Metrics recorded by an OpenTelemetry meter.
+
+    Parameters
+    ----------
+    meter : Meter
+        What records.
+    region : RegionId
+        Region of this process, the source of its control traffic.
+    """
+
+    def __init__(self, meter: "Meter", region: RegionId) -> None:
+        self._region = region
+        self._waits = _OpenRequests()
+        self._runs = _OpenRequests()
+        self._queue_wait = meter.create_histogram("oleander.queue_wait", "s")
+        self._service_time = meter.create_histogram("oleander.service_time", "s")
+        self._refusals = meter.create_counter("oleander.refusals")
+        self._requests = meter.create_counter("oleander.requests")
+        self._events = {
+            name: meter.create_counter(f"oleander.{text}")
+            for name, text in _COUNTED.items()
+        }
+        self._control_bytes = meter.create_counter("oleander.control_sent", "By")
+        self._control_messages = meter.create_counter("oleander.control_messages")
+        self._waiting = meter.create_gauge("oleander.waiting")
+        self._running = meter.create_gauge("oleander.running")
+        self._served = meter.create_gauge("oleander.served_cost")
+        self._slots = meter.create_gauge("oleander.slots")
+        self._taken = meter.create_gauge("oleander.slots_taken")
+        self._busy = meter.create_gauge("oleander.slots_busy", "s")
+        self._idle = meter.create_gauge("oleander.slots_idle_while_waiting", "s")
+        self._cpu = meter.create_gauge("oleander.process_cpu", "s")
+        self._resident = meter.create_gauge("oleander.process_resident", "By")
+        self._ready = meter.create_gauge("oleander.process_ready")
+
+    def on_event(self, event: Event) -> None:
+        """Take an event of the time line."""
+        counter = self._events.get(event.name)
+        if counter is not None:
+            counter.add(1, {"service": event.service} if event.service else {})
+        elif event.request:
+            self._on_request(event)
+
+    def _on_request(self, event: Event) -> None:
+        labels = {"service": event.service}
+        if event.name is EventName.REQUEST_ACCEPTED:
+            self._waits.begin(event.request, event.wall)
+        elif event.name is EventName.REQUEST_GRANTED:
+            seconds = self._waits.end(event.request, event.wall)
+            if seconds is not None:
+                self._queue_wait.record(seconds, labels)
+        elif event.name is EventName.REQUEST_SENT:
+            self._runs.begin(event.request, event.wall)
+        elif event.name is EventName.REQUEST_FINISHED:
+            self._finish(event, labels)
+        elif event.name is EventName.REQUEST_REFUSED:
+            self._waits.end(event.request, event.wall)
+            self._runs.end(event.request, event.wall)
+            self._refusals.add(1, {**labels, "reason": event.detail})
+
+    def _finish(self, event: Event, labels: dict[str, str]) -> None:
+        self._waits.end(event.request, event.wall)
+        seconds = self._runs.end(event.request, event.wall)
+        if seconds is not None:
+            self._service_time.record(seconds, {**labels, "upstream": event.upstream})
+        self._requests.add(1, {**labels, "team": event.team})
+
+    def on_sent(self, kind: str, target: RegionId, size: int) -> None:
+        """Take a sent control message of `size` bytes."""
+        labels = {"kind": kind, "source": self._region, "target": target}
+        self._control_bytes.add(size, labels)
+        self._control_messages.add(1, labels)
+
+    def on_report(self, report: StatusReport) -> None:
+        """Take the process's own status report."""
+        self._cpu.set(report.cpu_seconds)
+        self._resident.set(report.resident_bytes)
+        self._ready.set(int(report.ready))
+        for team in report.teams:
+            labels = {"team": team.team, "service": team.service}
+            self._waiting.set(team.waiting, labels)
+            self._running.set(team.running, labels)
+            self._served.set(team.served_cost, labels)
+        for upstream in report.upstreams:
+            labels = {"upstream": upstream.upstream, "service": upstream.service}
+            self._slots.set(upstream.slots, labels)
+            self._taken.set(upstream.taken, labels)
+            self._busy.set(upstream.busy_seconds, labels)
+            self._idle.set(upstream.idle_while_waiting_seconds, labels)
+
+    def close(self) -> None:
+        """Do nothing; the meter's provider exports."""
+
+
+def make_metrics(
+    destination: Destination, process: ProcessId, region: RegionId
+) -> Metrics:
+    """Return the metrics of a process, as its settings say."""
+    if destination is Destination.NONE:
+        return NoMetrics()
+    from oleandershift.io.otlp import OtlpMetrics
+
+    return OtlpMetrics(process, region)
--- a/src/oleandershift/io/router.py
+++ b/src/oleandershift/io/router.py
@@ -310,6 +310,7 @@
             cpu_seconds=_cpu_seconds(),
             resident_bytes=_resident_bytes(),
         )
+        self._runtime.metrics.on_report(report)
         self._runtime.links.send(self._runtime.agent_address, report)
 
     def _new_outcomes(self) -> tuple[Outcome, ...]:
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,102 @@
+"""Tests of the metrics of a process."""
+
+import subprocess
+import sys
+import time
+from typing import Any
+
+import pytest
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+
+from oleandershift.events import EventName
+from oleandershift.ids import RegionId
+from oleandershift.io.logs import EventLog
+from oleandershift.io.metrics import MAX_OPEN_REQUESTS, MeterMetrics
+from tests.samples import REGION, REPORT, ROUTER
+
+
+class Recorded:
+    """Metrics read back from memory."""
+
+    def __init__(self) -> None:
+        self._reader = InMemoryMetricReader()
+        self._provider = MeterProvider([self._reader])
+        self.metrics = MeterMetrics(self._provider.get_meter("test"), REGION)
+        self.events = EventLog(ROUTER, REGION, self.metrics)
+
+    def points(self, name: str) -> list[Any]:
+        """Return the data points of one metric."""
+        data = self._reader.get_metrics_data()
+        found = [
+            list(metric.data.data_points)
+            for resource in (data.resource_metrics if data else [])
+            for scope in resource.scope_metrics
+            for metric in scope.metrics
+            if metric.name == name
+        ]
+        return found[0] if found else []
+
+
+@pytest.fixture
+def recorded() -> Recorded:
+    return Recorded()
+
+
+def test_queue_wait_and_service_time_are_between_events(recorded: Recorded) -> None:
+    for name in (
+        EventName.REQUEST_ACCEPTED,
+        EventName.REQUEST_GRANTED,
+        EventName.REQUEST_SENT,
+        EventName.REQUEST_FINISHED,
+    ):
+        recorded.events.write(name, request="r1", service="draft", team="a")
+        time.sleep(0.01)
+    (wait,) = recorded.points("oleander.queue_wait")
+    assert (wait.count, wait.sum >= 0.01) == (1, True)
+    (service,) = recorded.points("oleander.service_time")
+    assert (service.count, service.sum >= 0.01) == (1, True)
+
+
+def test_refusal_is_counted_by_reason(recorded: Recorded) -> None:
+    recorded.events.write(
+        EventName.REQUEST_REFUSED, request="r", service="draft", detail="429 team-rate"
+    )
+    (point,) = recorded.points("oleander.refusals")
+    assert (point.value, point.attributes["reason"]) == (1, "429 team-rate")
+
+
+def test_control_bytes_are_by_kind_and_region_pair(recorded: Recorded) -> None:
+    recorded.metrics.on_sent("Grants", RegionId("north"), 100)
+    recorded.metrics.on_sent("Grants", RegionId("north"), 50)
+    (point,) = recorded.points("oleander.control_sent")
+    assert point.value == 150
+    assert dict(point.attributes) == {
+        "kind": "Grants",
+        "source": "south",
+        "target": "north",
+    }
+
+
+def test_report_sets_gauges(recorded: Recorded) -> None:
+    recorded.metrics.on_report(REPORT)
+    (point,) = recorded.points("oleander.slots_taken")
+    assert (point.value, point.attributes["upstream"]) == (3, "u1")
+
+
+def test_requests_that_never_end_are_forgotten(recorded: Recorded) -> None:
+    for number in range(MAX_OPEN_REQUESTS + 10):
+        recorded.metrics._waits.begin(str(number), number)
+    assert len(recorded.metrics._waits.held) == MAX_OPEN_REQUESTS
+
+
+def test_sdk_is_not_imported_unless_used() -> None:
+    code = (
+        "import sys, oleandershift.cli.router, oleandershift.cli.allocator,"
+        " oleandershift.cli.agent;"
+        "print([m for m in sys.modules if m.startswith('opentelemetry')])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
