--- a/src/oleandershift/io/links.py
+++ b/src/oleandershift/io/links.py
@@ -12,6 +12,7 @@
 from oleandershift.events import EventName
 from oleandershift.ids import FleetId, RegionId
 from oleandershift.io.logs import EventLog
+from oleandershift.io.metrics import Metrics, NoMetrics
 from oleandershift.messages import (
     MAX_MESSAGE_BYTES,
     Body,
@@ -33,6 +34,16 @@
     sent_bytes: int = 0
 
 
+def _dialled(address: str) -> pynng.Push0:
+    peer = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+    try:
+        peer.dial(address, block=False)
+    except pynng.NNGException:
+        peer.close()
+        raise
+    return peer
+
+
 class Links:
     """Sends messages to link addresses and hands received ones to a callback.
 
@@ -53,6 +64,8 @@
         Called on the receiving thread for each good message.
     events : EventLog
         Clock, and log of dropped messages.
+    metrics : Metrics, optional
+        Takes sent messages.
     """
 
     def __init__(
@@ -63,6 +76,7 @@
         address: str,
         on_envelope: Callable[[Envelope], None],
         events: EventLog,
+        metrics: Metrics | None = None,
     ) -> None:
         self.address = address
         self.dropped = 0
@@ -71,6 +85,7 @@
         self._region = region
         self._on_envelope = on_envelope
         self._events = events
+        self._metrics = metrics or NoMetrics()
         self._lock = threading.Lock()
         self._peers: dict[str, pynng.Push0] = {}
         self._traffic: dict[RegionId, _Traffic] = {}
@@ -122,9 +137,11 @@
         data = encode(envelope)
         try:
             self._peer(address).send(data, block=False)
-        except (pynng.TryAgain, pynng.Timeout, pynng.Closed):
+        except pynng.NNGException:
             return False
-        self._count(region or self._region, len(data))
+        target = region or self._region
+        self._count(target, len(data))
+        self._metrics.on_sent(type(body).__name__, target, len(data))
         return True
 
     def forget(self, address: str) -> None:
@@ -146,8 +163,7 @@
         with self._lock:
             peer = self._peers.get(address)
             if peer is None:
-                peer = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
-                peer.dial(address, block=False)
+                peer = _dialled(address)
                 self._peers[address] = peer
             return peer
 
@@ -160,7 +176,7 @@
     def _receive(self) -> None:
         while not self._closing.is_set():
             try:
-                data = self._pull.recv()
+                data = self._pull.recv_msg().bytes
             except pynng.Timeout:
                 continue
             except pynng.Closed:
@@ -176,7 +192,9 @@
         if envelope.fleet != self._fleet:
             self._drop(f"fleet {envelope.fleet!r}")
             return
-        self._events.received(Stamp(envelope.wall, envelope.logical))
+        if not self._events.received(Stamp(envelope.wall, envelope.logical)):
+            self._drop(f"clock {envelope.wall}.{envelope.logical}")
+            return
         try:
             self._on_envelope(envelope)
         except Exception:
