Start the HTTP server's worker threads as requests need them

Cause: tests failed with "can't start new thread" while several fleets ran on one machine: each router started a thread for every request that its limit allows (1,000 by default) at once, and nine routers held over 9,000 threads at rest. Ruled out: a smaller default limit, which would refuse bursts that a VM can hold. Change: io/workers.py grows the pool when a request finds no idle thread. Conclusion: a VM pays for the requests that it holds, not for its limit.

--- a/src/oleandershift/io/server.py
+++ b/src/oleandershift/io/server.py
@@ -12,6 +12,7 @@
 from oleandershift.ids import RequestId
 from oleandershift.io.answers import problem_answer
 from oleandershift.io.front import Front, status_line
+from oleandershift.io.workers import WorkerPool
 from oleandershift.problems import Problem, Reason
 
 SPARE_THREADS = 16
@@ -78,9 +79,9 @@
         threads = max_requests + SPARE_THREADS
         made: Any = create_server(
             front,
+            _dispatcher=WorkerPool(threads),
             host=ip,
             port=port,
-            threads=threads,
             connection_limit=threads * CONNECTIONS_PER_REQUEST,
             channel_request_lookahead=LOOKAHEAD_REQUESTS,
             asyncore_use_poll=True,
--- /dev/null
+++ b/tests/test_workers.py
@@ -0,0 +1,46 @@
+"""Tests of the HTTP server's worker threads."""
+
+import threading
+
+from oleandershift.io.workers import IDLE_WORKERS, WorkerPool
+
+WAIT_SECONDS = 20
+LIMIT = 12
+
+
+class Blocking:
+    """Task that holds its thread until released."""
+
+    def __init__(self) -> None:
+        self.started = threading.Event()
+        self.release = threading.Event()
+
+    def service(self) -> None:
+        """Hold the thread."""
+        self.started.set()
+        self.release.wait(WAIT_SECONDS)
+
+    def cancel(self) -> None:
+        """Let go."""
+        self.release.set()
+
+
+def test_pool_at_rest_holds_few_threads() -> None:
+    pool = WorkerPool(1000)
+    assert len(pool.threads) == IDLE_WORKERS
+    pool.shutdown()
+
+
+def test_each_task_gets_a_thread_up_to_the_limit() -> None:
+    pool = WorkerPool(LIMIT)
+    tasks = [Blocking() for _ in range(LIMIT + 1)]
+    for task in tasks:
+        pool.add_task(task)
+    assert all(task.started.wait(WAIT_SECONDS) for task in tasks[:LIMIT])
+    assert not tasks[LIMIT].started.is_set()
+    assert len(pool.threads) == LIMIT
+    tasks[0].release.set()
+    assert tasks[LIMIT].started.wait(WAIT_SECONDS)
+    for task in tasks:
+        task.release.set()
+    pool.shutdown()
