--- a/src/oleandershift/allocation.py
+++ b/src/oleandershift/allocation.py
@@ -202,6 +202,9 @@
         self._backlog.forget(now, client.key)
         self._holdings.lose(now, client.key)
         self._clients.remove(client.key)
+        if client.remote:
+            self._charging.relay(client.process)
+            self._peers.touch()
 
     # Snapshots
 
@@ -210,6 +213,7 @@
         if client is None:
             return
         client.heard_at = now
+        self._charging.merge(snapshot.client, snapshot.service_totals)
         receipt = client.receipt(snapshot)
         if receipt is Receipt.GAP:
             client.ask_for_full(now)
@@ -233,6 +237,7 @@
             client.address = snapshot.reply_to
             return client
         if snapshot.client.incarnation < client.process.incarnation:
+            self._charging.merge(snapshot.client, snapshot.service_totals)
             return None
         self._lose(now, client)
         return self._clients.add(snapshot)
@@ -246,7 +251,6 @@
             for load in loads
             if not self._backlog.is_backlogged(load.team)
         ]
-        self._charging.merge(snapshot.service_totals)
         for load in loads:
             self._backlog.put(now, client.key, client.remote, load)
         for use in snapshot.grants:
@@ -258,7 +262,7 @@
         if not client.remote:
             for load in loads:
                 self._peers.note_load(self._local_load(load.team))
-        client.have = snapshot.seq
+        client.take(snapshot)
 
     def _absent(self, client: Client, snapshot: Snapshot) -> tuple[TeamLoad, ...]:
         """Return empty loads for the teams that a full snapshot does not mention."""
@@ -309,7 +313,7 @@
     def _finish(self, now: float) -> list[AllocatorAction]:
         self._fill(now)
         self._actions += self._holdings.take_notes()
-        for key in self._holdings.take_granted() | self._to_answer:
+        for key in sorted(self._holdings.take_granted() | self._to_answer):
             client = self._clients.get(key)
             if client is not None:
                 self._answer(now, client)
--- a/src/oleandershift/backlog.py
+++ b/src/oleandershift/backlog.py
@@ -45,6 +45,7 @@
     weight: float = 1.0
     max_running: int = 1 << 30
     virtual: float = 0.0
+    settled: float = 0.0
     local: dict[ClientKey, _Claim] = field(default_factory=dict)
     remote: dict[ClientKey, _Claim] = field(default_factory=dict)
     running: int = 0
@@ -85,10 +86,10 @@
         held.weight, held.max_running = weight, max_running
         self._place(team, held)
 
-    def set_virtual(self, team: TeamId, virtual: float) -> None:
-        """Take a team's virtual service."""
+    def set_virtual(self, team: TeamId, virtual: float, settled: float) -> None:
+        """Take a team's virtual service, and what of it is settled."""
         held = self._team(team)
-        held.virtual = virtual
+        held.virtual, held.settled = virtual, settled
         if team in self._placed:
             self._place(team, held)
 
@@ -145,14 +146,14 @@
         return self._team(team).last_backlogged
 
     def least(self) -> float | None:
-        """Return the least virtual service among backlogged teams."""
+        """Return the least settled virtual service among backlogged teams."""
         return self._all[0][0] if self._all else None
 
     def least_of_others(self, team: TeamId) -> float | None:
-        """Return the least virtual service among backlogged teams but one."""
-        for virtual, name in self._all:
+        """Return the least settled virtual service of backlogged teams but one."""
+        for settled, name in self._all:
             if name != team:
-                return float(virtual)
+                return float(settled)
         return None
 
     def candidates(self, now: float) -> Iterator[tuple[TeamId, ClientKey, bool]]:
@@ -262,15 +263,15 @@
         elif held.waiting_remote_open > 0:
             remote = held.virtual + LOCALITY_BIAS_TOKENS / held.weight
             self._remote.add((remote, team))
-        self._all.add((held.virtual, team))
-        self._placed[team] = (held.virtual, local, remote)
+        self._all.add((held.settled, team))
+        self._placed[team] = (held.settled, local, remote)
 
     def _unplace(self, team: TeamId) -> None:
         placed = self._placed.pop(team, None)
         if placed is None:
             return
-        virtual, local, remote = placed
-        self._all.remove((virtual, team))
+        settled, local, remote = placed
+        self._all.remove((settled, team))
         if local is not None:
             self._local.remove((local, team))
         if remote is not None:
--- a/src/oleandershift/charging.py
+++ b/src/oleandershift/charging.py
@@ -54,12 +54,21 @@
         guess = hint or self._costs.estimate(load.team)
         return self._costs.bounded(load.team, guess, ESTIMATE_FACTOR)
 
-    def charge(self, team: TeamId, tokens: float) -> None:
-        """Charge a team; negative to give back."""
-        if tokens == 0.0:
-            return
-        self.totals.charge(team, tokens / self.weight(team))
-        self._backlog.set_virtual(team, self.totals.virtual(team))
+    def charge(self, team: TeamId, tokens: float, unsettled: float = 0.0) -> None:
+        """Charge a team; negative to give back.
+
+        Parameters
+        ----------
+        team : TeamId
+            The team.
+        tokens : float
+            Change of its charge.
+        unsettled : float
+            Change of what is charged for requests that have not ended, tokens.
+        """
+        weight = self.weight(team)
+        self.totals.charge(team, tokens / weight, unsettled / weight)
+        self._publish(team)
 
     def observe(self, team: TeamId, cost: float) -> None:
         """Take the cost of an ended request, tokens."""
@@ -76,7 +85,9 @@
 
         It is lifted to the least virtual service of the other backlogged teams, less a
         credit when it was idle for a moment only: it must neither save up service that
-        it did not ask for, nor lose its turn by an instant without a request.
+        it did not ask for, nor lose its turn by an instant without a request. What
+        the others are charged for requests that have not ended does not count, as it
+        may be given back.
         """
         floor = self._backlog.least_of_others(team)
         if floor is None:
@@ -84,9 +95,19 @@
         if idle_since != NEVER and now - idle_since < RETURN_GRACE_SECONDS:
             floor -= RETURN_CREDIT_TOKENS / self.weight(team)
         self.totals.lift(team, floor)
-        self._backlog.set_virtual(team, self.totals.virtual(team))
-
-    def merge(self, registers: Iterable[AllocatorTotals]) -> None:
-        """Take other incarnations' registers."""
-        for team in self.totals.merge(registers):
-            self._backlog.set_virtual(team, self.totals.virtual(team))
+        self._publish(team)
+
+    def merge(self, speaker: ProcessId, registers: Iterable[AllocatorTotals]) -> None:
+        """Take registers that an allocator sends: its own, and others passed on."""
+        self.totals.resume(speaker)
+        for team in self.totals.merge(speaker, registers):
+            self._publish(team)
+
+    def relay(self, writer: ProcessId) -> None:
+        """Pass on the register of an allocator that has gone."""
+        for team in self.totals.relay(writer):
+            self._publish(team)
+
+    def _publish(self, team: TeamId) -> None:
+        totals = self.totals
+        self._backlog.set_virtual(team, totals.virtual(team), totals.settled(team))
--- a/src/oleandershift/clients.py
+++ b/src/oleandershift/clients.py
@@ -38,8 +38,10 @@
         Link address that grants go to.
     remote : bool
         It is another region's allocator.
-    have : Seq
-        Position up to which everything is known.
+    taken : Seq
+        Position of the newest snapshot taken.
+    incomplete : bool
+        A snapshot was missed; only a full one is taken.
     heard_at : float
         When it was last heard.
     ack_due_at : float or None
@@ -54,20 +56,35 @@
     region: RegionId
     address: str
     remote: bool
-    have: Seq = Seq(0)
+    taken: Seq = Seq(0)
+    incomplete: bool = False
     heard_at: float = 0.0
     ack_due_at: float | None = None
     avoid: dict[UpstreamId, float] = field(default_factory=dict)
 
     def receipt(self, snapshot: Snapshot) -> Receipt:
         """Tell what a snapshot is worth."""
-        if snapshot.base > self.have:
+        if snapshot.seq < self.taken:
+            return Receipt.OLD
+        if snapshot.base > self.taken or (self.incomplete and snapshot.base > 0):
             return Receipt.GAP
-        return Receipt.NEW if snapshot.seq > self.have else Receipt.OLD
+        if snapshot.seq == self.taken and not self.incomplete:
+            return Receipt.OLD
+        return Receipt.NEW
+
+    def take(self, snapshot: Snapshot) -> None:
+        """Note that a snapshot has been taken."""
+        self.taken = snapshot.seq
+        self.incomplete = False
+
+    @property
+    def have(self) -> Seq:
+        """Return the position to acknowledge; 0 asks for a full snapshot."""
+        return Seq(0) if self.incomplete else self.taken
 
     def ask_for_full(self, now: float) -> None:
         """Acknowledge nothing, at once."""
-        self.have = Seq(0)
+        self.incomplete = True
         self.ack_due_at = now
 
     def acknowledge_later(self, now: float) -> None:
--- a/src/oleandershift/fair.py
+++ b/src/oleandershift/fair.py
@@ -150,7 +150,9 @@
         )
         link = self._link(service)
         key = (use.allocator, use.grant)
-        if key in link.seen:
+        if key in link.seen or now >= grant.deadline:
+            # Past its deadline it may be a late copy of one that is in use; the
+            # allocator frees it when no snapshot mentions it.
             return []
         link.seen[key] = grant.deadline
         req = self._request_for(now, service, grant)
@@ -164,8 +166,6 @@
         self, now: float, service: ServiceState, grant: Grant
     ) -> QueuedRequest | None:
         """Return the request to run on a grant; None hands it back."""
-        if now >= grant.deadline or grant.upstream not in service.usable:
-            return None
-        if grant.upstream in self._ejected:
+        if grant.upstream not in service.usable or grant.upstream in self._ejected:
             return None
         return service.queues.first(now, grant.team, grant.upstream)
--- a/src/oleandershift/holdings.py
+++ b/src/oleandershift/holdings.py
@@ -104,12 +104,9 @@
     def borrow(
         self, now: float, lender: RegionId, allocator: ProcessId, grant: Grant
     ) -> None:
-        """Use a slot that another region has lent, or hand it back."""
+        """Use a slot that another region has just lent, or hand it back."""
         use = GrantUse(allocator.incarnation, grant.grant, grant.upstream, grant.team)
         origin = Origin(lender, use, grant.deadline + LEASE_SECONDS)
-        if now >= grant.deadline:
-            self._hand_back(origin)
-            return
         router = self._backlog.router_for(now, grant.team)
         if router is None:
             self._reuse(now, origin)
@@ -159,7 +156,7 @@
         self._ledger.add(held)
         self._granted.add(client)
         self._backlog.count_unmentioned(now, client, remote, team, 1)
-        self._charge_to(held, grant.charged)
+        self._charge_to(held, grant.charged, grant.charged)
         return held
 
     # Uses
@@ -176,7 +173,7 @@
             self._ledger.reclaim(held, client)
         self._mention(now, held)
         if held.remote:
-            self._charge_to(held, 0.0)
+            self._charge_to(held, 0.0, 0.0)
         else:
             self._correct(held, use)
         if use.done:
@@ -186,7 +183,7 @@
         self, now: float, client: ClientKey, remote: bool, use: GrantUse
     ) -> None:
         """Adopt a predecessor's grant, or settle it when it has ended."""
-        if use.allocator == self._process.incarnation:
+        if use.done and use.allocator == self._process.incarnation:
             return
         if use.done:
             final = 0.0 if use.unused else use.cost
@@ -209,9 +206,10 @@
     def _correct(self, held: OpenGrant, use: GrantUse) -> None:
         """Charge the cost beyond the estimate or, at the end, the final cost."""
         if use.done:
-            self._charge_to(held, 0.0 if use.unused else use.cost)
+            self._charge_to(held, 0.0 if use.unused else use.cost, 0.0)
         else:
-            self._charge_to(held, max(held.charged, use.cost))
+            charged = max(held.charged, use.cost)
+            self._charge_to(held, charged, charged - use.cost)
 
     def _settle(self, now: float, held: OpenGrant, use: GrantUse) -> None:
         if not held.remote and not use.unused:
@@ -243,7 +241,7 @@
         for held in self._ledger.unmentioned(client):
             if sent > held.grant.deadline + GRANT_MARGIN_SECONDS:
                 self._mention(now, held)
-                self._charge_to(held, 0.0)
+                self._charge_to(held, 0.0, 0.0)
                 self._note(EventName.GRANT_RETURNED, held, "never mentioned")
                 self._drop(now, held)
 
@@ -252,12 +250,13 @@
         for held in self._ledger.orphan(now, client):
             if held.origin is not None:
                 self._note(EventName.GRANT_CLOSED, held, "router vanished")
+                self._charge_to(held, held.charged, 0.0)
                 self._ledger.close(held)
                 self._hand_back(held.origin)
 
     def on_load(self, load: UpstreamLoad) -> None:
         """Free orphans whose upstream reports fewer requests than there are grants."""
-        opened = self._slots.opened(load.upstream)
+        opened = self._slots.least_opened(load.upstream)
         surplus = max(0, opened - load.running - load.waiting)
         settled = [
             held
@@ -279,6 +278,7 @@
     # Common
 
     def _drop(self, now: float, held: OpenGrant) -> None:
+        self._charge_to(held, held.charged, 0.0)
         self._ledger.close(held)
         if held.origin is None:
             self._slots.release(held.upstream)
@@ -292,13 +292,14 @@
             GrantUse(use.allocator, use.grant, use.upstream, use.team, done=True),
         )
 
-    def _charge_to(self, held: OpenGrant, target: float) -> None:
-        self._charge(held.team, target - held.charged)
-        held.charged = target
+    def _charge_to(self, held: OpenGrant, target: float, unsettled: float) -> None:
+        """Set what a grant is charged, and what of it may still be given back."""
+        self._charge(held.team, target - held.charged, unsettled - held.unsettled)
+        held.charged, held.unsettled = target, unsettled
 
-    def _charge(self, team: TeamId, tokens: float) -> None:
-        if tokens != 0.0:
-            self._charging.charge(team, tokens)
+    def _charge(self, team: TeamId, tokens: float, unsettled: float = 0.0) -> None:
+        if tokens != 0.0 or unsettled != 0.0:
+            self._charging.charge(team, tokens, unsettled)
             self._peers.touch()
 
     def _note(self, event: EventName, held: OpenGrant, detail: str) -> None:
--- a/src/oleandershift/ledger.py
+++ b/src/oleandershift/ledger.py
@@ -53,6 +53,8 @@
         When it was last sent.
     orphaned_at : float or None
         When its client vanished.
+    unsettled : float
+        What of the charge may still be given back, tokens.
     """
 
     key: UseKey
@@ -64,6 +66,7 @@
     mentioned_at: float | None = None
     sent_at: float = 0.0
     orphaned_at: float | None = None
+    unsettled: float = 0.0
 
     @property
     def team(self) -> TeamId:
--- a/src/oleandershift/local.py
+++ b/src/oleandershift/local.py
@@ -169,7 +169,7 @@
             return []
         self._heard[service.name][body.client.vm] = body
         self._heard_at[service.name, body.client.vm] = now
-        self._queue(service).charging.merge(body.service_totals)
+        self._queue(service).charging.merge(body.client, body.service_totals)
         return self._advance(now, service)
 
     def on_tick(self, now: float) -> list[Action]:
--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -351,12 +351,27 @@
 
 
 class TeamTotal(msgspec.Struct, frozen=True, array_like=True):
-    """Virtual service of one team (cost over weight) charged by one allocator."""
+    """Virtual service of one team (cost over weight) charged by one allocator.
+
+    Parameters
+    ----------
+    team : TeamId
+        The team.
+    seq : Seq
+        Number of the entry's last change.
+    virtual : float
+        Charged by this allocator, tokens over weight.
+    lift : float
+        Largest lift that this allocator has given the team.
+    unsettled : float
+        Part of `virtual` that stands for requests which have not ended.
+    """
 
     team: TeamId
     seq: Seq
     virtual: float
     lift: float = 0.0
+    unsettled: float = 0.0
 
 
 class AllocatorTotals(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oleandershift/peers.py
+++ b/src/oleandershift/peers.py
@@ -79,7 +79,11 @@
             self.stream.touch_team(load.team, urgent=sent.waiting == 0)
 
     def on_grants(self, now: float, message: Grants) -> tuple[Grant, ...]:
-        """Take the peer's answer and return the grants that are new."""
+        """Take the peer's answer and return the grants that are new.
+
+        One past its deadline is not: it may be a late copy of one that is in use. The
+        lender frees it when no snapshot mentions it.
+        """
         if message.allocator.vm != self.vm:
             return ()
         if not self.stream.expects(message.allocator):
@@ -89,7 +93,7 @@
         fresh = []
         for grant in message.grants:
             key = (incarnation, grant.grant)
-            if key not in self._seen:
+            if key not in self._seen and now < grant.deadline:
                 self._seen[key] = grant.deadline
                 fresh.append(grant)
         return tuple(fresh)
--- a/src/oleandershift/queueing.py
+++ b/src/oleandershift/queueing.py
@@ -100,7 +100,7 @@
         """Take the table and members now in force."""
         self._table = table
         actions: list[Action] = []
-        for name in table.services.keys() | self._services.keys():
+        for name in sorted(table.services.keys() | self._services.keys()):
             service = self._services.setdefault(name, ServiceState(name))
             service.usable = {
                 row.name: row
--- a/src/oleandershift/roles.py
+++ b/src/oleandershift/roles.py
@@ -56,10 +56,10 @@
             service for service in table.services if self._is_mine(service, members)
         }
         actions: list[AllocatorAction] = []
-        for service in self._allocators.keys() - wanted:
+        for service in sorted(self._allocators.keys() - wanted):
             del self._allocators[service]
             actions.append(Note(EventName.ROLE_LEFT, service=service))
-        for service in wanted - self._allocators.keys():
+        for service in sorted(wanted - self._allocators.keys()):
             self._allocators[service] = self._make(now, service)
             actions.append(Note(EventName.ROLE_TAKEN, service=service))
         for allocator in self._allocators.values():
--- a/src/oleandershift/slots.py
+++ b/src/oleandershift/slots.py
@@ -40,6 +40,7 @@
     busy_seconds: float = 0.0
     idle_while_waiting_seconds: float = 0.0
     _peaks: list[int] = field(default_factory=lambda: [0, 0])
+    _troughs: list[int] = field(default_factory=lambda: [0, 0])
 
     @property
     def taken(self) -> int:
@@ -50,6 +51,7 @@
         """Count a grant opened (1) or closed (-1)."""
         self.opened += step
         self._peaks[-1] = max(self._peaks[-1], self.opened)
+        self._troughs[-1] = min(self._troughs[-1], self.opened)
 
     def report(self, load: UpstreamLoad) -> None:
         """Take a load report.
@@ -60,6 +62,11 @@
         self.reported = load
         self.excess = max(0, load.running + load.waiting - max(self._peaks))
         self._peaks = [self._peaks[-1], self.opened]
+        self._troughs = [self._troughs[-1], self.opened]
+
+    def least_opened(self) -> int:
+        """Return the fewest grants open since the report before the last."""
+        return min(self._troughs)
 
     def observe_speed(self, speed: float) -> None:
         """Take the speed of one finished request, tokens a second."""
@@ -109,10 +116,10 @@
         for name in self._upstreams:
             self._place(name)
 
-    def opened(self, upstream: UpstreamId) -> int:
-        """Return the open grants of an upstream."""
+    def least_opened(self, upstream: UpstreamId) -> int:
+        """Return the fewest grants open since an upstream's report before the last."""
         held = self._upstreams.get(upstream)
-        return held.opened if held else 0
+        return held.least_opened() if held else 0
 
     def take(self, upstream: UpstreamId) -> None:
         """Count an opened grant."""
--- a/src/oleandershift/totals.py
+++ b/src/oleandershift/totals.py
@@ -16,7 +16,13 @@
 
 def _rounded(total: TeamTotal) -> TeamTotal:
     """Return a total in whole tokens, which take fewer bytes than fractions."""
-    return TeamTotal(total.team, total.seq, round(total.virtual), round(total.lift))
+    return TeamTotal(
+        total.team,
+        total.seq,
+        round(total.virtual),
+        round(total.lift),
+        round(total.unsettled),
+    )
 
 
 class Totals:
@@ -41,6 +47,8 @@
         self._entries: dict[_Entry, TeamTotal] = {}
         self._sums: defaultdict[TeamId, float] = defaultdict(float)
         self._lifts: defaultdict[TeamId, float] = defaultdict(float)
+        self._unsettled: defaultdict[TeamId, float] = defaultdict(float)
+        self._gone: set[ProcessId] = set()
         self._log: ChangeLog[_Entry] = ChangeLog()
         self.position = Seq(0)
 
@@ -48,7 +56,11 @@
         """Return a team's virtual service, tokens over weight."""
         return self._sums.get(team, 0.0) + self._lifts.get(team, 0.0)
 
-    def charge(self, team: TeamId, virtual: float) -> None:
+    def settled(self, team: TeamId) -> float:
+        """Return a team's virtual service without that of requests not yet ended."""
+        return self.virtual(team) - self._unsettled.get(team, 0.0)
+
+    def charge(self, team: TeamId, virtual: float, unsettled: float = 0.0) -> None:
         """Add virtual service to this incarnation's register.
 
         Parameters
@@ -57,11 +69,20 @@
             The team.
         virtual : float
             Tokens over weight; negative when an estimate was too high.
+        unsettled : float
+            Change of the part that stands for requests not yet ended.
         """
         held = self._own(team)
         self._sums[team] += virtual
+        self._unsettled[team] += unsettled
         self._write(
-            TeamTotal(team, Seq(held.seq + 1), held.virtual + virtual, held.lift)
+            TeamTotal(
+                team,
+                Seq(held.seq + 1),
+                held.virtual + virtual,
+                held.lift,
+                held.unsettled + unsettled,
+            )
         )
 
     def lift(self, team: TeamId, floor: float) -> None:
@@ -71,25 +92,50 @@
             return
         held = self._own(team)
         self._lifts[team] = wanted
-        self._write(TeamTotal(team, Seq(held.seq + 1), held.virtual, wanted))
+        self._write(
+            TeamTotal(team, Seq(held.seq + 1), held.virtual, wanted, held.unsettled)
+        )
 
-    def merge(self, registers: Iterable[AllocatorTotals]) -> frozenset[TeamId]:
-        """Take other incarnations' entries; return the teams that changed."""
+    def merge(
+        self, speaker: ProcessId, registers: Iterable[AllocatorTotals]
+    ) -> frozenset[TeamId]:
+        """Take entries that `speaker` sent; return the teams that changed."""
         changed: set[TeamId] = set()
         for register in registers:
             if register.allocator == self._writer:
                 continue
+            if (
+                register.allocator not in self._regions
+                and register.allocator != speaker
+            ):
+                self._gone.add(register.allocator)
             self._regions[register.allocator] = register.region
             for total in register.teams:
                 if self._take(register.allocator, total):
                     changed.add(total.team)
         return frozenset(changed)
 
-    def relay(self, writer: ProcessId) -> None:
-        """Mark another incarnation's register so that it is passed on."""
-        for entry in self._entries:
-            if entry[0] == writer:
-                self._mark(entry)
+    def relay(self, writer: ProcessId) -> frozenset[TeamId]:
+        """Pass on the register of an incarnation that no longer speaks for itself.
+
+        Its requests that have not ended are settled by others. Returns its teams.
+        """
+        entries = [entry for entry in self._entries if entry[0] == writer]
+        for entry in entries:
+            self._mark(entry)
+            if writer not in self._gone:
+                self._unsettled[entry[1]] -= self._entries[entry].unsettled
+        self._gone.add(writer)
+        return frozenset(team for _, team in entries)
+
+    def resume(self, writer: ProcessId) -> None:
+        """Take note that an incarnation speaks for itself again."""
+        if writer not in self._gone:
+            return
+        self._gone.discard(writer)
+        for (process, team), total in self._entries.items():
+            if process == writer:
+                self._unsettled[team] += total.unsettled
 
     def since(self, base: Seq) -> tuple[AllocatorTotals, ...]:
         """Return entries to send to a peer that has everything up to `base`.
@@ -126,4 +172,7 @@
         self._entries[entry] = total
         self._sums[total.team] += total.virtual - (held.virtual if held else 0.0)
         self._lifts[total.team] = max(self._lifts[total.team], total.lift)
+        if writer not in self._gone:
+            before = held.unsettled if held else 0.0
+            self._unsettled[total.team] += total.unsettled - before
         return True
--- a/tests/test_totals.py
+++ b/tests/test_totals.py
@@ -9,9 +9,12 @@
 A, B = TeamId("a"), TeamId("b")
 
 
+def process(vm: str) -> ProcessId:
+    return ProcessId(VmId(vm), Role.ALLOCATOR, Incarnation(1))
+
+
 def made(vm: str) -> Totals:
-    process = ProcessId(VmId(vm), Role.ALLOCATOR, Incarnation(1))
-    return Totals(process, RegionId(vm))
+    return Totals(process(vm), RegionId(vm))
 
 
 def test_lift_never_lowers() -> None:
@@ -40,8 +43,8 @@
 def test_successor_learns_a_dead_register_from_a_peer() -> None:
     dead, peer, successor = made("x"), made("y"), made("z")
     dead.charge(A, 100.0)
-    peer.merge(dead.since(Seq(0)))
-    successor.merge(peer.since(Seq(0)))
+    peer.merge(process("x"), dead.since(Seq(0)))
+    successor.merge(process("y"), peer.since(Seq(0)))
     assert successor.virtual(A) == 100.0
 
 
@@ -65,6 +68,6 @@
         deliveries = sent + rng.sample(sent, len(sent) // 2)
         rng.shuffle(deliveries)
         for delivery in deliveries:
-            reader.merge(delivery)
+            reader.merge(process("y"), delivery)
     for team in (A, B):
         assert abs(readers[0].virtual(team) - readers[1].virtual(team)) < 1e-6
