--- a/src/oleandershift/holdings.py
+++ b/src/oleandershift/holdings.py
@@ -178,6 +178,8 @@
             self._correct(held, use)
         if use.done:
             self._settle(now, held, use)
+        elif use.unused:
+            self._ledger.set_orphan(now, held)
 
     def _take_unknown(
         self, now: float, client: ClientKey, remote: bool, use: GrantUse
@@ -252,7 +254,7 @@
                 self._note(EventName.GRANT_CLOSED, held, "router vanished")
                 self._charge_to(held, held.charged, 0.0)
                 self._ledger.close(held)
-                self._hand_back(held.origin)
+                self._hand_back(held.origin, vanished=True)
 
     def on_load(self, load: UpstreamLoad) -> None:
         """Free orphans whose upstream reports fewer requests than there are grants."""
@@ -285,12 +287,17 @@
         else:
             self._reuse(now, held.origin)
 
-    def _hand_back(self, origin: Origin) -> None:
+    def _hand_back(self, origin: Origin, vanished: bool = False) -> None:
         use = origin.use
-        self._peers.put_use(
-            origin.region,
-            GrantUse(use.allocator, use.grant, use.upstream, use.team, done=True),
+        ended = GrantUse(
+            use.allocator,
+            use.grant,
+            use.upstream,
+            use.team,
+            done=not vanished,
+            unused=vanished,
         )
+        self._peers.put_use(origin.region, ended)
 
     def _charge_to(self, held: OpenGrant, target: float, unsettled: float) -> None:
         """Set what a grant is charged, and what of it may still be given back."""
--- a/src/oleandershift/ledger.py
+++ b/src/oleandershift/ledger.py
@@ -119,12 +119,17 @@
         """Return a vanished client's grants, all of which may be in use."""
         found = tuple(self._of_client.pop(client, {}).values())
         for held in found:
-            held.orphaned_at = now
-            held.mentioned_at = held.mentioned_at or now
-            self._orphans[held.key] = held
-        self._unmentioned.pop(client, None)
+            self.set_orphan(now, held)
         return found
 
+    def set_orphan(self, now: float, held: OpenGrant) -> None:
+        """Note that a grant's holder has vanished."""
+        self._of_client[held.client].pop(held.key, None)
+        self._unmentioned[held.client].pop(held.key, None)
+        held.orphaned_at = now
+        held.mentioned_at = held.mentioned_at or now
+        self._orphans[held.key] = held
+
     def reclaim(self, held: OpenGrant, client: ClientKey) -> None:
         """Give an orphan to the client that speaks of it."""
         self._orphans.pop(held.key, None)
--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -292,7 +292,8 @@
     done : bool
         The work is over and `cost` is final; the slot is free. False means running.
     unused : bool
-        Handed back without having been used (`done` is true as well).
+        Handed back without having been used (`done` is true as well). Without `done`:
+        the holder has vanished and may have used it.
     charged : float
         What the granting allocator had charged when it made the grant, tokens.
     """
--- a/src/oleandershift/slots.py
+++ b/src/oleandershift/slots.py
@@ -1,5 +1,6 @@
 """Slots of one region's upstreams: how many are taken, and where the next one goes."""
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -10,6 +11,7 @@
 from oleandershift.rows import UpstreamRow, UpstreamState
 
 REPORT_LAG_SECONDS = 2.0
+LASTING_REPORTS = 3
 SPEED_SMOOTHING = 0.2
 
 
@@ -41,6 +43,9 @@
     idle_while_waiting_seconds: float = 0.0
     _peaks: list[int] = field(default_factory=lambda: [0, 0])
     _troughs: list[int] = field(default_factory=lambda: [0, 0])
+    _surpluses: deque[float] = field(
+        default_factory=lambda: deque(maxlen=LASTING_REPORTS)
+    )
 
     @property
     def taken(self) -> int:
@@ -57,10 +62,17 @@
         """Take a load report.
 
         A report lags, so that it is compared with the most grants open since the
-        report before the last.
+        report before the last. What all of the last few reports show beyond the middle
+        of the grants open is taken as well: it is the work of others.
         """
         self.reported = load
-        self.excess = max(0, load.running + load.waiting - max(self._peaks))
+        shown = load.running + load.waiting
+        middle = (max(self._peaks) + min(self._troughs)) / 2
+        self._surpluses.append(shown - middle)
+        lasting = 0
+        if len(self._surpluses) == LASTING_REPORTS:
+            lasting = int(max(0.0, min(self._surpluses)))
+        self.excess = max(lasting, shown - max(self._peaks))
         self._peaks = [self._peaks[-1], self.opened]
         self._troughs = [self._troughs[-1], self.opened]
 
--- a/src/oleandershift/streams.py
+++ b/src/oleandershift/streams.py
@@ -168,6 +168,6 @@
 
     def _drop_acknowledged(self) -> None:
         for key in tuple(self._grants.until(self.acked)):
-            if self.uses[key].done:
+            if self.uses[key].done or self.uses[key].unused:
                 del self.uses[key]
                 self._grants.forget(key)
