Test the time line, status and explain of one request over real processes

One VM's daemons, the platform and an engine: the time line of the request holds events of router, allocator and upstream in order.

--- a/standins/capacity/daemons.py
+++ b/standins/capacity/daemons.py
@@ -4,7 +4,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -42,24 +42,32 @@
     ----------
     table : iterable of Row
         Rows that the platform holds.
+    ip : str
+        Address of everything.
+    ports : mapping
+        Port of each port setting.
     policy : str
         The router's policy.
     """
 
     table: Iterable[Row]
+    ip: str = IP
+    ports: Mapping[str, int] = field(default_factory=lambda: PORTS)
     policy: str = "fair" if "fair" in POLICIES else "fcfs"
-    platform: Platform = field(default_factory=lambda: Platform(ip=IP))
     processes: dict[Role, "subprocess.Popen[bytes]"] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        self.platform = Platform(ip=self.ip)
+
     @property
     def query_address(self) -> str:
         """Return the address of the agent's query socket."""
-        return f"{IP}:{PORTS['query-port']}"
+        return f"{self.ip}:{self.ports['query-port']}"
 
     @property
     def url(self) -> str:
         """Return the router's URL."""
-        return f"http://{IP}:{PORTS['http-port']}"
+        return f"http://{self.ip}:{self.ports['http-port']}"
 
     def start(self, logs: Path) -> None:
         """Start everything and wait until all daemons are ready."""
@@ -71,8 +79,8 @@
         self._wait_ready()
 
     def _spawn(self, role: Role, logs: Path) -> "subprocess.Popen[bytes]":
-        args = [f"--{name}={port}" for name, port in PORTS.items()]
-        args += [f"--ip={IP}", "--vm=vm-0000", f"--region={region(0)}"]
+        args = [f"--{name}={port}" for name, port in self.ports.items()]
+        args += [f"--ip={self.ip}", "--vm=vm-0000", f"--region={region(0)}"]
         args += ["--data-centre=dc-00", f"--fleet={FLEET}"]
         args += [f"--log-file={logs / role.value}.jsonl"]
         if role is not Role.ALLOCATOR:
@@ -119,11 +127,11 @@
 
 
 @contextmanager
-def running(vm: Vm) -> Iterator[Vm]:
-    """Run a VM's daemons for a while."""
-    with tempfile.TemporaryDirectory() as logs:
+def running(vm: Vm, logs: Path | None = None) -> Iterator[Vm]:
+    """Run a VM's daemons for a while; logs go to a folder, or are thrown away."""
+    with tempfile.TemporaryDirectory() as scratch:
         try:
-            vm.start(Path(logs))
+            vm.start(logs or Path(scratch))
             yield vm
         finally:
             vm.stop()
--- /dev/null
+++ b/tests/integration/test_timeline.py
@@ -0,0 +1,83 @@
+"""The time line of one request over real processes."""
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+import urllib3
+from loguru import logger
+
+from oleandershift.cli import operator
+from oleandershift.events import EventName
+from oleandershift.ids import RegionId, ServiceId, TeamId, UpstreamId
+from oleandershift.io.logs import configure
+from oleandershift.keys import hash_key
+from oleandershift.messages import Row
+from oleandershift.rows import Kind, ServiceRow, TeamRow, UpstreamRow, encode_row
+from oleandershift.timeline import Filter, Timeline
+from standins.capacity.daemons import PORTS, Vm, running
+from standins.engine import Engine
+from standins.run import UpstreamConfig
+from tests.ports import free_ports
+
+KEY = "ole_test"
+
+
+@pytest.fixture
+def engine(tmp_path: Path) -> Iterator[Engine]:
+    configure("INFO", str(tmp_path / "engine.jsonl"))
+    made = Engine(UpstreamConfig(name="engine-1", speed=1000.0))
+    made.start()
+    yield made
+    made.stop()
+    logger.remove()
+
+
+@pytest.fixture
+def vm(engine: Engine, tmp_path: Path) -> Iterator[Vm]:
+    service = ServiceRow(name=ServiceId("draft"))
+    team = TeamRow(name=TeamId("a"), key_hashes=(hash_key(KEY),))
+    upstream = UpstreamRow(
+        name=UpstreamId("engine-1"),
+        service=service.name,
+        region=RegionId("region-00"),
+        url=engine.url,
+    )
+    kinds = ((Kind.SERVICES, service), (Kind.TEAMS, team), (Kind.UPSTREAMS, upstream))
+    table = [Row(kind.value, row.name, 1, encode_row(row)) for kind, row in kinds]
+    ports = dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
+    with running(Vm(table, "127.0.0.1", ports), tmp_path) as made:
+        yield made
+
+
+def test_request_is_seen_at_router_allocator_and_upstream(
+    vm: Vm, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    answer = urllib3.request(
+        "POST",
+        f"{vm.url}/v1/draft/generate",
+        body=b'{"max_tokens":5}',
+        headers={"Authorization": f"Bearer {KEY}"},
+    )
+    request = answer.headers["Oleander-Request-Id"]
+    timeline = Timeline()
+    for log in tmp_path.glob("*.jsonl"):
+        timeline.add_lines(log.read_bytes().splitlines())
+    events = timeline.events(Filter(request=request))
+    assert {event.process for event in events} == {"router", "allocator", "upstream"}
+    order = [event.name for event in events]
+    steps = [
+        EventName.REQUEST_ACCEPTED,
+        EventName.GRANT_MADE,
+        EventName.REQUEST_GRANTED,
+        EventName.REQUEST_FINISHED,
+    ]
+    assert sorted(steps, key=order.index) == steps
+    assert operator.main(["timeline", str(tmp_path), f"--request={request}"]) == 0
+    assert "grant-made" in capsys.readouterr().out
+    query = ["--query-address", vm.query_address, "--fleet=capacity"]
+    assert operator.main(["status", "--window-seconds=1", *query]) == 0
+    shown = capsys.readouterr().out
+    assert "1 of 1 reachable, one table in force" in shown
+    assert operator.main(["explain", request, *query]) == 0
+    assert "status 200, ran on engine-1" in capsys.readouterr().out
