--- a/tests/integration/test_request_path.py
+++ b/tests/integration/test_request_path.py
@@ -1,5 +1,7 @@
 """The time line of one request over real processes."""
 
+import subprocess
+import sys
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -81,3 +83,17 @@
     assert "1 of 1 reachable, one table in force" in shown
     assert operator.main(["explain", request, *query]) == 0
     assert "status 200, ran on engine-1" in capsys.readouterr().out
+
+
+def test_example_caller_gets_both_answers(vm: Vm) -> None:
+    caller = Path(__file__).parents[2] / "examples" / "caller.py"
+    done = subprocess.run(
+        [sys.executable, str(caller), vm.url, KEY, "draft"],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+    assert (done.returncode, done.stderr) == (0, "")
+    assert done.stdout.startswith("200 ran ")
+    assert "data: [DONE]" in done.stdout
