--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -292,7 +292,8 @@
     done : bool
         The work is over and `cost` is final; the slot is free. False means running.
     unused : bool
-        Handed back without having been used (`done` is true as well).
+        Handed back without having been used (`done` is true as well). Without `done`:
+        the holder has vanished and may have used it.
     charged : float
         What the granting allocator had charged when it made the grant, tokens.
     """
@@ -351,12 +352,27 @@
 
 
 class TeamTotal(msgspec.Struct, frozen=True, array_like=True):
-    """Virtual service of one team (cost over weight) charged by one allocator."""
+    """Virtual service of one team (cost over weight) charged by one allocator.
+
+    Parameters
+    ----------
+    team : TeamId
+        The team.
+    seq : Seq
+        Number of the entry's last change.
+    virtual : float
+        Charged by this allocator, tokens over weight.
+    lift : float
+        Largest lift that this allocator has given the team.
+    unsettled : float
+        Part of `virtual` that stands for requests which have not ended.
+    """
 
     team: TeamId
     seq: Seq
     virtual: float
     lift: float = 0.0
+    unsettled: float = 0.0
 
 
 class AllocatorTotals(msgspec.Struct, frozen=True, array_like=True):
--- a/src/oleandershift/slots.py
+++ b/src/oleandershift/slots.py
@@ -1,5 +1,6 @@
 """Slots of one region's upstreams: how many are taken, and where the next one goes."""
 
+from collections import deque
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
@@ -10,6 +11,7 @@
 from oleandershift.rows import UpstreamRow, UpstreamState
 
 REPORT_LAG_SECONDS = 2.0
+LASTING_REPORTS = 3
 SPEED_SMOOTHING = 0.2
 
 
@@ -40,6 +42,10 @@
     busy_seconds: float = 0.0
     idle_while_waiting_seconds: float = 0.0
     _peaks: list[int] = field(default_factory=lambda: [0, 0])
+    _troughs: list[int] = field(default_factory=lambda: [0, 0])
+    _surpluses: deque[float] = field(
+        default_factory=lambda: deque(maxlen=LASTING_REPORTS)
+    )
 
     @property
     def taken(self) -> int:
@@ -50,16 +56,29 @@
         """Count a grant opened (1) or closed (-1)."""
         self.opened += step
         self._peaks[-1] = max(self._peaks[-1], self.opened)
+        self._troughs[-1] = min(self._troughs[-1], self.opened)
 
     def report(self, load: UpstreamLoad) -> None:
         """Take a load report.
 
         A report lags, so that it is compared with the most grants open since the
-        report before the last.
+        report before the last. What all of the last few reports show beyond the middle
+        of the grants open is taken as well: it is the work of others.
         """
         self.reported = load
-        self.excess = max(0, load.running + load.waiting - max(self._peaks))
+        shown = load.running + load.waiting
+        middle = (max(self._peaks) + min(self._troughs)) / 2
+        self._surpluses.append(shown - middle)
+        lasting = 0
+        if len(self._surpluses) == LASTING_REPORTS:
+            lasting = int(max(0.0, min(self._surpluses)))
+        self.excess = max(lasting, shown - max(self._peaks))
         self._peaks = [self._peaks[-1], self.opened]
+        self._troughs = [self._troughs[-1], self.opened]
+
+    def least_opened(self) -> int:
+        """Return the fewest grants open since the report before the last."""
+        return min(self._troughs)
 
     def observe_speed(self, speed: float) -> None:
         """Take the speed of one finished request, tokens a second."""
@@ -109,10 +128,10 @@
         for name in self._upstreams:
             self._place(name)
 
-    def opened(self, upstream: UpstreamId) -> int:
-        """Return the open grants of an upstream."""
+    def least_opened(self, upstream: UpstreamId) -> int:
+        """Return the fewest grants open since an upstream's report before the last."""
         held = self._upstreams.get(upstream)
-        return held.opened if held else 0
+        return held.least_opened() if held else 0
 
     def take(self, upstream: UpstreamId) -> None:
         """Count an opened grant."""
