--- a/src/oleandershift/io/server.py
+++ b/src/oleandershift/io/server.py
@@ -1,5 +1,6 @@
 """HTTP server towards callers, by waitress."""
 
+import logging
 import threading
 from http import HTTPStatus
 from typing import Any
@@ -96,6 +97,7 @@
             clear_untrusted_proxy_headers=True,
         )
         made.channel_class = _Channel
+        logging.getLogger("waitress.queue").setLevel(logging.ERROR)
         made.draining = False
         self._server = made
         self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
--- /dev/null
+++ b/standins/rolling.py
@@ -0,0 +1,146 @@
+"""Rolling restart of every VM under load: no request may fail."""
+
+import argparse
+import os
+import random
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+from standins.faulty import FaultName
+from standins.processes import exit_on_signals
+from standins.soak_calls import (
+    TIMEOUT_SECONDS,
+    CallForm,
+    Seen,
+    SoakCall,
+    SoakCaller,
+    SoakRecord,
+)
+from standins.soak_fleet import SoakFleet
+
+VMS = 9
+CALLERS = 12
+PAUSE_SECONDS = 0.02
+CHECK_SECONDS = 0.1
+GRACE_SECONDS = 1.0
+SETTLE_SECONDS = 0.2
+DEFAULT_NET = "127.22"
+SUBNETS = 250
+
+
+@dataclass(frozen=True)
+class RollingReport:
+    """What came out.
+
+    Parameters
+    ----------
+    calls : int
+        Calls made.
+    failures : Counter of str
+        Calls without a whole answer, by what was seen.
+    exits : tuple of int or None
+        Exit codes of the stopped processes.
+    seconds : float
+        Duration.
+    """
+
+    calls: int
+    failures: Counter[str]
+    exits: tuple[int | None, ...]
+    seconds: float
+
+
+class _Balancer:
+    """Sends callers to routers that called themselves ready at the last check."""
+
+    def __init__(self, fleet: SoakFleet) -> None:
+        self._fleet = fleet
+        self._ready = tuple(fleet.router_urls)
+
+    def check(self) -> None:
+        """Ask every router whether it is ready."""
+        urls = self._fleet.router_urls
+        self._ready = tuple(url for url in urls if self._fleet.is_ready(url))
+
+    def choose(self, rng: random.Random) -> str:
+        """Return a ready router."""
+        return rng.choice(self._ready)
+
+
+def _keep_calling(
+    balancer: _Balancer, seed: int, done: threading.Event
+) -> list[SoakRecord]:
+    rng = random.Random(seed)
+    caller = SoakCaller()
+    records: list[SoakRecord] = []
+    while not done.wait(PAUSE_SECONDS):
+        call = SoakCall(
+            rng.choice(list(CallForm)),
+            f"c{seed}-{len(records)}",
+            balancer.choose(rng),
+            FaultName.NONE,
+            TIMEOUT_SECONDS,
+        )
+        records.append(caller.send(call))
+    return records
+
+
+def run(ip: str, out: Path, vms: int, seed: int, policy: str = "fair") -> RollingReport:
+    """Restart every VM in turn while callers go on."""
+    done = threading.Event()
+    exits: list[int | None] = []
+    with SoakFleet(ip, out, policy, vms, GRACE_SECONDS) as fleet:
+        balancer = _Balancer(fleet)
+
+        def check() -> None:
+            while not done.wait(CHECK_SECONDS):
+                balancer.check()
+
+        checker = threading.Thread(target=check)
+        began = time.monotonic()
+        checker.start()
+        with ThreadPoolExecutor(CALLERS) as pool:
+            callers = [
+                pool.submit(_keep_calling, balancer, seed * CALLERS + number, done)
+                for number in range(CALLERS)
+            ]
+            try:
+                for number in range(vms):
+                    exits += fleet.restart_vm(number)
+                    time.sleep(SETTLE_SECONDS)
+            finally:
+                done.set()
+                checker.join()
+        records = [record for caller in callers for record in caller.result()]
+    failed = (one for one in records if one.seen is not Seen.WHOLE)
+    failures = Counter(f"{one.seen.value} {one.status} {one.detail}" for one in failed)
+    seconds = time.monotonic() - began
+    return RollingReport(len(records), failures, tuple(exits), seconds)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run a rolling restart and print what came out."""
+    parser = argparse.ArgumentParser("standins.rolling", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--vms", type=int, default=VMS)
+    parser.add_argument("--net", default=DEFAULT_NET, help="loopback subnet, 127.x")
+    parser.add_argument("--out", type=Path, default=Path("out/rolling"))
+    parser.add_argument("--policy", default="fair")
+    given = parser.parse_args(argv)
+    exit_on_signals()
+    ip = f"{given.net}.{os.getpid() % SUBNETS}.4"
+    report = run(ip, given.out, given.vms, given.seed, given.policy)
+    print(f"{report.calls} calls in {report.seconds:.1f} s, {given.vms} VMs restarted")
+    print(f"exit codes {Counter(report.exits)}")
+    print(f"{report.failures.total()} failures {dict(report.failures)}")
+    return 1 if report.failures or set(report.exits) != {0} else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -62,6 +62,10 @@
         Folder for logs.
     policy : str
         Of the routers.
+    vms : int
+        Number of VMs.
+    grace_seconds : float
+        For which a stopping router still takes requests.
 
     Attributes
     ----------
@@ -69,13 +73,22 @@
         Where callers send to.
     """
 
-    def __init__(self, ip: str, out: Path, policy: str) -> None:
+    def __init__(
+        self,
+        ip: str,
+        out: Path,
+        policy: str,
+        vms: int = ROUTERS,
+        grace_seconds: float = 0.0,
+    ) -> None:
+        self._vms = vms
+        self._grace_seconds = grace_seconds
         self._ip = ip
         self._out = out
         self._policy = policy
         self._http = urllib3.PoolManager(retries=False, timeout=10.0)
         self._outside: list[ChildProcess] = []
-        self._helpers: list[ChildProcess] = []
+        self._helpers: list[tuple[ChildProcess, ...]] = []
         self._routers: list[ChildProcess] = []
         self._upstream_urls: list[str] = []
         self._proxied_urls: list[str] = []
@@ -132,6 +145,27 @@
             router.terminate()
         return [router.wait(READY_SECONDS) for router in self._routers]
 
+    def restart_vm(self, number: int) -> tuple[int | None, ...]:
+        """Stop a VM's processes in good order, start them; return their exit codes.
+
+        The router drains first, as the others serve it until then.
+        """
+        router = self._routers[number]
+        others = self._helpers[number]
+        codes = []
+        for group in ((router,), others):
+            for child in group:
+                child.terminate()
+            codes += [child.wait(READY_SECONDS) for child in group]
+        for child in (*others, router):
+            child.start()
+        self._wait_ready(f"{self.router_urls[number]}/readyz", router)
+        return tuple(codes)
+
+    def is_ready(self, url: str) -> bool:
+        """Tell whether a router calls itself ready."""
+        return self._answers(f"{url}/readyz")
+
     # Faults
 
     def _break_proxy(self, rng: random.Random) -> str:
@@ -174,7 +208,7 @@
         return f"{router.name} frozen"
 
     def _restart_router(self, rng: random.Random) -> str:
-        number = rng.randrange(ROUTERS)
+        number = rng.randrange(self._vms)
         router = self._routers[number]
         router.kill()
         router.start()
@@ -204,7 +238,7 @@
         for url in self._proxied_urls:
             self._wait_ready(f"{url}/-/load", self._outside[-1])
         self._seed()
-        for number in range(ROUTERS):
+        for number in range(self._vms):
             self._start_vm(number)
         for url, router in zip(self.router_urls, self._routers, strict=True):
             self._wait_ready(f"{url}/readyz", router)
@@ -246,19 +280,21 @@
         platform = _flags(platform_url=self._platform)
         joining = _flags(seeds=",".join(seeds)) if seeds else []
         self._agent_addresses.append(f"{self._ip}:{agent_port}")
+        helpers = []
         for role in ("agent", "allocator"):
             module = f"oleandershift.cli.{role}"
             flags = common + (platform + joining if role == "agent" else [])
             child = ChildProcess(f"{role}{number}", module, flags, self._out)
-            self._helpers.append(child)
+            helpers.append(child)
             child.start()
+        self._helpers.append(tuple(helpers))
         own = platform + _flags(
             policy=self._policy,
             idle_seconds=1,
             connect_seconds=1,
             claim_seconds=1,
             max_requests=100,
-            grace_seconds=0,
+            grace_seconds=self._grace_seconds,
             drain_seconds=20,
         )
         router = ChildProcess(
@@ -307,4 +343,5 @@
             return False
 
     def _stop(self) -> None:
-        stop_all((*self._routers, *self._helpers, *self._outside), STOP_SECONDS)
+        helpers = (child for group in self._helpers for child in group)
+        stop_all((*self._routers, *helpers, *self._outside), STOP_SECONDS)
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -17,7 +17,9 @@
 from oleandershift.io.links import Links
 from oleandershift.io.logs import EventLog
 from oleandershift.messages import (
+    DrainCommand,
     Envelope,
+    MembersView,
     ProcessId,
     Role,
     Row,
@@ -46,6 +48,8 @@
     def __init__(self) -> None:
         self.port = free_port()
         self.rows: dict[tuple[str, str], Row] = {}
+        self.leaving: tuple[str, ...] = ()
+        self.order: DrainCommand | None = None
         self.reports: list[StatusReport] = []
         process = ProcessId(VmId("vm1"), Role.AGENT, Incarnation(time.time_ns()))
         events = EventLog(process, RegionId("north"))
@@ -76,7 +80,12 @@
             self.reports.append(envelope.body)
         if isinstance(envelope.body, Subscribe):
             rows = tuple(self.rows.values())
-            self._links.send(envelope.body.address, RowsUpdate(rows, bool(rows)))
+            address = envelope.body.address
+            self._links.send(address, RowsUpdate(rows, bool(rows)))
+            view = MembersView(time.time_ns(), (), self.leaving)
+            self._links.send(address, view)
+            if self.order is not None:
+                self._links.send(address, self.order)
 
 
 @dataclass
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -80,13 +80,33 @@
     claimed, upstream, platform, faults
 ) -> None:
     platform.set_faults(faults)
+    assert claimed.call("POST", "/v1/chat/x", b"{}").status == 200
+    idempotent = len(upstream.ledger.executions())
     answer = charge(claimed, "k")
     assert answer.status == 503
     assert answer.headers["Oleander-Run"] == "not-run"
     assert int(answer.headers["Retry-After"]) >= 1
-    assert upstream.ledger.executions() == ()
+    assert len(upstream.ledger.executions()) == idempotent
     platform.set_faults(PlatformFaults())
     wait_until(lambda: charge(claimed, "k").status == 200, "claim withdrawn")
+    assert len(upstream.ledger.executions()) == idempotent + 1
+
+
+def test_outcome_is_kept_before_a_stopping_router_ends(
+    claimed, upstream, platform, table, start_router
+) -> None:
+    with ThreadPoolExecutor(1) as pool:
+        running = pool.submit(charge, claimed, "k", b"1", "late")
+        wait_until(lambda: bool(upstream.ledger.executions()), "running")
+        platform.set_faults(PlatformFaults(outage=Outage.CLOSED))
+        claimed.process.terminate()
+        assert running.result().status == 200
+    assert claimed.process.poll() is None
+    platform.set_faults(PlatformFaults())
+    assert claimed.process.wait(30) == 0
+    other = start_router(table, platform_url=platform.url)
+    wait_until(other.is_ready, "other router ready")
+    assert charge(other, "k").status == 200
     assert len(upstream.ledger.executions()) == 1
 
 
--- a/tests/integration/test_callers.py
+++ b/tests/integration/test_callers.py
@@ -5,11 +5,13 @@
 import signal
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from conftest import KEY, wait_until
 
+from oleandershift.messages import DrainCommand
 from oleandershift.replica import Replica
 from oleandershift.rows import TeamRow, UpstreamRow
 
@@ -211,5 +213,16 @@
     hung.join(30)
 
 
+def test_drain_command_stops_a_router_that_finishes_its_work(
+    router, table, upstream
+) -> None:
+    running = stream(router, "late")
+    wait_until(lambda: len(upstream.ledger.executions()) == 1, "running")
+    table.order = DrainCommand(time.time() + 60)
+    wait_until(lambda: router.call("GET", "/readyz").status == 503, "not ready")
+    assert running.getresponse().read().rstrip().endswith(b"[DONE]")
+    assert router.process.wait(30) == 0
+
+
 def drop(conn: http.client.HTTPConnection) -> None:
     conn.getresponse().read()
--- a/tests/integration/test_upstreams.py
+++ b/tests/integration/test_upstreams.py
@@ -75,6 +75,22 @@
         assert running.result().data.rstrip().endswith(b"[DONE]")
 
 
+def test_upstream_that_the_list_calls_leaving_gets_no_work(
+    router, table, upstream
+) -> None:
+    table.leaving = ("u1",)
+    wait_until(lambda: router.call("POST", "/v1/chat/x", b"{}").status == 503, "left")
+    before = len(upstream.ledger.executions())
+    assert router.call("POST", "/v1/chat/x", b"{}").headers["Oleander-Run"] == "not-run"
+    assert len(upstream.ledger.executions()) == before
+
+
+def test_router_without_its_agent_serves_on(router, table) -> None:
+    table.close()
+    time.sleep(FROZEN_SECONDS)
+    assert lose_answers(router, 40) == 0
+
+
 def lose_answers(router, calls: int) -> int:
     """Return how many of some idempotent calls got no answer."""
     with ThreadPoolExecutor(8) as pool:
