Cut off callers that take none of a waiting answer

A caller that stopped reading held its slot, its thread and the router's stop for good: waitress closes idle connections only between requests. Seen to fail first: with one slot, the next request got no answer within 30 s.

--- a/src/oleandershift/cli/router.py
+++ b/src/oleandershift/cli/router.py
@@ -46,7 +46,8 @@
         "idle_seconds",
         seconds(0.1, 3600.0),
         "0.1 to 3600",
-        "longest silence of an upstream that owes an answer",
+        "longest silence of an upstream that owes an answer, or of a caller that "
+        "takes none of it",
         "60",
     ),
     Setting(
--- a/src/oleandershift/io/router.py
+++ b/src/oleandershift/io/router.py
@@ -144,6 +144,7 @@
             self._check_jobs(now)
         if now >= self._next_report:
             self._next_report = now + REPORT_SECONDS
+            self._server.drop_stalled(now, self._runtime.cfg.idle_seconds)
             self._report(now)
         self._check_drain(now)
 
--- a/src/oleandershift/io/server.py
+++ b/src/oleandershift/io/server.py
@@ -1,6 +1,8 @@
 """HTTP server towards callers, by waitress."""
 
+import contextlib
 import logging
+import socket
 import threading
 from http import HTTPStatus
 from typing import Any
@@ -115,6 +117,14 @@
         channels = list(self._server.active_channels.values())
         return not any(ch.requests or ch.total_outbufs_len for ch in channels)
 
+    def drop_stalled(self, now: float, seconds: float) -> None:
+        """Cut off callers that took nothing of a waiting answer for some seconds."""
+        for channel in list(self._server.active_channels.values()):
+            waiting = channel.total_outbufs_len > 0
+            if waiting and channel.last_activity < now - seconds:
+                with contextlib.suppress(OSError):
+                    channel.socket.shutdown(socket.SHUT_RDWR)
+
     def close(self) -> None:
         """Stop listening."""
         self._server.close()
--- a/standins/faulty.py
+++ b/standins/faulty.py
@@ -20,6 +20,7 @@
 EVENT_SECONDS = 0.01
 CUT_AFTER_EVENTS = 2
 SLOTS = 64
+LARGE_BYTES = 32 << 20
 
 
 class FaultName(Enum):
@@ -46,6 +47,7 @@
     NO_DONE = "no-done"
     HANG = "hang"
     FORGET = "forget"
+    LARGE = "large"
 
 
 @dataclass(frozen=True)
@@ -151,6 +153,8 @@
         if fault in (FaultName.CHUNKED, FaultName.CUT_CHUNKED):
             self._chunked(body, fault is FaultName.CUT_CHUNKED)
             return
+        if fault is FaultName.LARGE:
+            body = b"x" * LARGE_BYTES
         if fault is FaultName.HANG:
             time.sleep(LATE_SECONDS * 20)
         if fault is FaultName.LATE:
--- a/tests/integration/test_callers.py
+++ b/tests/integration/test_callers.py
@@ -95,6 +95,27 @@
     return sum(event.get("name") == name for event in router.events())
 
 
+def test_caller_that_takes_no_answer_holds_no_slot(
+    table, start_router, upstream
+) -> None:
+    table.put(
+        UpstreamRow(
+            name="u1", service="chat", region="north", url=upstream.url, slots=1
+        )
+    )
+    router = start_router(table, idle_seconds="1")
+    wait_until(router.is_ready, "router ready")
+    conn = http.client.HTTPConnection("127.0.0.1", router.port, timeout=30)
+    headers = {"Authorization": f"Bearer {KEY}", "X-Fault": "large"}
+    conn.request("POST", "/v1/chat/x", b"{}", headers)
+    wait_until(lambda: count(router, "request-sent") == 1, "sent")
+    assert router.call("POST", "/v1/chat/x", b"{}").status == 200
+    router.process.terminate()
+    assert router.process.wait(30) == 0
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        conn.getresponse().read()
+
+
 def test_full_router_refuses_at_once_and_stays_healthy(
     table, start_router, upstream
 ) -> None:
