--- a/src/oleandershift/allocation.py
+++ b/src/oleandershift/allocation.py
@@ -232,15 +232,19 @@
             return None
         client = self._clients.get(client_key(snapshot.client, snapshot.region))
         if client is None:
-            return self._clients.add(snapshot)
+            return self._add_client(snapshot)
         if client.process == snapshot.client:
-            client.address = snapshot.reply_to
             return client
         if snapshot.client.incarnation < client.process.incarnation:
             self._charging.merge(snapshot.client, snapshot.service_totals)
             return None
         self._lose(now, client)
-        return self._clients.add(snapshot)
+        return self._add_client(snapshot)
+
+    def _add_client(self, snapshot: Snapshot) -> Client:
+        key = client_key(snapshot.client, snapshot.region)
+        address, _ = self._awaited.get(key, (snapshot.reply_to, snapshot.region))
+        return self._clients.add(snapshot, snapshot.reply_to or address)
 
     def _take(self, now: float, client: Client, snapshot: Snapshot) -> None:
         loads = snapshot.teams
@@ -331,6 +335,8 @@
                 due.append(held.grant)
         if not due and (client.ack_due_at is None or now < client.ack_due_at):
             return
+        if not client.address:
+            return
         client.ack_due_at = None
         answer = Grants(
             self._service, self._region, self.process, client.have, tuple(due)
--- a/src/oleandershift/clients.py
+++ b/src/oleandershift/clients.py
@@ -74,6 +74,7 @@
 
     def take(self, snapshot: Snapshot) -> None:
         """Note that a snapshot has been taken."""
+        self.address = snapshot.reply_to or self.address
         self.taken = snapshot.seq
         self.incomplete = False
 
@@ -124,14 +125,14 @@
         """Return a client, or None when it is not known."""
         return self._held.get(key)
 
-    def add(self, snapshot: Snapshot) -> Client:
+    def add(self, snapshot: Snapshot, address: str) -> Client:
         """Take a client that is new, or new in this incarnation."""
         key = client_key(snapshot.client, snapshot.region)
         made = Client(
             key,
             snapshot.client,
             snapshot.region,
-            snapshot.reply_to,
+            address,
             snapshot.client.role is Role.ALLOCATOR,
         )
         self._held[key] = made
--- a/src/oleandershift/fair.py
+++ b/src/oleandershift/fair.py
@@ -129,7 +129,7 @@
             service.name,
             self._process,
             self._region,
-            self._address,
+            "" if delta.base else self._address,
             delta.base,
             delta.seq,
             loads,
--- a/src/oleandershift/holdings.py
+++ b/src/oleandershift/holdings.py
@@ -165,9 +165,11 @@
         self, now: float, client: ClientKey, remote: bool, use: GrantUse
     ) -> None:
         """Take what a client says of a grant."""
-        held = self._ledger.get((use.allocator, use.grant))
+        made_by = use.allocator or self._process.incarnation
+        held = self._ledger.get((made_by, use.grant))
         if held is None:
-            self._take_unknown(now, client, remote, use)
+            if use.upstream:
+                self._take_unknown(now, client, remote, use)
             return
         if held.orphaned_at is not None:
             self._ledger.reclaim(held, client)
--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -277,10 +277,13 @@
 class GrantUse(msgspec.Struct, frozen=True, array_like=True):
     """A grant in a client's hands.
 
+    To save bytes, a snapshot that builds on an earlier one leaves out what its receiver
+    knows of its own grants: `allocator` is 0, and `upstream` and `team` are empty.
+
     Parameters
     ----------
     allocator : Incarnation
-        Incarnation of the allocator that made the grant.
+        Incarnation of the allocator that made the grant; 0 is the receiver's.
     grant : GrantId
         The grant.
     upstream : UpstreamId
@@ -323,7 +326,7 @@
     region : RegionId
         The sender's region.
     reply_to : str
-        Link address that grants go to.
+        Link address that grants go to; empty in a snapshot that builds on another.
     base : Seq
         Position up to which the receiver has everything.
     seq : Seq
--- a/src/oleandershift/peers.py
+++ b/src/oleandershift/peers.py
@@ -138,7 +138,7 @@
             service,
             process,
             region,
-            reply_to,
+            "" if delta.base else reply_to,
             delta.base,
             delta.seq,
             teams,
--- a/src/oleandershift/streams.py
+++ b/src/oleandershift/streams.py
@@ -4,7 +4,7 @@
 from typing import TypeAlias
 
 from oleandershift.changes import ChangeLog
-from oleandershift.ids import GrantId, Incarnation, Seq, TeamId
+from oleandershift.ids import GrantId, Incarnation, Seq, TeamId, UpstreamId
 from oleandershift.messages import GrantUse, ProcessId
 
 UseKey: TypeAlias = tuple[Incarnation, GrantId]
@@ -136,7 +136,7 @@
             base,
             self._sent,
             tuple(self._teams.since(base)),
-            tuple(self.uses[key] for key in self._grants.since(base)),
+            tuple(self._shortened(base, key) for key in self._grants.since(base)),
         )
 
     def expects(self, receiver: ProcessId) -> bool:
@@ -166,6 +166,24 @@
         self.acked = Seq(0)
         self._full = True
 
+    def _shortened(self, base: Seq, key: UseKey) -> GrantUse:
+        """Return a use without what the receiver knows of its own grant."""
+        use = self.uses[key]
+        held = self._receiver
+        if base == 0 or use.unused or held is None:
+            return use
+        if use.allocator != held.incarnation:
+            return use
+        return GrantUse(
+            Incarnation(0),
+            use.grant,
+            UpstreamId(""),
+            TeamId(""),
+            use.cost,
+            use.done,
+            charged=use.charged,
+        )
+
     def _drop_acknowledged(self) -> None:
         for key in tuple(self._grants.until(self.acked)):
             if self.uses[key].done or self.uses[key].unused:
