--- /dev/null
+++ b/standins/microbench.py
@@ -0,0 +1,287 @@
+"""Cost of the allocator's decisions alone, without processes or messages."""
+
+import argparse
+import random
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from oleandershift.allocation import Allocator
+from oleandershift.backlog import Backlog, ClientKey
+from oleandershift.charging import Charging
+from oleandershift.holdings import Holdings
+from oleandershift.ids import (
+    DataCentreId,
+    FleetId,
+    Incarnation,
+    RegionId,
+    Seq,
+    ServiceId,
+    TeamId,
+    UpstreamId,
+    VmId,
+)
+from oleandershift.messages import (
+    AllocatorTotals,
+    Envelope,
+    GrantUse,
+    Member,
+    ProcessId,
+    Role,
+    Row,
+    Snapshot,
+    TeamLoad,
+    TeamTotal,
+)
+from oleandershift.peers import Peers
+from oleandershift.replica import Table
+from oleandershift.rows import (
+    AnyRow,
+    Kind,
+    ServiceRow,
+    TeamRow,
+    UpstreamRow,
+    encode_row,
+)
+from oleandershift.slots import SlotTable
+
+SERVICE = ServiceId("drafting")
+HERE, THERE = RegionId("fukuoka"), RegionId("kumamoto")
+NOW = 1_700_000_000.0
+SLOTS = 32
+CHANGED_TEAMS = 8
+GRANTS = 2000
+SNAPSHOTS = 300
+EXCHANGES = 20
+MICROSECONDS = 1e6
+SIZES = (
+    (16, 6, 3),
+    (550, 6, 3),
+    (550, 75, 70),
+    (550, 80, 80),
+    (5500, 6, 3),
+    (5500, 75, 70),
+    (5500, 80, 80),
+)
+"""Backlogged teams, upstreams, and routers of the region."""
+
+
+class Result(msgspec.Struct, frozen=True):
+    """Processor time of each step at one size, microseconds.
+
+    Parameters
+    ----------
+    teams, upstreams, routers : int
+        The size; every team is backlogged.
+    grant : float
+        Choosing team, router and upstream, charging, and opening the grant.
+    settle : float
+        Closing a grant at its final cost.
+    snapshot : float
+        Taking a router's snapshot with eight changed teams.
+    exchange : float
+        Taking another region's totals of all teams.
+    """
+
+    teams: int
+    upstreams: int
+    routers: int
+    grant: float
+    settle: float
+    snapshot: float
+    exchange: float
+
+
+def _cost(step: Callable[[], object], count: int) -> float:
+    began = time.process_time()
+    for _ in range(count):
+        step()
+    return (time.process_time() - began) / count * MICROSECONDS
+
+
+def _row(kind: Kind, name: str, row: AnyRow) -> Row:
+    return Row(kind.value, name, 1, encode_row(row))
+
+
+def _rows(teams: int, upstreams: int) -> Iterator[Row]:
+    yield _row(Kind.SERVICES, SERVICE, ServiceRow(name=SERVICE))
+    for number in range(teams):
+        name = TeamId(f"team-{number}")
+        yield _row(Kind.TEAMS, name, TeamRow(name=name, weight=1.0 + number % 4))
+    for number in range(upstreams):
+        upstream = UpstreamRow(
+            name=UpstreamId(f"engine-{number}"),
+            service=SERVICE,
+            region=HERE,
+            url="http://127.0.0.1:1",
+            slots=SLOTS,
+        )
+        yield _row(Kind.UPSTREAMS, upstream.name, upstream)
+
+
+def _member(region: RegionId, number: int) -> Member:
+    return Member(
+        VmId(f"{region}-{number}"),
+        region,
+        DataCentreId(region),
+        f"127.0.{int(region == THERE)}.{number + 1}",
+        7101,
+        7104,
+        7102,
+        7103,
+        8080,
+        Incarnation(1),
+    )
+
+
+class _Parts:
+    """The decision objects of one allocator, with every team backlogged."""
+
+    def __init__(self, teams: int, upstreams: int, routers: int) -> None:
+        process = ProcessId(VmId("fukuoka-0"), Role.ALLOCATOR, Incarnation(1))
+        table = Table(_rows(teams, upstreams))
+        self.backlog = Backlog()
+        self.charging = Charging(process, HERE, self.backlog)
+        self.slots = SlotTable()
+        self.slots.set_recovering(False)
+        self.holdings = Holdings(
+            process,
+            SERVICE,
+            self.backlog,
+            self.charging,
+            self.slots,
+            Peers(SERVICE, HERE),
+        )
+        self.slots.configure(table.upstreams_of(SERVICE), frozenset())
+        self.charging.configure(table.teams)
+        rng = random.Random(1)
+        for number in range(teams):
+            client = ClientKey(f"router/{rng.randrange(routers)}")
+            load = TeamLoad(TeamId(f"team-{number}"), 10**6, 0, 5e8, NOW)
+            self.backlog.put(NOW, client, False, load)
+
+    def grant(self) -> None:
+        """Grant one slot."""
+        upstream = self.slots.best()
+        assert upstream is not None
+        team, client, remote = next(self.backlog.candidates(NOW))
+        self.holdings.grant(NOW, client, remote, team, upstream)
+
+    def uses(self) -> Iterator[tuple[ClientKey, GrantUse]]:
+        """Return the end of every open grant."""
+        rng = random.Random(2)
+        for client in sorted(self.holdings.take_granted()):
+            for held in self.holdings.unmentioned(client):
+                use = GrantUse(
+                    *held.key, held.upstream, held.team, rng.expovariate(0.002), True
+                )
+                yield client, use
+
+
+def _grants(teams: int, upstreams: int, routers: int) -> tuple[float, float]:
+    """Return the costs of a grant and of its end."""
+    parts = _Parts(teams, upstreams, routers)
+    count = min(GRANTS, upstreams * SLOTS)
+    grant = settle = 0.0
+    rounds = max(1, GRANTS // count)
+    for _ in range(rounds):
+        grant += _cost(parts.grant, count)
+        ends = iter(tuple(parts.uses()))
+
+        def end(ends: Iterator[tuple[ClientKey, GrantUse]] = ends) -> None:
+            client, use = next(ends)
+            parts.holdings.take_use(NOW, client, False, use)
+
+        settle += _cost(end, count)
+        parts.holdings.take_notes()
+    return grant / rounds, settle / rounds
+
+
+def _envelope(sender: ProcessId, region: RegionId, body: Snapshot) -> Envelope:
+    wall = int(NOW * 1e9)
+    return Envelope(FleetId("oleander"), sender, region, wall, 0, body)
+
+
+def _messages(teams: int, upstreams: int, routers: int) -> tuple[float, float]:
+    """Return the costs of a router's snapshot and of an exchange of totals."""
+    members = [_member(HERE, number) for number in range(routers)]
+    members.append(_member(THERE, 0))
+    process = ProcessId(VmId("fukuoka-0"), Role.ALLOCATOR, Incarnation(1))
+    allocator = Allocator(SERVICE, HERE, process, "tcp://127.0.0.1:7102", NOW)
+    table = Table(_rows(teams, upstreams))
+    allocator.configure(NOW, table, {one.vm: one for one in members}, frozenset())
+    rng = random.Random(3)
+    router = ProcessId(VmId("fukuoka-1"), Role.ROUTER, Incarnation(1))
+    peer = ProcessId(VmId("kumamoto-0"), Role.ALLOCATOR, Incarnation(1))
+    names = [TeamId(f"team-{number}") for number in range(teams)]
+    seq = 0
+
+    def snapshot(sender: ProcessId, region: RegionId, **parts: object) -> Envelope:
+        nonlocal seq
+        seq += 1
+        body = Snapshot(
+            SERVICE,
+            sender,
+            region,
+            "tcp://127.0.0.2:1",
+            Seq(seq - 1),
+            Seq(seq),
+            **parts,  # type: ignore[arg-type]
+        )
+        return _envelope(sender, region, body)
+
+    def loads(count: int) -> tuple[TeamLoad, ...]:
+        chosen = rng.sample(names, count)
+        return tuple(
+            TeamLoad(name, rng.randrange(1, 50), 1, 1e4, NOW) for name in chosen
+        )
+
+    def totals() -> tuple[AllocatorTotals, ...]:
+        found = [TeamTotal(name, Seq(seq + 1), rng.uniform(0, 1e6)) for name in names]
+        return (AllocatorTotals(peer, THERE, tuple(found)),)
+
+    allocator.on_envelope(NOW, snapshot(router, HERE, teams=loads(teams)))
+    changes = iter(
+        [
+            snapshot(router, HERE, teams=loads(min(teams, CHANGED_TEAMS)))
+            for _ in range(SNAPSHOTS)
+        ]
+    )
+    taken = _cost(lambda: allocator.on_envelope(NOW, next(changes)), SNAPSHOTS)
+    seq = 0
+    exchanges = iter(
+        [snapshot(peer, THERE, service_totals=totals()) for _ in range(EXCHANGES)]
+    )
+    exchanged = _cost(lambda: allocator.on_envelope(NOW, next(exchanges)), EXCHANGES)
+    return taken, exchanged
+
+
+def measure(teams: int, upstreams: int, routers: int) -> Result:
+    """Return the costs at one size."""
+    grant, settle = _grants(teams, upstreams, routers)
+    snapshot, exchange = _messages(teams, upstreams, routers)
+    return Result(teams, upstreams, routers, grant, settle, snapshot, exchange)
+
+
+def main() -> int:
+    """Measure every size, print a table and write JSON."""
+    parser = argparse.ArgumentParser("standins.microbench", description=__doc__)
+    parser.add_argument("--out", type=Path, default=Path("out/microbench.json"))
+    cfg = parser.parse_args()
+    results = [measure(*size) for size in SIZES]
+    fields = Result.__struct_fields__
+    print("processor time in microseconds; every team is backlogged")
+    print("".join(f"{name:>11}" for name in fields))
+    for result in results:
+        cells = msgspec.structs.astuple(result)
+        print("".join(f"{cell:>11.1f}" for cell in cells))
+    cfg.out.parent.mkdir(parents=True, exist_ok=True)
+    cfg.out.write_bytes(msgspec.json.format(msgspec.json.encode(results)))
+    print(f"written to {cfg.out}")
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
