Tell peers when a vanished router's backlog has gone; test recovery at random

Cause: a router that restarted with nothing remembered took its backlog with it, but the other regions were not told; they lent slots for it again and again and got them back unused. Change: the loads of a lost client's teams go to the peers.

--- a/src/oleandershift/allocation.py
+++ b/src/oleandershift/allocation.py
@@ -199,12 +199,16 @@
 
     def _lose(self, now: float, client: Client) -> None:
         """Forget a client that has vanished."""
+        teams = self._backlog.teams_of(client.key)
         self._backlog.forget(now, client.key)
         self._holdings.lose(now, client.key)
         self._clients.remove(client.key)
         if client.remote:
             self._charging.relay(client.process)
             self._peers.touch()
+            return
+        for team in sorted(teams):
+            self._peers.note_load(self._local_load(team))
 
     # Snapshots
 
--- /dev/null
+++ b/tests/test_costs.py
@@ -0,0 +1,29 @@
+"""Tests of cost estimates."""
+
+import pytest
+
+from oleandershift.costs import DEFAULT_COST_TOKENS, CostModel
+
+
+@pytest.mark.parametrize("factor", [0.1, 1.0, 10.0])
+def test_hint_is_corrected_by_its_usual_error(factor: float) -> None:
+    model: CostModel[str] = CostModel()
+    for cost in (100.0, 400.0, 700.0):
+        model.observe("t", cost, cost * factor)
+    assert model.estimate("t", 1000.0 * factor) == pytest.approx(1000.0)
+
+
+def test_without_a_hint_the_mean_is_taken() -> None:
+    model: CostModel[str] = CostModel()
+    assert model.estimate("t") == DEFAULT_COST_TOKENS
+    model.observe("t", 100.0)
+    model.observe("t", 300.0)
+    assert model.estimate("t") == 200.0
+
+
+def test_estimate_is_kept_near_a_mean_that_is_known() -> None:
+    model: CostModel[str] = CostModel()
+    for _ in range(5):
+        model.observe("t", 100.0)
+    assert model.bounded("t", 5000.0, 4.0) == 400.0
+    assert model.bounded("t", 1.0, 4.0) == 25.0
--- /dev/null
+++ b/tests/test_queues.py
@@ -0,0 +1,64 @@
+"""Tests of a router's team queues."""
+
+import pytest
+
+from oleandershift.dispatch import QueuedRequest, RequestKind
+from oleandershift.ids import RequestId, ServiceId, TeamId, UpstreamId
+from oleandershift.queues import AVOID_SECONDS, Queues
+
+TEAM = TeamId("t")
+BAD = UpstreamId("bad")
+
+
+def request(
+    name: str,
+    kind: RequestKind = RequestKind.QUICK,
+    arrived: float = 0.0,
+    deadline: float | None = None,
+    avoid: frozenset[UpstreamId] = frozenset(),
+) -> QueuedRequest:
+    return QueuedRequest(
+        RequestId(name),
+        TEAM,
+        ServiceId("s"),
+        kind,
+        arrived,
+        deadline,
+        avoid=avoid,
+    )
+
+
+@pytest.mark.parametrize(
+    ("first", "then", "expected"),
+    [
+        (request("a"), request("b", arrived=1.0), "a"),
+        (request("a"), request("b", deadline=3.0), "b"),
+        (request("a", RequestKind.LONG), request("b", arrived=1.0), "b"),
+        (request("a", RequestKind.LONG), request("b", arrived=58.0), "a"),
+        (request("a", RequestKind.LONG, deadline=9.0), request("b", arrived=8.0), "a"),
+    ],
+    ids=["arrival", "deadline", "quick-before-long", "long-ages", "long-deadline"],
+)
+def test_order(first: QueuedRequest, then: QueuedRequest, expected: str) -> None:
+    queues = Queues()
+    queues.push(0.0, first, 1.0)
+    queues.push(0.0, then, 1.0)
+    found = queues.first(0.0, TEAM)
+    assert found is not None
+    assert found.request == expected
+
+
+def test_failed_upstream_is_avoided_for_a_while() -> None:
+    queues = Queues()
+    queues.push(0.0, request("a", avoid=frozenset({BAD})), 1.0)
+    assert queues.first(0.0, TEAM, BAD) is None
+    assert queues.first(AVOID_SECONDS, TEAM, BAD) is not None
+
+
+def test_expired_are_found_and_the_cost_falls() -> None:
+    queues = Queues()
+    queues.push(0.0, request("a", deadline=5.0), 30.0)
+    queues.push(0.0, request("b"), 20.0)
+    assert [req.request for req in queues.expired(5.0)] == ["a"]
+    queues.remove(RequestId("a"))
+    assert queues.team(TEAM).cost == 20.0
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,94 @@
+"""Random faults on virtual time: nothing may leak, starve or run over its slots."""
+
+from hypothesis import HealthCheck, Phase, given, settings, strategies as st
+from virtual import Faults, Fleet, Load
+
+from oleandershift.messages import MemberState
+
+REGIONS = {r: [f"{r}1", f"{r}2"] for r in "ab"}
+SLOTS = {"a-1": ("a", 4), "b-1": ("b", 4)}
+TEAMS = {"t0": 1.0, "t1": 2.0, "t2": 0.5}
+STEP_SECONDS = 3.0
+SETTLE_SECONDS = 140.0
+"""Longer than an orphaned grant is kept."""
+
+
+def restart_allocator(fleet: Fleet, vm: str) -> None:
+    fleet.start_allocator(vm)
+
+
+def restart_router(fleet: Fleet, vm: str) -> None:
+    for request, load in fleet.owner.items():
+        if load.vm == vm:
+            fleet.costs[request] = 0.0
+    for key in fleet.outstanding:
+        if key[1] == vm:
+            fleet.outstanding[key] = 0
+    fleet.start_router(vm)
+
+
+def freeze(fleet: Fleet, vm: str) -> None:
+    fleet.frozen.add(vm)
+
+
+def declare_dead(fleet: Fleet, vm: str) -> None:
+    fleet.declare(vm, MemberState.DEAD)
+
+
+def cut_regions(fleet: Fleet, vm: str) -> None:
+    fleet.faults.cut = lambda one, other: one[0] != other[0]
+
+
+def lose_messages(fleet: Fleet, vm: str) -> None:
+    fleet.faults.loss = fleet.faults.repeat = 0.3
+    fleet.faults.jitter_seconds = 0.2
+
+
+HARM = [
+    restart_allocator,
+    restart_router,
+    freeze,
+    declare_dead,
+    cut_regions,
+    lose_messages,
+]
+
+
+def heal(fleet: Fleet) -> None:
+    fleet.frozen.clear()
+    fleet.faults = Faults()
+    for vm in fleet.members:
+        fleet.declare(vm, MemberState.ALIVE)
+
+
+@settings(
+    max_examples=15,
+    phases=[Phase.explicit, Phase.reuse, Phase.generate],
+    deadline=None,
+    print_blob=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(
+    st.integers(0, 10_000),
+    st.lists(
+        st.tuples(st.sampled_from(HARM), st.sampled_from(["a1", "a2", "b1", "b2"])),
+        min_size=1,
+        max_size=4,
+    ),
+)
+def test_everything_is_free_and_served_after_the_faults(seed, script) -> None:
+    fleet = Fleet(seed, REGIONS, SLOTS, TEAMS)
+    limit = 5.0 + STEP_SECONDS * len(script)
+    for index, team in enumerate(TEAMS):
+        vm = ("a1", "a2", "b1")[index]
+        fleet.add(Load(team, vm, 8, active=lambda now: now < limit))
+    fleet.run(5.0)
+    for harm, vm in script:
+        harm(fleet, vm)
+        fleet.run(STEP_SECONDS)
+    heal(fleet)
+    fleet.run(SETTLE_SECONDS)
+    waiting = sum(s.waiting for r in fleet.routers.values() for s in r.teams())
+    running = sum(s.running for r in fleet.routers.values() for s in r.teams())
+    taken = sum(s.taken for roles in fleet.roles.values() for s in roles.upstreams())
+    assert (waiting, running, taken) == (0, 0, 0)
