--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -31,10 +31,13 @@
     UpstreamPlan,
     VmPlan,
     plan,
+    reweighted,
+    with_one_entry,
 )
 from standins.processes import ChildProcess, exit_on_signals, stop_all
 
 AGENT_PORT = 7101
+ROUTER_MAX_REQUESTS = "256"
 READY_SECONDS = 30.0
 STOP_SECONDS = 3.0
 POLL_SECONDS = 0.05
@@ -68,6 +71,10 @@
         Further flags of the engines.
     log_level : str
         Of the daemons.
+    weights : tuple of pair
+        Weights other than the preset's, by position of the team.
+    one_entry : bool
+        The first team enters at a single router.
     """
 
     preset: str = "kyushu"
@@ -78,6 +85,8 @@
     router_args: tuple[str, ...] = ()
     engine_args: tuple[str, ...] = ()
     log_level: str = "INFO"
+    weights: tuple[tuple[int, float], ...] = ()
+    one_entry: bool = False
 
 
 class Fleet(AbstractContextManager["Fleet"]):
@@ -98,7 +107,7 @@
 
     def __init__(self, cfg: FleetConfig) -> None:
         self.cfg = cfg
-        self.plan: FleetPlan = plan(PRESETS[cfg.preset], cfg.net, cfg.seed)
+        self.plan: FleetPlan = _plan(cfg)
         self._logs = cfg.out / "logs"
         self._platform_ip = f"{cfg.net}.0.1"
         self._http = urllib3.PoolManager(retries=False, timeout=5.0)
@@ -289,7 +298,8 @@
         if role is Role.AGENT:
             args += ["--seeds", self._seeds(vm)]
         if role is Role.ROUTER:
-            args += ["--policy", self.cfg.policy, *self.cfg.router_args]
+            args += ["--policy", self.cfg.policy]
+            args += ["--max-requests", ROUTER_MAX_REQUESTS, *self.cfg.router_args]
         module = f"oleandershift.cli.{role.value}"
         return ChildProcess(f"{vm.vm}-{role.value}", module, args, self._logs)
 
@@ -299,6 +309,11 @@
         return ",".join(f"{other.ip}:{AGENT_PORT}" for other in others)
 
 
+def _plan(cfg: FleetConfig) -> FleetPlan:
+    made = reweighted(plan(PRESETS[cfg.preset], cfg.net, cfg.seed), dict(cfg.weights))
+    return with_one_entry(made) if cfg.one_entry else made
+
+
 def add_fleet_flags(parser: argparse.ArgumentParser) -> None:
     """Add the flags that every tool with a fleet has."""
     parser.add_argument("--net", default=DEFAULT_NET, help="loopback subnet, 127.x")
--- a/standins/presets.py
+++ b/standins/presets.py
@@ -1,7 +1,10 @@
 """Fleets that the tools can start: regions, services, upstreams and teams."""
 
 import random
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+import msgspec
 
 from oleandershift.ids import RegionId, ServiceId, TeamId, UpstreamId, VmId
 from oleandershift.keys import hash_key
@@ -219,6 +222,26 @@
     )
 
 
+def reweighted(fleet: FleetPlan, weights: Mapping[int, float]) -> FleetPlan:
+    """Return a fleet with other weights, given by position of the team."""
+    teams = [
+        replace(
+            team,
+            row=msgspec.structs.replace(
+                team.row, weight=weights.get(place, team.row.weight)
+            ),
+        )
+        for place, team in enumerate(fleet.teams)
+    ]
+    return replace(fleet, teams=tuple(teams))
+
+
+def with_one_entry(fleet: FleetPlan) -> FleetPlan:
+    """Return a fleet whose first team enters at a single router."""
+    first, *others = fleet.teams
+    return replace(fleet, teams=(replace(first, entries=first.entries[:1]), *others))
+
+
 def _upstreams(
     regions: tuple[RegionId, ...], services: tuple[ServiceRow, ...], net: str
 ) -> list[UpstreamPlan]:
