--- a/src/oleandershift/exceptions.py
+++ b/src/oleandershift/exceptions.py
@@ -13,7 +13,7 @@
     place : str
         Flag and variable, or row and column.
     value : str
-        What stands there.
+        What stands there; empty when nothing does.
     expected : str
         What is allowed.
     """
@@ -23,6 +23,8 @@
     expected: str
 
     def __str__(self) -> str:
+        if not self.value:
+            return f"{self.place}: missing or empty: expected {self.expected}"
         return f"{self.place}: {self.value!r} is not allowed: expected {self.expected}"
 
 
--- a/src/oleandershift/io/logs.py
+++ b/src/oleandershift/io/logs.py
@@ -8,9 +8,10 @@
 import msgspec
 from loguru import logger
 
-from oleandershift.clock import HybridClock, Stamp
+from oleandershift.clock import HybridClock, Stamp, is_credible
 from oleandershift.events import Event, EventName
 from oleandershift.ids import RegionId
+from oleandershift.io.metrics import Metrics, NoMetrics
 from oleandershift.messages import ProcessId
 
 
@@ -23,23 +24,38 @@
         The process.
     region : RegionId
         Its region.
+    metrics : Metrics, optional
+        Takes every event too.
     """
 
-    def __init__(self, process: ProcessId, region: RegionId) -> None:
+    def __init__(
+        self, process: ProcessId, region: RegionId, metrics: Metrics | None = None
+    ) -> None:
         self._process = process
         self._region = region
         self._clock = HybridClock()
         self._lock = threading.Lock()
+        self._metrics = metrics or NoMetrics()
 
     def stamp(self) -> Stamp:
         """Return the stamp of a local event or of a message to be sent."""
         with self._lock:
             return self._clock.tick(time.time_ns())
 
-    def received(self, remote: Stamp) -> None:
-        """Advance the clock past a received message."""
+    def received(self, remote: Stamp) -> bool:
+        """Advance the clock past a received message.
+
+        Returns
+        -------
+        bool
+            False when the stamp is not credible; the clock then stays as it is.
+        """
+        now_ns = time.time_ns()
+        if not is_credible(now_ns, remote):
+            return False
         with self._lock:
-            self._clock.receive(time.time_ns(), remote)
+            self._clock.receive(now_ns, remote)
+        return True
 
     def write(self, name: EventName, level: str = "INFO", **fields: str) -> None:
         """Log an event; `fields` are those of `Event`."""
@@ -54,6 +70,7 @@
             name=name,
             **fields,
         )
+        self._metrics.on_event(event)
         logger.bind(event=event).log(level, name.value)
 
 
