Test the agent and the table command with real processes

Cause: replication, membership and the table command were proved on virtual time only. Ruled out: ports given by the kernel for listening processes that start later, as an outgoing connection took one of them before an agent bound it.

--- /dev/null
+++ b/tests/agents.py
@@ -0,0 +1,198 @@
+"""Real agents in processes of their own, and the part of their VM's processes."""
+
+import random
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from returns.result import Success
+
+from oleandershift.ids import FleetId, Incarnation, RegionId, VmId
+from oleandershift.io.links import Links
+from oleandershift.io.logs import EventLog
+from oleandershift.io.queries import ask
+from oleandershift.messages import (
+    Body,
+    Envelope,
+    OperatorQuery,
+    OperatorReply,
+    ProcessId,
+    QueryKind,
+    Role,
+)
+from oleandershift.subscription import Subscription
+
+WAIT_SECONDS = 30.0
+ASK_SECONDS = 2.0
+TICK_SECONDS = 0.05
+PORTS = (12_000, 32_000)
+FLEET = FleetId("oleander")
+
+
+def free_port() -> int:
+    """Return a free port that no outgoing connection is given."""
+    while True:
+        port = random.randrange(*PORTS)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+
+
+def wait_until(condition: Callable[[], bool], what: str) -> None:
+    deadline = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < deadline, f"not in time: {what}"
+        time.sleep(0.02)
+
+
+@dataclass
+class AgentProcess:
+    """An agent in a process of its own."""
+
+    vm: str
+    region: str
+    platform_url: str
+    log: Path
+    seeds: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.agent_port = free_port()
+        self.query_port = free_port()
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def query_address(self) -> str:
+        """Return the address of its query socket."""
+        return f"127.0.0.1:{self.query_port}"
+
+    def start(self) -> None:
+        """Start it, or start it again with nothing remembered."""
+        settings = {
+            "vm": self.vm,
+            "region": self.region,
+            "data-centre": f"{self.region}-1",
+            "ip": "127.0.0.1",
+            "agent-port": self.agent_port,
+            "query-port": self.query_port,
+            "platform-url": self.platform_url,
+            "seeds": ",".join(self.seeds),
+            "log-file": self.log,
+            "drain-seconds": 5,
+        }
+        flags = [f"--{name}={value}" for name, value in settings.items()]
+        command = [sys.executable, "-m", "oleandershift.cli.agent", *flags]
+        self.process = subprocess.Popen(command)
+
+    def ask(
+        self, kind: QueryKind, subject: str = "", deadline: float = 0.0
+    ) -> OperatorReply | None:
+        """Return its answer, or None when it gives none."""
+        query = OperatorQuery(kind, subject, deadline)
+        result = ask(self.query_address, FLEET, query, ASK_SECONDS)
+        return result.unwrap() if isinstance(result, Success) else None
+
+    def is_ready(self) -> bool:
+        """Tell whether it has a whole table."""
+        reply = self.ask(QueryKind.MEMBERS)
+        return reply is not None and reply.table_digest != b""
+
+    def version(self, row: str) -> int:
+        """Return the version of a row in force on its VM."""
+        reply = self.ask(QueryKind.TABLE, row)
+        return reply.versions[0].version if reply and reply.versions else 0
+
+    def states(self) -> dict[str, str]:
+        """Return the members' states as it knows them."""
+        reply = self.ask(QueryKind.MEMBERS)
+        members = reply.members if reply else ()
+        return {member.vm: member.state.value for member in members}
+
+    def freeze(self) -> None:
+        """Stop it from running."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let it run again."""
+        assert self.process is not None
+        self.process.send_signal(signal.SIGCONT)
+
+    def kill(self) -> None:
+        """End it at once."""
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait(WAIT_SECONDS)
+
+    def stop(self) -> int:
+        """End it by SIGTERM and return its exit code."""
+        assert self.process is not None
+        self.process.terminate()
+        return self.process.wait(WAIT_SECONDS)
+
+
+class LocalProcess:
+    """A router's part towards the agent of its VM.
+
+    Parameters
+    ----------
+    agent : AgentProcess
+        The agent.
+
+    Attributes
+    ----------
+    received : list of Body
+        Messages of the agent.
+    versions : list of tuple
+        Versions of rows in the order in which they came into force.
+    """
+
+    def __init__(self, agent: AgentProcess) -> None:
+        address = f"tcp://127.0.0.1:{free_port()}"
+        process = ProcessId(VmId(agent.vm), Role.ROUTER, Incarnation(time.time_ns()))
+        region = RegionId(agent.region)
+        self.process = process
+        self.subscription = Subscription(address)
+        self.received: list[Body] = []
+        self.versions: list[tuple[str, int]] = []
+        self._agent_address = f"tcp://127.0.0.1:{agent.agent_port}"
+        self._lock = threading.Lock()
+        self._closing = threading.Event()
+        events = EventLog(process, region)
+        self.links = Links(FLEET, process, region, address, self._take, events)
+        self._thread = threading.Thread(target=self._tick, daemon=True)
+        self.links.start()
+        self._thread.start()
+
+    def send(self, body: Body) -> None:
+        """Send a message to the agent."""
+        self.links.send(self._agent_address, body)
+
+    def close(self) -> None:
+        """Fall silent."""
+        self._closing.set()
+        self._thread.join()
+        self.links.close()
+
+    def _take(self, envelope: Envelope) -> None:
+        with self._lock:
+            self.received.append(envelope.body)
+            changes = self.subscription.on_message(
+                envelope.sender.incarnation, envelope.body
+            )
+            self.versions += [(row.name, row.version) for row in changes.rows]
+
+    def _tick(self) -> None:
+        while not self._closing.wait(TICK_SECONDS):
+            with self._lock:
+                bodies = self.subscription.on_tick(time.time(), ready=True)
+            for body in bodies:
+                self.send(body)
