Split beliefs from the membership protocol, and answers from the agent

Change: beliefs.py holds what a VM believes and which belief wins; members.py keeps probes and messages; io/answers.py answers queries. Of the table's rows the agent decodes and keeps only the hosts of upstreams. Large changes are logged as a count past the first 20 rows.

--- /dev/null
+++ b/src/oleandershift/beliefs.py
@@ -0,0 +1,193 @@
+"""What one VM believes of the others, and which of two beliefs holds."""
+
+import math
+from collections.abc import Iterable, Mapping
+
+import msgspec
+
+from oleandershift.gossip import UpdateQueue
+from oleandershift.ids import Incarnation, Seq, VmId
+from oleandershift.messages import Member, MemberState
+
+SUSPICION_SECONDS = 3.0
+DEAD_KEPT_SECONDS = 3600.0
+
+_RANK = {
+    MemberState.ALIVE: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.LEAVING: 2,
+    MemberState.DEAD: 3,
+}
+_HEARSAY_PROOF = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
+
+
+def supersedes(update: Member, held: Member) -> bool:
+    """Tell whether an update replaces a held belief about the same VM."""
+    if update.incarnation != held.incarnation:
+        return update.incarnation > held.incarnation
+    return _RANK[update.state] > _RANK[held.state]
+
+
+def published(member: Member) -> Member:
+    """Return a member as local processes see it: a suspect still counts as alive."""
+    if member.state is MemberState.SUSPECT:
+        return msgspec.structs.replace(member, state=MemberState.ALIVE)
+    return member
+
+
+class Beliefs:
+    """Beliefs about every known VM, this one included.
+
+    A death is never taken from hearsay: a report of it only raises a suspicion, so
+    that its subject has time to refute it.
+
+    Parameters
+    ----------
+    me : Member
+        This VM.
+
+    Attributes
+    ----------
+    me : Member
+        This VM as it tells of itself.
+    seq : Seq
+        Grows with every change that local processes have to know.
+    news : UpdateQueue
+        Changes to spread.
+    """
+
+    def __init__(self, me: Member) -> None:
+        self.me = me
+        self.seq = Seq(1)
+        self.news = UpdateQueue()
+        self.news.add(me)
+        self._members = {me.vm: me}
+        self._suspicions: dict[VmId, float] = {}
+        self._died: dict[VmId, float] = {}
+
+    # Queries
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def members(self) -> Mapping[VmId, Member]:
+        """Return every known VM, with suspicions."""
+        return self._members
+
+    def get(self, vm: VmId) -> Member | None:
+        """Return a VM, or None when it is not known."""
+        return self._members.get(vm)
+
+    def dead(self) -> list[Member]:
+        """Return the VMs believed dead that are still remembered."""
+        return [self._members[vm] for vm in self._died]
+
+    # Commands
+
+    def renumber(self) -> None:
+        """Let local processes know of a change."""
+        self.seq = Seq(self.seq + 1)
+
+    def declare(self, state: MemberState) -> None:
+        """Change the state of this VM."""
+        self.me = msgspec.structs.replace(self.me, state=state)
+        self._members[self.me.vm] = self.me
+        self.news.add(self.me)
+        self.renumber()
+
+    def apply(self, now: float, updates: Iterable[Member], spread: bool = True) -> None:
+        """Take what another VM believes.
+
+        Parameters
+        ----------
+        now : float
+            The current instant.
+        updates : iterable of Member
+            Its beliefs.
+        spread : bool
+            Pass on what is new.
+        """
+        for update in updates:
+            if update.vm == self.me.vm:
+                self._refute(update)
+            else:
+                self._consider(now, update, spread)
+
+    def suspect(self, now: float, vm: VmId) -> None:
+        """Suspect a VM that did not answer."""
+        member = self._members.get(vm)
+        if member is None or member.state is MemberState.DEAD:
+            return
+        self._suspicions.setdefault(vm, now + self._suspicion_seconds())
+        if member.state is MemberState.ALIVE:
+            self._set(now, self._with(vm, MemberState.SUSPECT))
+
+    def answered(self, vm: VmId) -> None:
+        """End the suspicion of a leaving VM, which has no need to refute it."""
+        member = self._members.get(vm)
+        if member is not None and member.state is MemberState.LEAVING:
+            self._suspicions.pop(vm, None)
+
+    def restart_suspicions(self, now: float) -> None:
+        """Give every suspect its full time again."""
+        for vm in self._suspicions:
+            self._suspicions[vm] = now + self._suspicion_seconds()
+
+    def expire(self, now: float) -> None:
+        """Declare suspects dead whose time is over, and forget the long dead."""
+        for vm, deadline in list(self._suspicions.items()):
+            if now >= deadline:
+                del self._suspicions[vm]
+                self._set(now, self._with(vm, MemberState.DEAD))
+        for vm, at in list(self._died.items()):
+            if now >= at + DEAD_KEPT_SECONDS:
+                del self._died[vm]
+                del self._members[vm]
+                self.renumber()
+
+    # Parts
+
+    def _suspicion_seconds(self) -> float:
+        return SUSPICION_SECONDS * max(1.0, math.log10(len(self._members)))
+
+    def _refute(self, update: Member) -> None:
+        if self.me.state is MemberState.DEAD or not supersedes(update, self.me):
+            return
+        newer = Incarnation(update.incarnation + 1)
+        self.me = msgspec.structs.replace(self.me, incarnation=newer)
+        self.declare(self.me.state)
+
+    def _consider(self, now: float, update: Member, spread: bool) -> None:
+        held = self._members.get(update.vm)
+        if held is None:
+            if update.state is not MemberState.DEAD:
+                self._set(now, update, spread)
+            return
+        if not supersedes(update, held):
+            return
+        if update.state is MemberState.DEAD and held.state in _HEARSAY_PROOF:
+            update = msgspec.structs.replace(update, state=MemberState.SUSPECT)
+            if not supersedes(update, held):
+                return
+        self._set(now, update, spread)
+
+    def _set(self, now: float, member: Member, spread: bool = True) -> None:
+        held = self._members.get(member.vm)
+        self._members[member.vm] = member
+        if spread:
+            self.news.add(member)
+        else:
+            self.news.drop(member.vm)
+        if held is None or published(held) != published(member):
+            self.renumber()
+        self._died.pop(member.vm, None)
+        if member.state is MemberState.SUSPECT:
+            deadline = now + self._suspicion_seconds()
+            self._suspicions.setdefault(member.vm, deadline)
+            return
+        self._suspicions.pop(member.vm, None)
+        if member.state is MemberState.DEAD:
+            self._died[member.vm] = now
+
+    def _with(self, vm: VmId, state: MemberState) -> Member:
+        return msgspec.structs.replace(self._members[vm], state=state)
--- a/src/oleandershift/io/agent.py
+++ b/src/oleandershift/io/agent.py
@@ -1,6 +1,5 @@
 """The agent's actor: membership, table and status of one VM."""
 
-import resource
 import time
 from collections.abc import Iterable
 from typing import Any
@@ -10,10 +9,11 @@
 from oleandershift.dispatch import Send
 from oleandershift.events import EventName
 from oleandershift.exceptions import Finding
-from oleandershift.ids import RequestId, VmId
+from oleandershift.ids import VmId
+from oleandershift.io.answers import Answers
 from oleandershift.io.connections import BoundedLinks
 from oleandershift.io.daemon import DaemonActor, Runtime
-from oleandershift.io.platform import ListedState, PlatformClient
+from oleandershift.io.platform import PlatformClient
 from oleandershift.io.queries import Identity, QueryServer
 from oleandershift.io.watch import (
     TABLE_KINDS,
@@ -23,7 +23,7 @@
     VmsSeen,
     WatchedRows,
 )
-from oleandershift.leaving import LeavingUpstreams, on_leaving_vms, upstream_host
+from oleandershift.leaving import LeavingUpstreams, ListedState, UpstreamHosts
 from oleandershift.members import Membership, link_address
 from oleandershift.messages import (
     Ack,
@@ -39,16 +39,13 @@
     Role,
     Row,
     RowsUpdate,
-    RowVersion,
     StatusReport,
     Subscribe,
     TableSummary,
-    TeamWeight,
 )
 from oleandershift.objects import ObjectKind
 from oleandershift.processes import LocalProcesses, LocalSend
-from oleandershift.rendezvous import ranked
-from oleandershift.replica import Table
+from oleandershift.rendezvous import watchers_for
 from oleandershift.replication import FANOUT, Changed, Peer, Replication
 
 WATCHERS_PER_REGION = 2
@@ -56,9 +53,9 @@
 ROLE_PERIOD_SECONDS = 0.25
 PUBLISH_PERIOD_SECONDS = 0.2
 LEAVE_SECONDS = 1.0
+MAX_ROWS_LOGGED = 20
 LOCAL_GONE_SECONDS = 3.0
 QUERY_TIMEOUT_SECONDS = 2.0
-PAGE_BYTES = resource.getpagesize()
 
 
 class AgentActor(DaemonActor):
@@ -81,7 +78,10 @@
         self._membership = Membership(me, contacts, seed)
         self._replication = Replication(link_address(me), seed)
         self._processes = LocalProcesses(self._replication.replica)
-        self._table = Table()
+        self._answers = Answers(
+            runtime, self._membership, self._replication, self._processes
+        )
+        self._hosts = UpstreamHosts()
         self._leaving = LeavingUpstreams()
         self._states: dict[VmId, MemberState] = {}
         self._listed: set[ObjectKind] = set()
@@ -232,71 +232,25 @@
         if not self._watching:
             return
         leaving = [vm for vm in message.vms if vm.state is ListedState.LEAVING]
-        names = [vm.name for vm in leaving]
-        ips = [vm.ip for vm in leaving]
-        upstreams = on_leaving_vms(self._table.upstreams.values(), names, ips)
-        self._membership.set_listed(self._listed_contacts(message))
-        if self._leaving.observe(time.time(), upstreams):
+        live = [vm for vm in message.vms if vm.state is ListedState.LIVE]
+        port = self._runtime.cfg.agent_port
+        contacts = [f"tcp://{vm.ip}:{port}" for vm in self._hosts.without(live)]
+        self._membership.set_listed(contacts)
+        if self._leaving.observe(time.time(), self._hosts.on(leaving)):
             self._membership.renumber()
             self._publish_members()
         self._spread_leaving()
 
-    def _listed_contacts(self, message: VmsSeen) -> list[str]:
-        """Return where agents may run: listed VMs that serve no upstream."""
-        ips = [vm.ip for vm in message.vms if vm.state is ListedState.LIVE]
-        names = [vm.name for vm in message.vms]
-        rows = self._table.upstreams.values()
-        serving = {row.name for row in rows} & set(names)
-        hosts = {upstream_host(row) for row in rows}
-        serving_ips = {vm.ip for vm in message.vms if vm.name in serving} | hosts
-        port = self._runtime.cfg.agent_port
-        return [f"tcp://{ip}:{port}" for ip in ips if ip not in serving_ips]
-
     def _answer(self, query: OperatorQuery) -> OperatorReply:
-        reports: tuple[StatusReport, ...] = ()
-        versions: tuple[RowVersion, ...] = ()
-        if query.kind is QueryKind.STATUS:
-            reports = (*self._processes.reports(), self._own_report())
-        elif query.kind is QueryKind.TABLE:
-            keys = _keys(query.subject, self._replication.replica.rows())
-            versions = tuple(self._processes.versions_in_force(keys))
-        elif query.kind is QueryKind.DRAIN:
+        if query.kind is QueryKind.DRAIN:
             self._drain_vm(query.deadline)
-        return OperatorReply(
-            vm=self._runtime.process.vm,
-            members=tuple(self._membership.members().values()),
-            reports=reports,
-            outcomes=self._processes.outcomes(RequestId(query.subject)),
-            table_digest=self._replication.digest(),
-            versions=versions,
-            platform=self._platform.value,
-            weights=self._weights(reports),
-        )
-
-    def _weights(self, reports: Iterable[StatusReport]) -> tuple[TeamWeight, ...]:
-        named = {status.team for report in reports for status in report.teams}
-        teams = self._table.teams
-        return tuple(
-            TeamWeight(team, teams[team].weight) for team in named if team in teams
-        )
+        draining = self._leave_at is not None
+        return self._answers.answer(query, self._platform.value, draining)
 
     def _drain_vm(self, deadline: float) -> None:
         self._send_local(self._processes.broadcast([DrainCommand(deadline)]))
         self.on_drain(time.time(), deadline)
 
-    def _own_report(self) -> StatusReport:
-        usage = resource.getrusage(resource.RUSAGE_SELF)
-        return StatusReport(
-            process=self._runtime.process,
-            at=time.time(),
-            ready=self._replication.replica.complete,
-            draining=self._leave_at is not None,
-            table_digest=self._replication.digest(),
-            traffic=self._runtime.links.traffic(),
-            cpu_seconds=usage.ru_utime + usage.ru_stime,
-            resident_bytes=_resident_bytes(),
-        )
-
     # Table
 
     def _take_rows(self, rows: Iterable[Row]) -> None:
@@ -306,15 +260,19 @@
         if not changed.rows:
             return
         self._processes.record(changed.before, changed.replaced)
-        self._table.update(changed.rows)
+        self._hosts.update(changed.rows)
         self._send(changed.sends)
         self._send_local(self._processes.push(changed.rows))
         self._log_rows(changed)
 
     def _log_rows(self, changed: Changed) -> None:
-        for row in changed.rows:
+        events = self._runtime.events
+        for row in changed.rows[:MAX_ROWS_LOGGED]:
             detail = f"{row.kind}/{row.name} version {row.version}"
-            self._runtime.events.write(EventName.ROW_CHANGED, detail=detail)
+            events.write(EventName.ROW_CHANGED, detail=detail)
+        more = len(changed.rows) - MAX_ROWS_LOGGED
+        if more > 0:
+            events.write(EventName.ROW_CHANGED, detail=f"{more} more rows")
 
     def _log_bad(self, findings: Iterable[Finding]) -> None:
         for finding in findings:
@@ -343,8 +301,7 @@
     def _is_watcher(self) -> bool:
         region = self._runtime.region
         present = [self._membership.me, *self._membership.peers(region)]
-        staying = [m for m in present if m.state is not MemberState.LEAVING]
-        chosen = ranked(f"watch/{region}", staying or present)[:WATCHERS_PER_REGION]
+        chosen = watchers_for(region, present, WATCHERS_PER_REGION)
         return any(member.vm == self._runtime.process.vm for member in chosen)
 
     def _publish_members(self) -> None:
@@ -405,16 +362,3 @@
         http_port=cfg.http_port,
         incarnation=runtime.process.incarnation,
     )
-
-
-def _keys(subject: str, rows: Iterable[Row]) -> list[tuple[str, str]]:
-    """Return the rows that a query names as `kind/name`, by commas; all if none."""
-    if not subject:
-        return [(row.kind, row.name) for row in rows]
-    parts = (part.partition("/") for part in subject.split(","))
-    return [(kind, name) for kind, _, name in parts]
-
-
-def _resident_bytes() -> int:
-    with open("/proc/self/statm") as statm:
-        return int(statm.read().split()[1]) * PAGE_BYTES
--- /dev/null
+++ b/src/oleandershift/io/answers.py
@@ -0,0 +1,94 @@
+"""Answers of an agent to operators' queries."""
+
+import time
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from oleandershift.ids import RequestId
+from oleandershift.io.daemon import Runtime
+from oleandershift.io.usage import usage
+from oleandershift.members import Membership
+from oleandershift.messages import (
+    OperatorQuery,
+    OperatorReply,
+    QueryKind,
+    Row,
+    RowVersion,
+    StatusReport,
+)
+from oleandershift.processes import LocalProcesses
+from oleandershift.replication import Replication
+
+
+@dataclass(frozen=True)
+class Answers:
+    """Answers queries from the agent's state.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        The agent's process and traffic.
+    membership : Membership
+        Members.
+    replication : Replication
+        Table.
+    processes : LocalProcesses
+        Status of the VM's processes.
+    """
+
+    runtime: Runtime
+    membership: Membership
+    replication: Replication
+    processes: LocalProcesses
+
+    def answer(
+        self, query: OperatorQuery, platform: str, draining: bool
+    ) -> OperatorReply:
+        """Return the answer to a query.
+
+        Parameters
+        ----------
+        query : OperatorQuery
+            The query.
+        platform : str
+            How the platform answers this agent.
+        draining : bool
+            The VM is leaving.
+        """
+        reports: tuple[StatusReport, ...] = ()
+        versions: tuple[RowVersion, ...] = ()
+        if query.kind is QueryKind.STATUS:
+            reports = (*self.processes.reports(), self._own_report(draining))
+        elif query.kind is QueryKind.TABLE:
+            keys = _keys(query.subject, self.replication.replica.rows())
+            versions = tuple(self.processes.versions_in_force(keys))
+        return OperatorReply(
+            vm=self.runtime.process.vm,
+            members=tuple(self.membership.members().values()),
+            reports=reports,
+            outcomes=self.processes.outcomes(RequestId(query.subject)),
+            table_digest=self.replication.digest(),
+            versions=versions,
+            platform=platform,
+        )
+
+    def _own_report(self, draining: bool) -> StatusReport:
+        used = usage()
+        return StatusReport(
+            process=self.runtime.process,
+            at=time.time(),
+            ready=self.replication.replica.complete,
+            draining=draining,
+            table_digest=self.replication.digest(),
+            traffic=self.runtime.links.traffic(),
+            cpu_seconds=used.cpu_seconds,
+            resident_bytes=used.resident_bytes,
+        )
+
+
+def _keys(subject: str, rows: Iterable[Row]) -> list[tuple[str, str]]:
+    """Return the rows that a query names as `kind/name`, by commas; all if none."""
+    if not subject:
+        return [(row.kind, row.name) for row in rows]
+    parts = (part.partition("/") for part in subject.split(","))
+    return [(kind, name) for kind, _, name in parts]
--- a/src/oleandershift/io/platform.py
+++ b/src/oleandershift/io/platform.py
@@ -2,7 +2,6 @@
 
 import time
 from collections.abc import Mapping
-from enum import Enum
 from typing import Any, TypeVar
 from urllib.parse import quote
 
@@ -15,6 +14,7 @@
     NewConnectionError,
 )
 
+from oleandershift.leaving import ListedVm
 from oleandershift.objects import (
     ObjectChanges,
     ObjectKind,
@@ -40,30 +40,6 @@
 }
 
 
-class ListedState(Enum):
-    """State of a VM in the platform's list."""
-
-    LIVE = "live"
-    LEAVING = "leaving"
-
-
-class ListedVm(msgspec.Struct, frozen=True, kw_only=True):
-    """One VM of the platform's list, which lags.
-
-    Parameters
-    ----------
-    name, region, ip : str
-        Who and where it is.
-    state : ListedState
-        Whether it is leaving.
-    """
-
-    name: str
-    region: str
-    ip: str
-    state: ListedState
-
-
 class _VmList(msgspec.Struct, frozen=True):
     vms: tuple[ListedVm, ...]
 
--- a/src/oleandershift/io/watch.py
+++ b/src/oleandershift/io/watch.py
@@ -11,7 +11,8 @@
 from loguru import logger
 from returns.result import Failure
 
-from oleandershift.io.platform import ListedVm, PlatformClient
+from oleandershift.io.platform import PlatformClient
+from oleandershift.leaving import ListedVm
 from oleandershift.messages import Row
 from oleandershift.objects import (
     ChangeType,
--- a/src/oleandershift/leaving.py
+++ b/src/oleandershift/leaving.py
@@ -1,15 +1,80 @@
 """Upstreams that the platform's list calls leaving, as agents tell each other."""
 
-from collections.abc import Iterable, Sequence
-from functools import lru_cache
+from collections.abc import Iterable
+from enum import Enum
 from urllib.parse import urlsplit
 
+import msgspec
+
 from oleandershift.ids import Seq, UpstreamId
-from oleandershift.messages import MembersView
-from oleandershift.rows import UpstreamRow
+from oleandershift.messages import MembersView, Row
+from oleandershift.rows import Kind, UpstreamRow, decode_row
 
 MILLISECONDS = 1000
-MAX_CACHED_HOSTS = 1 << 16
+
+
+class ListedState(Enum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedVm(msgspec.Struct, frozen=True, kw_only=True):
+    """One VM of the platform's list, which lags.
+
+    Parameters
+    ----------
+    name, region, ip : str
+        Who and where it is.
+    state : ListedState
+        Whether it is leaving.
+    """
+
+    name: str
+    region: str
+    ip: str
+    state: ListedState
+
+
+class UpstreamHosts:
+    """Hosts of the table's upstreams."""
+
+    def __init__(self) -> None:
+        self._hosts: dict[UpstreamId, str] = {}
+
+    def update(self, rows: Iterable[Row]) -> None:
+        """Take changed rows; those of other kinds do nothing."""
+        for row in rows:
+            if row.kind == Kind.UPSTREAMS.value:
+                self._put(row)
+
+    def on(self, vms: Iterable[ListedVm]) -> set[UpstreamId]:
+        """Return the upstreams that stand on some VMs.
+
+        An upstream matches by its own name or by the host of its URL.
+        """
+        listed = list(vms)
+        places = {vm.name for vm in listed} | {vm.ip for vm in listed}
+        return {
+            name
+            for name, host in self._hosts.items()
+            if name in places or host in places
+        }
+
+    def without(self, vms: Iterable[ListedVm]) -> list[ListedVm]:
+        """Return the VMs on which no upstream stands."""
+        hosts = set(self._hosts.values())
+        return [vm for vm in vms if vm.name not in self._hosts and vm.ip not in hosts]
+
+    def _put(self, row: Row) -> None:
+        name = UpstreamId(row.name)
+        if row.deleted:
+            self._hosts.pop(name, None)
+            return
+        decoded = decode_row(Kind.UPSTREAMS, row.value)
+        if isinstance(decoded, UpstreamRow):
+            self._hosts[name] = urlsplit(decoded.url).hostname or ""
 
 
 class LeavingUpstreams:
@@ -49,30 +114,3 @@
     def message(self) -> MembersView:
         """Return the set as a message to other agents; it names no members."""
         return MembersView(self._seq, (), self.upstreams)
-
-
-def on_leaving_vms(
-    rows: Iterable[UpstreamRow], names: Sequence[str], ips: Sequence[str]
-) -> set[UpstreamId]:
-    """Return the upstreams that stand on leaving VMs.
-
-    Parameters
-    ----------
-    rows : iterable of UpstreamRow
-        The table's upstreams.
-    names, ips : sequence of str
-        Names and addresses of the leaving VMs; an upstream matches by its own name or
-        by the host of its URL.
-    """
-    gone = {*names, *ips}
-    return {row.name for row in rows if row.name in gone or upstream_host(row) in gone}
-
-
-def upstream_host(row: UpstreamRow) -> str:
-    """Return the host that an upstream stands on."""
-    return _host_of(row.url)
-
-
-@lru_cache(maxsize=MAX_CACHED_HOSTS)
-def _host_of(url: str) -> str:
-    return urlsplit(url).hostname or ""
--- a/src/oleandershift/members.py
+++ b/src/oleandershift/members.py
@@ -7,44 +7,33 @@
 that two halves which declared each other dead merge again.
 """
 
-import math
 import random
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
 
+from oleandershift.beliefs import Beliefs, published
 from oleandershift.dispatch import Send
-from oleandershift.gossip import UpdateQueue
-from oleandershift.ids import Incarnation, RegionId, Seq, UpstreamId, VmId
+from oleandershift.ids import RegionId, Seq, UpstreamId, VmId
 from oleandershift.messages import Ack, Body, Member, MemberState, MembersView, Ping
 
 PROBE_PERIOD_SECONDS = 0.5
 RETRY_PROBE_SECONDS = 0.3
 PROBE_FAILS_AFTER_SECONDS = 1.0
 INDIRECT_PROBES = 3
-SUSPICION_SECONDS = 3.0
+ANNOUNCEMENTS = 3
 CONTACT_PERIOD_SECONDS = 1.0
 FIRST_SYNC_SECONDS = 1.0
 LONGEST_SYNC_SECONDS = 256.0
 UPHEAVAL_UPDATES = 50
 UPHEAVAL_PERIOD_SECONDS = 60.0
 FROZEN_AFTER_SECONDS = 1.0
-DEAD_KEPT_SECONDS = 3600.0
 MAX_RELAYS = 1024
 
 UNKNOWN_VM = VmId("")
 """Target of a probe to an address whose VM is not known; asks for all members."""
 
-_RANK = {
-    MemberState.ALIVE: 0,
-    MemberState.SUSPECT: 1,
-    MemberState.LEAVING: 2,
-    MemberState.DEAD: 3,
-}
-
-_HEARSAY_PROOF = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
-
 
 def link_address(member: Member) -> str:
     """Return the link address of a member's agent."""
@@ -79,27 +68,19 @@
 
     Attributes
     ----------
-    seq : Seq
-        Grows with every change that local processes have to know.
     table_digest : bytes
         Digest that rides on probes.
     """
 
     def __init__(self, me: Member, contacts: Sequence[str], seed: int) -> None:
-        self.seq = Seq(1)
         self.table_digest = b""
-        self._me = me
+        self._beliefs = Beliefs(me)
         self._contacts = tuple(contacts)
         self._listed: tuple[str, ...] = ()
         self._rng = random.Random(seed)
-        self._members = {me.vm: me}
-        self._queue = UpdateQueue()
-        self._queue.add(me)
         self._order: list[VmId] = []
         self._probes: dict[Seq, _Probe] = {}
         self._relays: dict[Seq, _Relay] = {}
-        self._suspicions: dict[VmId, float] = {}
-        self._died: dict[VmId, float] = {}
         self._probe_seq = Seq(0)
         self._last_tick: float | None = None
         self._next_probe = 0.0
@@ -113,25 +94,30 @@
     @property
     def me(self) -> Member:
         """Return this VM as it tells of itself."""
-        return self._me
+        return self._beliefs.me
+
+    @property
+    def seq(self) -> Seq:
+        """Return the number of the view; it grows with every change."""
+        return self._beliefs.seq
 
     def members(self) -> Mapping[VmId, Member]:
         """Return every known VM, with suspicions."""
-        return self._members
+        return self._beliefs.members()
 
     def peers(self, region: RegionId | None = None) -> list[Member]:
         """Return the other VMs not believed dead, of one region or of all."""
         return [
             member
-            for member in self._members.values()
-            if member.vm != self._me.vm
+            for member in self.members().values()
+            if member.vm != self.me.vm
             and member.state is not MemberState.DEAD
             and region in (None, member.region)
         ]
 
     def view(self, leaving: Iterable[UpstreamId] = ()) -> MembersView:
         """Return the members for a local process; a suspect still counts as alive."""
-        members = tuple(self._published(member) for member in self._members.values())
+        members = tuple(published(member) for member in self.members().values())
         return MembersView(self.seq, members, tuple(leaving))
 
     def sample(self, peers: Sequence[Member], number: int) -> list[Member]:
@@ -146,23 +132,23 @@
 
     def renumber(self) -> None:
         """Give the view a new number, as something beside the members changed."""
-        self.seq = Seq(self.seq + 1)
+        self._beliefs.renumber()
 
     def leave(self) -> list[Send]:
         """Announce that this VM takes no more roles."""
-        self._declare(MemberState.LEAVING)
+        self._beliefs.declare(MemberState.LEAVING)
         return self._announce()
 
     def stop(self) -> list[Send]:
         """Announce that this VM is gone."""
-        self._declare(MemberState.DEAD)
+        self._beliefs.declare(MemberState.DEAD)
         return self._announce()
 
     def on_tick(self, now: float) -> list[Send]:
         """Take the passage of time."""
         self._check_own_freeze(now)
         sends = self._advance_probes(now)
-        self._bury(now)
+        self._beliefs.expire(now)
         if now >= self._next_probe:
             self._next_probe = now + PROBE_PERIOD_SECONDS
             sends += self._probe_next(now)
@@ -208,45 +194,30 @@
         self._probes.clear()
         self._next_probe = now
         self._next_contact = now
-        for vm in self._suspicions:
-            self._suspicions[vm] = now + self._suspicion_seconds()
-
-    def _suspicion_seconds(self) -> float:
-        return SUSPICION_SECONDS * max(1.0, math.log10(len(self._members)))
+        self._beliefs.restart_suspicions(now)
 
     def _advance_probes(self, now: float) -> list[Send]:
         sends = []
         for seq, probe in list(self._probes.items()):
             if now >= probe.fails_at:
                 del self._probes[seq]
-                self._suspect(now, probe.vm)
+                self._beliefs.suspect(now, probe.vm)
+                self._order.append(probe.vm)
             elif now >= probe.retry_at:
                 probe.retry_at = now + RETRY_PROBE_SECONDS
                 sends += self._probe_indirectly(seq, probe.vm)
         return sends
 
-    def _bury(self, now: float) -> None:
-        for vm, deadline in list(self._suspicions.items()):
-            if now >= deadline:
-                del self._suspicions[vm]
-                self._set(now, self._with(vm, MemberState.DEAD))
-        for vm, at in list(self._died.items()):
-            if now >= at + DEAD_KEPT_SECONDS:
-                del self._died[vm]
-                del self._members[vm]
-                self.seq = Seq(self.seq + 1)
-
-    def _suspect(self, now: float, vm: VmId) -> None:
-        member = self._members.get(vm)
-        if member is None or member.state is MemberState.DEAD:
-            return
-        self._suspicions.setdefault(vm, now + self._suspicion_seconds())
-        if member.state is MemberState.ALIVE:
-            self._set(now, self._with(vm, MemberState.SUSPECT))
-        self._order.append(vm)
-
     # Probes
 
+    def _announce(self) -> list[Send]:
+        sends = []
+        for member in self.sample(self.peers(), ANNOUNCEMENTS):
+            own = link_address(self.me)
+            ping = Ping(Seq(0), member.vm, own, (self.me,), self.table_digest)
+            sends.append(Send(link_address(member), member.region, ping))
+        return sends
+
     def _probe_next(self, now: float) -> list[Send]:
         target = self._next_target()
         if target is None:
@@ -264,21 +235,23 @@
             self._order = [member.vm for member in self.peers()]
             self._rng.shuffle(self._order)
         while self._order:
-            member = self._members.get(self._order.pop())
+            member = self._beliefs.get(self._order.pop())
             if member is not None and member.state is not MemberState.DEAD:
                 return member
         return None
 
     def _probe_indirectly(self, seq: Seq, vm: VmId) -> list[Send]:
-        target = self._members[vm]
+        target = self._beliefs.get(vm)
+        if target is None:
+            return []
         others = [member for member in self.peers() if member.vm != vm]
         helpers = self._rng.sample(others, min(INDIRECT_PROBES, len(others)))
         return [self._ping(member, seq, vm) for member in (target, *helpers)]
 
     def _ping(self, receiver: Member, seq: Seq, target: VmId) -> Send:
-        doubts = self._doubts(self._members.get(target))
-        updates = (*doubts, *self._queue.take(self._size()))
-        ping = Ping(seq, target, link_address(self._me), updates, self.table_digest)
+        doubts = self._doubts(self._beliefs.get(target))
+        updates = (*doubts, *self._beliefs.news.take(self._size()))
+        ping = Ping(seq, target, link_address(self.me), updates, self.table_digest)
         return Send(link_address(receiver), receiver.region, ping)
 
     @staticmethod
@@ -289,20 +262,20 @@
         return (member,)
 
     def _size(self) -> int:
-        return len(self._members)
+        return len(self._beliefs)
 
     def _contact(self) -> list[Send]:
         """Probe an address from which nothing is heard, if there is one."""
-        live = {link_address(member) for member in (self._me, *self.peers())}
+        live = {link_address(member) for member in (self.me, *self.peers())}
         known = dict.fromkeys((*self._contacts, *self._listed))
         strangers = [address for address in known if address not in live]
-        dead = [self._members[vm] for vm in self._died]
+        dead = self._beliefs.dead()
         if not strangers and not dead:
             return []
         if dead and (not strangers or self._rng.random() < len(dead) / self._size()):
             return [self._ping_dead(self._rng.choice(dead))]
         address = self._rng.choice(strangers)
-        return [Send(address, self._me.region, self._introduction())]
+        return [Send(address, self.me.region, self._introduction())]
 
     def _sync(self, now: float) -> list[Send]:
         """Ask a random peer for all members, seldom unless there is much news."""
@@ -315,39 +288,43 @@
         ]
 
     def _introduction(self) -> Ping:
-        own = link_address(self._me)
-        return Ping(Seq(0), UNKNOWN_VM, own, (self._me,), self.table_digest)
+        own = link_address(self.me)
+        return Ping(Seq(0), UNKNOWN_VM, own, (self.me,), self.table_digest)
 
     def _expect_upheaval(self, now: float) -> None:
-        if len(self._queue) < UPHEAVAL_UPDATES or now < self._next_upheaval:
+        if len(self._beliefs.news) < UPHEAVAL_UPDATES or now < self._next_upheaval:
             return
         self._next_upheaval = now + UPHEAVAL_PERIOD_SECONDS
         self._sync_period = FIRST_SYNC_SECONDS
         self._next_sync = now + self._rng.random() * FIRST_SYNC_SECONDS
 
     def _ping_dead(self, member: Member) -> Send:
-        own = link_address(self._me)
-        ping = Ping(Seq(0), member.vm, own, (self._me, member), self.table_digest)
+        own = link_address(self.me)
+        ping = Ping(Seq(0), member.vm, own, (self.me, member), self.table_digest)
         return Send(link_address(member), member.region, ping)
 
     # Messages
 
     def _on_ping(self, now: float, sender: VmId, ping: Ping) -> list[Send]:
         self._apply(now, ping.updates)
-        member = self._members.get(sender)
-        region = self._me.region if member is None else member.region
-        if ping.target not in (self._me.vm, UNKNOWN_VM):
+        member = self._beliefs.get(sender)
+        region = self.me.region if member is None else member.region
+        if ping.target not in (self.me.vm, UNKNOWN_VM):
             return self._relay_ping(ping, region)
-        updates = (self._me, *self._doubts(member), *self._queue.take(self._size()))
-        ack = Ack(ping.seq, self._me.vm, updates, self.table_digest)
+        updates = (
+            self.me,
+            *self._doubts(member),
+            *self._beliefs.news.take(self._size()),
+        )
+        ack = Ack(ping.seq, self.me.vm, updates, self.table_digest)
         sends = [Send(ping.reply_to, region, ack)]
         if ping.target == UNKNOWN_VM:
-            everyone = MembersView(self.seq, tuple(self._members.values()))
+            everyone = MembersView(self.seq, tuple(self.members().values()))
             sends.append(Send(ping.reply_to, region, everyone))
         return sends
 
     def _relay_ping(self, ping: Ping, region: RegionId) -> list[Send]:
-        target = self._members.get(ping.target)
+        target = self._beliefs.get(ping.target)
         if target is None:
             return []
         self._probe_seq = Seq(self._probe_seq + 1)
@@ -360,96 +337,15 @@
         self._apply(now, ack.updates)
         probe = self._probes.pop(ack.seq, None)
         if probe is not None:
-            self._clear_suspicion_of_leaver(probe.vm)
+            self._beliefs.answered(probe.vm)
         relay = self._relays.pop(ack.seq, None)
         if relay is None:
             return []
         passed = msgspec.structs.replace(ack, seq=relay.seq)
         return [Send(relay.address, relay.region, passed)]
 
-    def _clear_suspicion_of_leaver(self, vm: VmId) -> None:
-        member = self._members.get(vm)
-        if member is not None and member.state is MemberState.LEAVING:
-            self._suspicions.pop(vm, None)
-
-    # Beliefs
-
     def _apply(
         self, now: float, updates: Iterable[Member], spread: bool = True
     ) -> None:
-        for update in updates:
-            if update.vm == self._me.vm:
-                self._refute(update)
-            else:
-                self._consider(now, update, spread)
+        self._beliefs.apply(now, updates, spread)
         self._expect_upheaval(now)
-
-    def _refute(self, update: Member) -> None:
-        if self._me.state is MemberState.DEAD or not _supersedes(update, self._me):
-            return
-        self._me = msgspec.structs.replace(
-            self._me, incarnation=Incarnation(update.incarnation + 1)
-        )
-        self._declare(self._me.state)
-
-    def _consider(self, now: float, update: Member, spread: bool) -> None:
-        held = self._members.get(update.vm)
-        if held is None:
-            if update.state is not MemberState.DEAD:
-                self._set(now, update, spread)
-            return
-        if not _supersedes(update, held):
-            return
-        if update.state is MemberState.DEAD and held.state in _HEARSAY_PROOF:
-            update = msgspec.structs.replace(update, state=MemberState.SUSPECT)
-            if not _supersedes(update, held):
-                return
-        self._set(now, update, spread)
-
-    def _set(self, now: float, member: Member, spread: bool = True) -> None:
-        held = self._members.get(member.vm)
-        self._members[member.vm] = member
-        if spread:
-            self._queue.add(member)
-        else:
-            self._queue.drop(member.vm)
-        if held is None or self._published(held) != self._published(member):
-            self.seq = Seq(self.seq + 1)
-        self._died.pop(member.vm, None)
-        if member.state is MemberState.SUSPECT:
-            self._suspicions.setdefault(member.vm, now + self._suspicion_seconds())
-            return
-        self._suspicions.pop(member.vm, None)
-        if member.state is MemberState.DEAD:
-            self._died[member.vm] = now
-
-    def _declare(self, state: MemberState) -> None:
-        self._me = msgspec.structs.replace(self._me, state=state)
-        self._members[self._me.vm] = self._me
-        self._queue.add(self._me)
-        self.seq = Seq(self.seq + 1)
-
-    def _announce(self) -> list[Send]:
-        peers = self.peers()
-        chosen = self._rng.sample(peers, min(INDIRECT_PROBES, len(peers)))
-        sends = []
-        for member in chosen:
-            own = link_address(self._me)
-            ping = Ping(Seq(0), member.vm, own, (self._me,), self.table_digest)
-            sends.append(Send(link_address(member), member.region, ping))
-        return sends
-
-    def _with(self, vm: VmId, state: MemberState) -> Member:
-        return msgspec.structs.replace(self._members[vm], state=state)
-
-    @staticmethod
-    def _published(member: Member) -> Member:
-        if member.state is MemberState.SUSPECT:
-            return msgspec.structs.replace(member, state=MemberState.ALIVE)
-        return member
-
-
-def _supersedes(update: Member, held: Member) -> bool:
-    if update.incarnation != held.incarnation:
-        return update.incarnation > held.incarnation
-    return _RANK[update.state] > _RANK[held.state]
--- a/src/oleandershift/rendezvous.py
+++ b/src/oleandershift/rendezvous.py
@@ -31,3 +31,23 @@
     ]
     order = ranked(f"{service}/{region}", alive)
     return order[0] if order else None
+
+
+def watchers_for(
+    region: RegionId, members: Iterable[Member], number: int
+) -> list[Member]:
+    """Return the VMs of a region whose agents watch the platform.
+
+    Parameters
+    ----------
+    region : RegionId
+        The region.
+    members : iterable of Member
+        Its VMs that are not dead; those that leave are chosen only when no other is
+        there.
+    number : int
+        How many watch.
+    """
+    present = list(members)
+    staying = [m for m in present if m.state is not MemberState.LEAVING]
+    return ranked(f"watch/{region}", staying or present)[:number]
--- a/tests/contract/test_platform_client.py
+++ b/tests/contract/test_platform_client.py
@@ -6,7 +6,8 @@
 import pytest
 from returns.result import Failure, Result
 
-from oleandershift.io.platform import ListedState, PlatformClient
+from oleandershift.io.platform import PlatformClient
+from oleandershift.leaving import ListedState
 from oleandershift.objects import (
     ChangeType,
     ObjectKind,
