--- a/src/oleandershift/io/agent.py
+++ b/src/oleandershift/io/agent.py
@@ -10,11 +10,11 @@
 from oleandershift.events import EventName
 from oleandershift.exceptions import Finding
 from oleandershift.ids import VmId
-from oleandershift.io.answers import Answers
 from oleandershift.io.connections import BoundedLinks
 from oleandershift.io.daemon import DaemonActor, Runtime
 from oleandershift.io.platform import PlatformClient
 from oleandershift.io.queries import Identity, QueryServer
+from oleandershift.io.replies import Replies
 from oleandershift.io.watch import (
     TABLE_KINDS,
     PlatformSeen,
@@ -78,7 +78,7 @@
         self._membership = Membership(me, contacts, seed)
         self._replication = Replication(link_address(me), seed)
         self._processes = LocalProcesses(self._replication.replica)
-        self._answers = Answers(
+        self._replies = Replies(
             runtime, self._membership, self._replication, self._processes
         )
         self._hosts = UpstreamHosts()
@@ -245,7 +245,7 @@
         if query.kind is QueryKind.DRAIN:
             self._drain_vm(query.deadline)
         draining = self._leave_at is not None
-        return self._answers.answer(query, self._platform.value, draining)
+        return self._replies.answer(query, self._platform.value, draining)
 
     def _drain_vm(self, deadline: float) -> None:
         self._send_local(self._processes.broadcast([DrainCommand(deadline)]))
--- a/src/oleandershift/io/answers.py
+++ b/src/oleandershift/io/answers.py
@@ -1,94 +1,71 @@
-"""Answers of an agent to operators' queries."""
+"""Answers to callers."""
 
-import time
-from collections.abc import Iterable
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from oleandershift.ids import RequestId
-from oleandershift.io.daemon import Runtime
-from oleandershift.io.usage import usage
-from oleandershift.members import Membership
-from oleandershift.messages import (
-    OperatorQuery,
-    OperatorReply,
-    QueryKind,
-    Row,
-    RowVersion,
-    StatusReport,
-)
-from oleandershift.processes import LocalProcesses
-from oleandershift.replication import Replication
+from oleandershift.problems import CONTENT_TYPE, Problem, Run
 
 
-@dataclass(frozen=True)
-class Answers:
-    """Answers queries from the agent's state.
+class BrokenAnswerError(OSError):
+    """Part of an answer is with the caller and the rest can't be had.
+
+    Raised to the HTTP server, which then closes the connection in the middle of the
+    body, so that the caller's HTTP library reports an incomplete answer.
+    """
+
+
+@dataclass
+class Answer:
+    """What the caller gets.
 
     Parameters
     ----------
-    runtime : Runtime
-        The agent's process and traffic.
-    membership : Membership
-        Members.
-    replication : Replication
-        Table.
-    processes : LocalProcesses
-        Status of the VM's processes.
+    status : int
+        HTTP status.
+    headers : list of pair
+        All headers.
+    body : iterator of bytes
+        Parts as they arrive.
     """
 
-    runtime: Runtime
-    membership: Membership
-    replication: Replication
-    processes: LocalProcesses
+    status: int
+    headers: list[tuple[str, str]]
+    body: Iterator[bytes]
 
-    def answer(
-        self, query: OperatorQuery, platform: str, draining: bool
-    ) -> OperatorReply:
-        """Return the answer to a query.
 
-        Parameters
-        ----------
-        query : OperatorQuery
-            The query.
-        platform : str
-            How the platform answers this agent.
-        draining : bool
-            The VM is leaving.
-        """
-        reports: tuple[StatusReport, ...] = ()
-        versions: tuple[RowVersion, ...] = ()
-        if query.kind is QueryKind.STATUS:
-            reports = (*self.processes.reports(), self._own_report(draining))
-        elif query.kind is QueryKind.TABLE:
-            keys = _keys(query.subject, self.replication.replica.rows())
-            versions = tuple(self.processes.versions_in_force(keys))
-        return OperatorReply(
-            vm=self.runtime.process.vm,
-            members=tuple(self.membership.members().values()),
-            reports=reports,
-            outcomes=self.processes.outcomes(RequestId(query.subject)),
-            table_digest=self.replication.digest(),
-            versions=versions,
-            platform=platform,
-        )
+@dataclass(frozen=True)
+class Ending:
+    """How an exchange ended.
+
+    Parameters
+    ----------
+    run : Run
+        Whether the call ran; `RAN` only with a whole answer.
+    status : int
+        HTTP status of the answer.
+    headers : tuple of pair
+        Its headers.
+    body : bytes or None
+        Its body, where it came whole before it was passed on.
+    """
 
-    def _own_report(self, draining: bool) -> StatusReport:
-        used = usage()
-        return StatusReport(
-            process=self.runtime.process,
-            at=time.time(),
-            ready=self.replication.replica.complete,
-            draining=draining,
-            table_digest=self.replication.digest(),
-            traffic=self.runtime.links.traffic(),
-            cpu_seconds=used.cpu_seconds,
-            resident_bytes=used.resident_bytes,
-        )
+    run: Run
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
 
 
-def _keys(subject: str, rows: Iterable[Row]) -> list[tuple[str, str]]:
-    """Return the rows that a query names as `kind/name`, by commas; all if none."""
-    if not subject:
-        return [(row.kind, row.name) for row in rows]
-    parts = (part.partition("/") for part in subject.split(","))
-    return [(kind, name) for kind, _, name in parts]
+def problem_answer(request: RequestId, problem: Problem) -> Answer:
+    """Return the answer that tells a caller of a problem."""
+    body = problem.document(request)
+    headers = [
+        ("Content-Type", CONTENT_TYPE),
+        ("Content-Length", str(len(body))),
+        ("Oleander-Request-Id", request),
+        ("Oleander-Run", problem.run.value),
+    ]
+    seconds = problem.retry_seconds()
+    if seconds is not None:
+        headers.append(("Retry-After", str(seconds)))
+    return Answer(problem.status.value, headers, iter((body,)))
--- a/src/oleandershift/settings.py
+++ b/src/oleandershift/settings.py
@@ -2,6 +2,7 @@
 
 import argparse
 import ipaddress
+import re
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from importlib.metadata import PackageNotFoundError, version
@@ -12,6 +13,7 @@
 from oleandershift.exceptions import Finding
 
 ENVIRONMENT_PREFIX = "OLEANDER_"
+_CREDENTIALS = re.compile(r"//[^/\s]*@")
 
 
 @dataclass(frozen=True)
@@ -178,6 +180,10 @@
     return made
 
 
+def _without_secrets(value: str) -> str:
+    return _CREDENTIALS.sub("//***@", value)
+
+
 def load(
     settings: Sequence[Setting],
     given: argparse.Namespace,
@@ -212,7 +218,7 @@
         try:
             setattr(values, setting.name, setting.parse(raw))
         except ValueError:
-            findings.append(Finding(place, raw, setting.expected))
+            findings.append(Finding(place, _without_secrets(raw), setting.expected))
     if findings:
         return Failure(tuple(findings))
     return Success(values)
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -1,8 +1,6 @@
 """Real agents in processes of their own, and the part of their VM's processes."""
 
-import random
 import signal
-import socket
 import subprocess
 import sys
 import threading
@@ -27,26 +25,14 @@
     Role,
 )
 from oleandershift.subscription import Subscription
+from tests.ports import free_port
 
 WAIT_SECONDS = 30.0
 ASK_SECONDS = 2.0
 TICK_SECONDS = 0.05
-PORTS = (12_000, 32_000)
 FLEET = FleetId("oleander")
 
 
-def free_port() -> int:
-    """Return a free port that no outgoing connection is given."""
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
-
-
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     deadline = time.monotonic() + WAIT_SECONDS
     while not condition():
