Prove the fleet whole: 500 concurrent callers, rolling restart, clean launcher

Three tests with a fleet of separate processes: 500 requests at once through three routers each get their own whole answer, and calls that must not be repeated ran once by the upstreams' ledgers; all nine VMs are replaced under load with no failed request, callers being sent to ready routers as a balancer does; a launcher that is signalled twice leaves nothing listening.

--- /dev/null
+++ b/tests/integration/test_fleet.py
@@ -0,0 +1,140 @@
+"""A whole fleet of separate processes under load."""
+
+import os
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import replace
+from itertools import islice
+from pathlib import Path
+
+import pytest
+
+from standins.balancer import Balancer
+from standins.calls import Caller, CallRecord, Verdict
+from standins.experiment import ledgers
+from standins.fleet import Fleet, FleetConfig
+from standins.fleet_file import FILE_NAME, PLATFORM_PORT, read
+from standins.load import LoadGenerator, TeamLoad, failures
+from standins.workload import Mix, WorkItem, work_of
+
+NETS = range(64, 192)
+FAST_ENGINES = ("--speed", "2000")
+SEED = 11
+CONCURRENT = 500
+DRAIN_SECONDS = 60.0
+WAIT_SECONDS = 30.0
+
+
+def free_net() -> str:
+    """Return a loopback subnet on which no other fleet runs."""
+    for number in range(len(NETS)):
+        net = f"127.{NETS[(os.getpid() + number) % len(NETS)]}"
+        with socket.socket() as probe:
+            if probe.connect_ex((f"{net}.0.1", PLATFORM_PORT)):
+                return net
+    raise AssertionError("no free subnet")
+
+
+@pytest.fixture(params=["fair"])
+def fleet(request: pytest.FixtureRequest, tmp_path: Path) -> Iterator[Fleet]:
+    print(f"seed {SEED}")
+    cfg = FleetConfig(
+        net=free_net(),
+        out=tmp_path,
+        policy=request.param,
+        seed=SEED,
+        engine_args=FAST_ENGINES,
+        router_args=("--grace-seconds", "1"),
+    )
+    with Fleet(cfg) as started:
+        yield started
+
+
+def send_at_once(items: list[WorkItem]) -> list[CallRecord]:
+    """Send all items at the same time, each on a connection of its own."""
+    records: list[CallRecord] = []
+    begin = threading.Barrier(len(items))
+
+    def send(item: WorkItem) -> None:
+        caller = Caller()
+        begin.wait()
+        records.append(caller.call(item))
+        caller.close()
+
+    threads = [threading.Thread(target=send, args=(item,)) for item in items]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return records
+
+
+def test_each_of_many_concurrent_callers_gets_its_own_answer(fleet: Fleet) -> None:
+    addresses = fleet.addresses
+    doors = [vm.http for vm in addresses.vms if vm.vm.endswith("-1")]
+    sources = [work_of(addresses, t, Mix(plain=0.3), SEED) for t in addresses.teams]
+    per_team = CONCURRENT // len(sources) + 1
+    items = [item for source in sources for item in islice(source, per_team)]
+    items = [
+        replace(item, router=doors[place % len(doors)])
+        for place, item in enumerate(items[:CONCURRENT])
+    ]
+    records = send_at_once(items)
+    assert failures(records) == ()
+    assert len(records) == CONCURRENT
+    ran = Counter(
+        execution.echo
+        for service in (addresses.engine_service, addresses.plain_service)
+        for ledger in ledgers(addresses, service)
+        for execution in ledger
+    )
+    assert {item.echo for item in items} <= set(ran)
+    once = [item.echo for item in items if item.idempotency_key]
+    assert once
+    assert {ran[echo] for echo in once} == {1}
+
+
+def test_rolling_restart_fails_no_request(fleet: Fleet) -> None:
+    addresses = fleet.addresses
+    balancer = Balancer([vm.http for vm in addresses.vms])
+    loads = {team.name: TeamLoad(2, mix=Mix(plain=0.2)) for team in addresses.teams}
+    generator = LoadGenerator(addresses, loads, SEED, balancer.choose)
+    balancer.start()
+    generator.start()
+    for place in ("-1", "-2", "-3"):
+        vms = [vm.vm for vm in fleet.plan.vms if vm.vm.endswith(place)]
+        fleet.restart_vms(vms, DRAIN_SECONDS)
+    generator.stop()
+    balancer.stop()
+    records = generator.records()
+    assert failures(records) == ()
+    assert {record.verdict for record in records} == {Verdict.WHOLE}
+
+
+def test_launcher_leaves_no_process_behind(tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "standins.fleet", "--net", free_net()]
+    launcher = subprocess.Popen(
+        [*command, "--out", str(tmp_path)], stdout=subprocess.PIPE, text=True
+    )
+    assert launcher.stdout is not None
+    assert launcher.stdout.readline().startswith("ready")
+    for _ in range(2):
+        launcher.terminate()
+        time.sleep(0.2)
+    launcher.wait(WAIT_SECONDS)
+    launcher.stdout.close()
+    fleet = read(tmp_path / FILE_NAME)
+    urls = [fleet.platform, *(vm.http for vm in fleet.vms)]
+    urls += [upstream.url for upstream in fleet.upstreams]
+    assert [url for url in urls if is_listening(url)] == []
+
+
+def is_listening(url: str) -> bool:
+    host, port = url.removeprefix("http://").split(":")
+    with socket.socket() as probe:
+        return probe.connect_ex((host, int(port))) == 0
