--- a/standins/bench.py
+++ b/standins/bench.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from oleandershift.policies import POLICIES
+from standins.calls import Verdict
 from standins.cases import CASES, Case, HarmRunner
 from standins.experiment import RunReport, run
 from standins.fleet import Fleet, FleetConfig, FleetError, add_fleet_flags
@@ -21,6 +22,7 @@
 
 REPORT_NAME = "report.json"
 PICTURE_NAME = "report.svg"
+_IN_ORDER = {Verdict.WHOLE.value, Verdict.PENDING.value}
 POLICY_ORDER = ("fcfs", "static", "gossip", "fair")
 
 
@@ -51,16 +53,16 @@
 def table(runs: tuple[RunReport, ...]) -> list[str]:
     """Return the main figures as a table in Markdown."""
     lines = [
-        "| preset | case | policy | gap | bound | busy | p95 wait small / large, s "
+        "| preset | case | policy | gap | bound | worst gap over bound | busy "
+        "| p95 wait small / large, s "
         "| control B/s a VM | between regions B/s | messages/s | not whole |",
-        "|---|---|---|---|---|---|---|---|---|---|---|",
+        "|---|---|---|---|---|---|---|---|---|---|---|---|",
     ]
     for one in runs:
-        bound = "-" if one.bound is None else f"{one.bound:,.0f}"
-        others = sum(n for verdict, n in one.verdicts.items() if verdict != "whole")
+        others = sum(n for what, n in one.verdicts.items() if what not in _IN_ORDER)
         lines.append(
             f"| {one.preset} | {one.case} | {one.policy} | {one.gap.tokens:,.0f} "
-            f"| {bound} | {one.utilisation:.1%} "
+            f"| {one.bound:,.0f} | {one.worst_ratio:.2f} | {one.utilisation:.1%} "
             f"| {worst_wait(one, 'small'):.1f} / {worst_wait(one, 'large'):.1f} "
             f"| {one.control.mean_vm_bytes:,.0f} | {one.control.between_regions:,.0f} "
             f"| {one.control.messages_per_second:,.0f} | {others} |"
@@ -74,8 +76,9 @@
     with Fleet(_adapted(cfg, case)) as fleet:
         loads = case.loads(fleet.addresses)
         harm = HarmRunner(fleet, case, seconds)
-        outcome = run(fleet, loads, cfg.seed, seconds, name, harm)
-    for line in failures(outcome.records):
+        outcome = run(fleet, loads, cfg.seed, seconds, name, harm, drain=False)
+    ended = [one for one in outcome.records if one.verdict is not Verdict.PENDING]
+    for line in failures(ended):
         print(f"    {line}")
     return outcome.report
 
@@ -91,7 +94,7 @@
     parser.add_argument("--preset", choices=sorted(PRESETS), action="append")
     parser.add_argument("--policy", choices=sorted(POLICIES), action="append")
     parser.add_argument("--case", choices=sorted(CASES), action="append")
-    parser.add_argument("--seconds", type=float, default=18.0)
+    parser.add_argument("--seconds", type=float, default=25.0)
     parser.add_argument("--out", type=Path, default=Path("out/bench"))
     flags = parser.parse_args()
     exit_on_signals()
--- a/standins/calls.py
+++ b/standins/calls.py
@@ -25,6 +25,7 @@
     FAILED = "failed"
     BROKEN = "broken"
     WRONG = "wrong"
+    PENDING = "pending"
 
 
 class CallRecord(msgspec.Struct, frozen=True):
@@ -50,7 +51,7 @@
         `Oleander-Request-Id` of the answer.
     verdict : Verdict
         `FAILED` is a problem document that does not say `not-run`; `BROKEN` an answer
-        that ended early; `WRONG` one with other content.
+        that ended early; `WRONG` one with other content; `PENDING` none as yet.
     detail : str
         What was wrong.
     retry_after : float
@@ -74,6 +75,25 @@
     retry_after: float = 0.0
 
 
+def pending(item: WorkItem, sent: float) -> CallRecord:
+    """Return the record of a call that has no answer yet."""
+    return CallRecord(
+        team=item.team.name,
+        service=item.service,
+        kind=item.kind.value,
+        echo=item.echo,
+        tokens=item.tokens,
+        router=item.router,
+        sent=sent,
+        first_byte=0.0,
+        finished=0.0,
+        status=0,
+        run="",
+        request="",
+        verdict=Verdict.PENDING,
+    )
+
+
 class WrongAnswerError(Exception):
     """An answer does not have the content that was asked for."""
 
@@ -92,35 +112,24 @@
 
     def call(self, item: WorkItem) -> CallRecord:
         """Send a request and check the answer."""
-        sent = time.time()
-        first, status, run, request, retry_after = 0.0, 0, "", "", 0.0
+        record = pending(item, time.time())
         try:
             answer = self._send(item)
-            first, status = time.time(), answer.status
-            run = answer.headers.get("Oleander-Run", "")
-            request = answer.headers.get("Oleander-Request-Id", "")
-            retry_after = _seconds(answer.headers.get("Retry-After", ""))
-            verdict, detail = _judge(item, answer, run)
+            record = msgspec.structs.replace(
+                record,
+                first_byte=time.time(),
+                status=answer.status,
+                run=answer.headers.get("Oleander-Run", ""),
+                request=answer.headers.get("Oleander-Request-Id", ""),
+                retry_after=_seconds(answer.headers.get("Retry-After", "")),
+            )
+            verdict, detail = _judge(item, answer, record.run)
         except WrongAnswerError as exc:
             verdict, detail = Verdict.WRONG, str(exc)
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             verdict, detail = Verdict.BROKEN, f"{type(exc).__name__}: {exc}"
-        return CallRecord(
-            team=item.team.name,
-            service=item.service,
-            kind=item.kind.value,
-            echo=item.echo,
-            tokens=item.tokens,
-            router=item.router,
-            sent=sent,
-            first_byte=first,
-            finished=time.time(),
-            status=status,
-            run=run,
-            request=request,
-            verdict=verdict,
-            detail=detail,
-            retry_after=retry_after,
+        return msgspec.structs.replace(
+            record, finished=time.time(), verdict=verdict, detail=detail
         )
 
     def close(self) -> None:
--- a/standins/cases.py
+++ b/standins/cases.py
@@ -17,7 +17,7 @@
 from standins.load import TeamLoad, backlogged
 from standins.workload import Mix
 
-SPARE_CALLERS = 3
+SPARE_CALLERS = 8
 FLOOD_FACTOR = 50
 HEAVY_WEIGHT = 100.0
 WRONG_HINT_FACTOR = 10.0
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -16,7 +16,7 @@
 from standins.workload import Mix
 
 PROGRESS_SECONDS = 5.0
-SPARE_CALLERS = 3
+SPARE_CALLERS = 8
 PLAIN_SHARE = 0.1
 PAGE_NAME = "timeline.html"
 
--- a/standins/experiment.py
+++ b/standins/experiment.py
@@ -8,6 +8,8 @@
 import msgspec
 import urllib3
 
+from oleandershift.bounds import Capacity, gap_bound
+from oleandershift.ids import TeamId
 from standins.calls import CallRecord
 from standins.fleet import Fleet
 from standins.fleet_file import FleetFile
@@ -23,6 +25,8 @@
     utilisation,
     waits,
 )
+from standins.presets import ENGINE_SLOTS
+from standins.run import UpstreamConfig
 from standins.sampling import (
     ControlFigures,
     FleetSample,
@@ -31,6 +35,7 @@
     roles,
     sample,
 )
+from standins.workload import COSTS
 
 WARM_UP_SECONDS = 4.0
 LEDGER_SECONDS = 10.0
@@ -49,8 +54,10 @@
         Calls by how they ended.
     gap : Gap
         Largest weighted gap within the window.
-    bound : float or None
-        Largest gap that the formula allows, where the policy has one.
+    bound : float
+        What the formula allows for the two teams of the largest gap.
+    worst_ratio : float
+        Largest gap over its bound, of all pairs of teams.
     utilisation : float
         Share of the engines' slot-time busy while a request waits.
     tokens_per_second : float
@@ -71,7 +78,8 @@
     seconds: float
     verdicts: dict[str, int]
     gap: Gap
-    bound: float | None
+    bound: float
+    worst_ratio: float
     utilisation: float
     tokens_per_second: float
     teams: tuple[TeamService, ...]
@@ -111,6 +119,7 @@
     seconds: float,
     case: str = "backlog",
     watch: Watcher | None = None,
+    drain: bool = True,
 ) -> Outcome:
     """Put load on a running fleet and measure it.
 
@@ -128,6 +137,8 @@
         Name for the report.
     watch : callable, optional
         Sees the run go on; may do harm to the fleet.
+    drain : bool
+        Wait for every answer at the end; otherwise calls under way count as pending.
     """
     generator = LoadGenerator(fleet.addresses, loads, seed)
     generator.start()
@@ -135,8 +146,11 @@
     first = sample(fleet, time.time())
     _wait(generator, seconds, watch)
     last = sample(fleet, time.time())
-    generator.stop()
-    records = generator.records()
+    if drain:
+        generator.stop()
+    else:
+        generator.end()
+    records = (*generator.records(), *generator.pending())
     return Outcome(_report(fleet, case, first, last, records), records)
 
 
@@ -163,6 +177,8 @@
     jobs = join(of_engines, ledgers(fleet.addresses, service))
     curves = TeamCurves(jobs, weights, window)
     services = curves.services()
+    gaps = curves.gaps()
+    bounds = [_bound(gap, weights, slots) for gap in gaps]
     seconds = window.end - window.start
     return RunReport(
         preset=fleet.cfg.preset,
@@ -170,8 +186,9 @@
         case=case,
         seconds=seconds,
         verdicts={verdict.value: n for verdict, n in verdicts(records).items()},
-        gap=curves.gap(),
-        bound=None,
+        gap=gaps[0],
+        bound=bounds[0],
+        worst_ratio=max(map(_ratio, gaps, bounds)),
         utilisation=utilisation(jobs, slots, window),
         tokens_per_second=sum(one.tokens for one in services) / seconds,
         teams=services,
@@ -179,3 +196,20 @@
         control=control(first, last),
         roles=roles(first, last),
     )
+
+
+def _bound(gap: Gap, weights: Mapping[str, float], slots: int) -> float:
+    """Return what the formula allows, from settings alone."""
+    engine = UpstreamConfig()
+    speed = engine.speed / (1 + engine.load_factor * (ENGINE_SLOTS - 1))
+    largest = max(model.most for model in COSTS.values())
+    return gap_bound(
+        TeamId(gap.ahead),
+        TeamId(gap.behind),
+        {TeamId(name): weight for name, weight in weights.items()},
+        Capacity(slots, slots * speed, largest),
+    )
+
+
+def _ratio(gap: Gap, bound: float) -> float:
+    return gap.tokens / bound
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -176,24 +176,26 @@
         """Return an upstream's process."""
         return self._upstreams[name]  # type: ignore[index]
 
-    def restart_vm(self, vm: VmId, drain_seconds: float) -> None:
-        """Replace a VM's processes in good order.
-
-        The router drains first, as its VM's agent and allocator serve it until then.
+    def restart_vms(self, vms: Sequence[VmId], drain_seconds: float) -> None:
+        """Stop the processes of some VMs in good order and start them again.
 
         Raises
         ------
         FleetError
-            When a process has not drained in time, or the router is not ready again.
+            When a process has not ended with 0 in time, or a router is not ready
+            again.
         """
-        for role in reversed(DAEMONS):
-            child = self._daemons[vm, role]
+        children = [child for vm in vms for child in self.vm_processes(vm)]
+        for child in children:
             child.terminate()
-            if child.wait(drain_seconds) is None:
-                raise FleetError(f"{child.name} has not drained")
-        for role in DAEMONS:
-            self._daemons[vm, role].start()
-        self.wait_ready([vm])
+        deadline = time.monotonic() + drain_seconds
+        for child in children:
+            code = child.wait(max(deadline - time.monotonic(), 0.0))
+            if code != 0:
+                raise FleetError(f"{child.name} ended with {code}, not 0")
+        for child in children:
+            child.start()
+        self.wait_ready(vms)
 
     def wait_ready(self, vms: Sequence[VmId] | None = None) -> None:
         """Wait until the routers of some VMs, or of all, are ready.
--- a/standins/load.py
+++ b/standins/load.py
@@ -6,14 +6,14 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 from itertools import islice
 from pathlib import Path
 
 from hdrh.histogram import HdrHistogram
 
-from standins.calls import Caller, CallRecord, Verdict
+from standins.calls import Caller, CallRecord, Verdict, pending
 from standins.fleet_file import FleetFile, TeamAccess, read
 from standins.workload import Mix, WorkItem, work_of
 
@@ -21,6 +21,7 @@
 JOIN_SECONDS = 50.0
 OPEN_LOOP_CALLERS = 256
 MOST_FAILURES = 10
+CALLERS_PER_SLOT = 2.5
 HISTOGRAM_MOST_MS = 600_000
 
 
@@ -66,16 +67,24 @@
         Load by team.
     seed : int
         Of the work and of open-loop arrivals.
+    choose : callable, optional
+        Chooses the router of a request; the request's own one by default.
     """
 
     def __init__(
-        self, fleet: FleetFile, loads: Mapping[str, TeamLoad], seed: int
+        self,
+        fleet: FleetFile,
+        loads: Mapping[str, TeamLoad],
+        seed: int,
+        choose: Callable[[WorkItem], str] | None = None,
     ) -> None:
+        self._choose = choose
         self._fleet = fleet
         self._seed = seed
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._records: list[CallRecord] = []
+        self._pending: dict[str, CallRecord] = {}
         self._waiting: queue.SimpleQueue[WorkItem | None] = queue.SimpleQueue()
         self._threads: list[threading.Thread] = []
         teams = {team.name: team for team in fleet.teams}
@@ -87,11 +96,15 @@
         for thread in self._threads:
             thread.start()
 
-    def stop(self) -> None:
-        """Send no more, and wait for every answer."""
+    def end(self) -> None:
+        """Send no more."""
         self._stopping.set()
         for _ in range(OPEN_LOOP_CALLERS):
             self._waiting.put(None)
+
+    def stop(self) -> None:
+        """Send no more, and wait for every answer."""
+        self.end()
         deadline = time.monotonic() + JOIN_SECONDS
         for thread in self._threads:
             thread.join(max(deadline - time.monotonic(), 0.0))
@@ -104,10 +117,15 @@
         return self.records()
 
     def records(self) -> tuple[CallRecord, ...]:
-        """Return the calls so far."""
+        """Return the calls that have ended so far."""
         with self._lock:
             return tuple(self._records)
 
+    def pending(self) -> tuple[CallRecord, ...]:
+        """Return the calls under way."""
+        with self._lock:
+            return tuple(self._pending.values())
+
     def _plan(self, team: TeamAccess, load: TeamLoad) -> None:
         source = _Source(work_of(self._fleet, team, load.mix, self._seed))
         for _ in range(load.callers):
@@ -144,14 +162,19 @@
         caller.close()
 
     def _call(self, caller: Caller, item: WorkItem) -> CallRecord:
+        if self._choose is not None:
+            item = replace(item, router=self._choose(item))
+        with self._lock:
+            self._pending[item.echo] = pending(item, time.time())
         record = caller.call(item)
         with self._lock:
+            del self._pending[item.echo]
             self._records.append(record)
         return record
 
 
 def backlogged(
-    fleet: FleetFile, mix: Mix, spare: int, per_slot: float = 1.5
+    fleet: FleetFile, mix: Mix, spare: int, per_slot: float = CALLERS_PER_SLOT
 ) -> dict[str, TeamLoad]:
     """Return closed-loop loads that keep every team backlogged at its fair share.
 
--- a/standins/measures.py
+++ b/standins/measures.py
@@ -1,11 +1,14 @@
 """Figures of a run, worked out from the calls and the engines' ledgers."""
 
+import math
+import time
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from itertools import accumulate, combinations, pairwise
 
-import msgspec
+from msgspec import Struct
+from msgspec.structs import replace
 
 from standins.calls import CallRecord
 from standins.ledger import Execution
@@ -29,7 +32,7 @@
 
     def step(self, at: float) -> int:
         """Return the first step of the grid at or after an instant, within bounds."""
-        place = -int(-(at - self.start) // GRID_SECONDS)
+        place = math.ceil((min(at, self.end) - self.start) / GRID_SECONDS)
         return max(0, min(self.steps, place))
 
 
@@ -53,10 +56,10 @@
         """Return the instant at which it began to run, or was given up."""
         if self.executions:
             return self.executions[0].started
-        return self.record.finished
+        return self.record.finished or math.inf
 
 
-class Gap(msgspec.Struct, frozen=True):
+class Gap(Struct, frozen=True):
     """Largest gap of weighted service between two teams that both had work waiting.
 
     Parameters
@@ -70,12 +73,12 @@
     """
 
     tokens: float
-    ahead: str = ""
-    behind: str = ""
+    ahead: str
+    behind: str
     seconds: float = 0.0
 
 
-class Waits(msgspec.Struct, frozen=True):
+class Waits(Struct, frozen=True):
     """Waits of one kind and team size, milliseconds."""
 
     kind: str
@@ -86,7 +89,7 @@
     p99_ms: float
 
 
-class TeamService(msgspec.Struct, frozen=True):
+class TeamService(Struct, frozen=True):
     """What one team received.
 
     Parameters
@@ -113,15 +116,20 @@
 ) -> tuple[Job, ...]:
     """Return the calls with what the ledgers say that ran for them."""
     ran: defaultdict[str, list[Execution]] = defaultdict(list)
+    now = time.time()
     for ledger in ledgers:
         for execution in ledger:
             if execution.started:
-                ran[execution.echo].append(execution)
+                ran[execution.echo].append(_ended(execution, now))
     for executions in ran.values():
         executions.sort(key=lambda execution: execution.started)
     return tuple(Job(record, tuple(ran[record.echo])) for record in records)
 
 
+def _ended(execution: Execution, now: float) -> Execution:
+    return replace(execution, finished=execution.finished or now)
+
+
 class TeamCurves:
     """Weighted service and backlog of teams on a grid of instants.
 
@@ -169,17 +177,13 @@
         ]
         return tuple(sorted(found, key=lambda one: -one.weighted))
 
-    def gap(self) -> Gap:
-        """Return the largest gap over all pairs of teams."""
-        largest = Gap(0.0)
-        for one, other in combinations(self._weights, 2):
-            found = self._pair_gap(one, other)
-            if found.tokens > largest.tokens:
-                largest = found
-        return largest
+    def gaps(self) -> tuple[Gap, ...]:
+        """Return the largest gap of each pair of teams, the largest one first."""
+        found = (self._pair_gap(*pair) for pair in combinations(self._weights, 2))
+        return tuple(sorted(found, key=lambda gap: -gap.tokens))
 
     def _pair_gap(self, one: str, other: str) -> Gap:
-        largest = Gap(0.0)
+        largest = Gap(0.0, one, other)
         low = high = None
         for step in range(self._window.steps + 1):
             if not (self._waiting[one][step] and self._waiting[other][step]):
--- a/tests/test_measures.py
+++ b/tests/test_measures.py
@@ -46,7 +46,7 @@
         ("a", 90.0, 120.0, 121.0, 1),
         ("b", 90.0, 105.0, 106.0, 1),
     )
-    gap = TeamCurves(served, {"a": 2.0, "b": 1.0}, WINDOW).gap()
+    [gap] = TeamCurves(served, {"a": 2.0, "b": 1.0}, WINDOW).gaps()
     assert gap.tokens == pytest.approx(250, rel=0.02)
     assert (gap.ahead, gap.behind) == ("a", "b")
 
@@ -59,7 +59,7 @@
         ("b", 90.0, 120.0, 121.0, 1),
     )
     curves = TeamCurves(served, {"a": 1.0, "b": 1.0}, WINDOW)
-    assert curves.gap().tokens == pytest.approx(500, rel=0.01)
+    assert curves.gaps()[0].tokens == pytest.approx(500, rel=0.01)
     assert [one.tokens for one in curves.services()] == pytest.approx([500, 500])
 
 
