Write libraries' logs as JSON lines, and tell views from probes

Cause: the HTTP server's queue wrote 'Task queue depth is 1' to standard error as plain text for each request since workers start on demand; and make capacity took the full views that membership asks for in its first seconds for its steady cost (13.6 KB/s at 770 members).

--- a/src/oleandershift/io/logs.py
+++ b/src/oleandershift/io/logs.py
@@ -1,5 +1,6 @@
 """JSON-lines logs and time line events by loguru."""
 
+import logging
 import sys
 import threading
 import time
@@ -14,6 +15,8 @@
 from oleandershift.io.metrics import Metrics, NoMetrics
 from oleandershift.messages import ProcessId
 
+_CHATTY = ("waitress.queue",)
+
 
 class EventLog:
     """Writes events of one process, stamped by its hybrid logical clock.
@@ -90,6 +93,15 @@
     return "{extra[line]}\n"
 
 
+class _Forwarding(logging.Handler):
+    """Passes on what libraries log through the standard library."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        fields = {"logger": record.name}
+        bound = logger.bind(fields=fields).opt(exception=record.exc_info)
+        bound.log(record.levelname, record.getMessage())
+
+
 def configure(level: str, path: str) -> None:
     """Send logs of at least `level` to a file, or to standard error.
 
@@ -102,3 +114,6 @@
     """
     logger.remove()
     logger.add(path or sys.stderr, level=level, format=_format, catch=True)
+    logging.basicConfig(handlers=[_Forwarding()], level=logging.WARNING, force=True)
+    for name in _CHATTY:
+        logging.getLogger(name).setLevel(logging.ERROR)
--- a/standins/capacity/members.py
+++ b/standins/capacity/members.py
@@ -6,7 +6,11 @@
 
 from oleandershift.dispatch import Send
 from oleandershift.ids import FleetId, Incarnation, Seq, VmId
-from oleandershift.members import Membership, link_address
+from oleandershift.members import (
+    LONGEST_SYNC_SECONDS,
+    Membership,
+    link_address,
+)
 from oleandershift.messages import (
     Envelope,
     MembersView,
@@ -32,7 +36,9 @@
     def __init__(self, size: int) -> None:
         members = tuple(make_member(number) for number in range(size))
         self.now = NOW
-        self.sent_bytes = 0
+        self.probe_bytes = 0
+        self.view_bytes = 0
+        self.views = 0
         self.messages = 0
         self._queue: list[tuple[float, int, VmId, bytes]] = []
         self._vm_of = {link_address(member): member.vm for member in members}
@@ -48,6 +54,7 @@
             self._send(vm, held.on_message(NOW, members[0].vm, view))
 
     def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
         until = self.now + seconds
         while self.now < until:
             self.now += TICK_SECONDS
@@ -60,6 +67,10 @@
                 if self.now >= self._start[vm]:
                     self._send(vm, held.on_tick(self.now))
 
+    def reset(self) -> None:
+        """Forget what was counted."""
+        self.probe_bytes = self.view_bytes = self.views = self.messages = 0
+
     def _send(self, vm: VmId, sends: list[Send]) -> None:
         sender = ProcessId(vm, Role.AGENT, Incarnation(1))
         for send in sends:
@@ -73,8 +84,12 @@
                     send.body,
                 )
             )
-            self.sent_bytes += len(data)
             self.messages += 1
+            if isinstance(send.body, MembersView):
+                self.views += 1
+                self.view_bytes += len(data)
+            else:
+                self.probe_bytes += len(data)
             target = self._vm_of.get(send.address)
             if target is not None:
                 entry = (self.now + DELAY_SECONDS, self.messages, target, data)
@@ -87,13 +102,18 @@
     for size in SIZES:
         loop = _Loop(size)
         loop.run(SETTLE_SECONDS)
-        loop.sent_bytes = loop.messages = 0
+        loop.reset()
         before = time.process_time()
         loop.run(MEASURED_SECONDS)
         used = time.process_time() - before
         each = size * MEASURED_SECONDS
         alive = min(len(held.peers()) for held in loop.objects.values())
         report.add(f"members: {size}, least peers seen alive", alive, "VMs")
-        report.add(f"members: {size}, sent", loop.sent_bytes / each, "B/s/VM")
+        probes = loop.probe_bytes / each
+        view = loop.view_bytes / max(loop.views, 1)
+        report.add(f"members: {size}, probes sent", probes, "B/s/VM")
+        report.add(f"members: {size}, view of all members", view, "B")
+        steady = probes + view / LONGEST_SYNC_SECONDS
+        report.add(f"members: {size}, sent long after the start", steady, "B/s/VM")
         report.add(f"members: {size}, messages", loop.messages / each, "1/s/VM")
         report.add(f"members: {size}, processor", 1e6 * used / each, "us/s/VM")
