Fuzz callers' requests, and give the agent's own figures to the metrics

Any method, target, headers and body give a call or a problem (400 examples; a call's hint is positive and finite).

--- a/src/oleandershift/io/agent.py
+++ b/src/oleandershift/io/agent.py
@@ -52,6 +52,7 @@
 JOIN_SECONDS = 0.5
 ROLE_PERIOD_SECONDS = 0.25
 PUBLISH_PERIOD_SECONDS = 0.2
+REPORT_PERIOD_SECONDS = 1.0
 LEAVE_SECONDS = 1.0
 MAX_ROWS_LOGGED = 20
 LOCAL_GONE_SECONDS = 3.0
@@ -97,6 +98,7 @@
         self._join_by = time.time() + (JOIN_SECONDS if contacts else 0.0)
         self._next_role = 0.0
         self._next_publish = 0.0
+        self._next_report = 0.0
         self._published_seq = 0
         self._leave_at: float | None = None
         self._drain_deadline = 0.0
@@ -133,6 +135,10 @@
         if now >= self._next_publish and self._published_seq != self._membership.seq:
             self._next_publish = now + PUBLISH_PERIOD_SECONDS
             self._publish_members()
+        if now >= self._next_report:
+            self._next_report = now + REPORT_PERIOD_SECONDS
+            draining = self._leave_at is not None
+            self._runtime.metrics.on_report(self._replies.own_report(draining))
         if self._leave_at is not None and now >= self._leave_at:
             self._finish_leaving(now)
 
--- a/src/oleandershift/io/replies.py
+++ b/src/oleandershift/io/replies.py
@@ -64,7 +64,7 @@
         if query.kind is QueryKind.MEMBERS:
             members = tuple(self.membership.members().values())
         elif query.kind is QueryKind.STATUS:
-            reports = (*self.processes.reports(), self._own_report(draining))
+            reports = (*self.processes.reports(), self.own_report(draining))
         elif query.kind is QueryKind.TABLE:
             keys = _keys(query.subject, self.replication.replica.rows())
             versions = tuple(self.processes.versions_in_force(keys))
@@ -87,7 +87,8 @@
             TeamWeight(row.name, row.weight) for row in rows if isinstance(row, TeamRow)
         )
 
-    def _own_report(self, draining: bool) -> StatusReport:
+    def own_report(self, draining: bool) -> StatusReport:
+        """Return the status of the agent's own process."""
         used = usage()
         return StatusReport(
             process=self.runtime.process,
--- a/tests/contract/test_decoders.py
+++ b/tests/contract/test_decoders.py
@@ -3,16 +3,20 @@
 import msgspec
 import pytest
 from hypothesis import given, settings, strategies as st
+from returns.result import Success
 
 from oleandershift.allocation import Allocator
+from oleandershift.calls import KeyIndex, RawRequest, parse_call
 from oleandershift.checks import check_value
 from oleandershift.fair import FairPolicy
-from oleandershift.ids import VmId
+from oleandershift.ids import RequestId, VmId
+from oleandershift.keys import hash_key
 from oleandershift.members import Membership
 from oleandershift.messages import (
     MAX_MESSAGE_BYTES,
     Body,
     Envelope,
+    Row,
     decode,
     encode,
 )
@@ -168,3 +172,45 @@
 @settings(deadline=None)
 def test_any_log_line_is_survived(line: bytes) -> None:
     Timeline().add_lines([line])
+
+
+CALL_TABLE = Table(
+    Row(kind.value, name, 1, value)
+    for kind, name, value in (
+        (Kind.SERVICES, "draft", b'{"name":"draft","non_idempotent":["POST /once"]}'),
+        (Kind.TEAMS, "a", b'{"name":"a","key_hashes":["%s"]}' % hash_key("k").encode()),
+    )
+)
+ODD = ("nan", "-inf", "1e999", "9999-12-31T23:59:59-23:59", "9" * 400, "quick")
+OPTIONAL = (
+    "idempotency-key",
+    "oleander-deadline",
+    "oleander-cost-hint",
+    "oleander-kind",
+)
+LATIN = st.text(st.characters(max_codepoint=255), max_size=40)
+
+
+@given(
+    st.sampled_from(["GET", "POST", "DELETE", "BREW"]),
+    st.one_of(
+        LATIN,
+        st.builds("/v1/draft/{}".format, LATIN),
+        st.sampled_from(["/v1/draft/x", "/v1/draft/once", "/v1/draft/%ff?%"]),
+    ),
+    st.fixed_dictionaries(
+        {"authorization": st.one_of(st.just("Bearer k"), LATIN)},
+        optional={name: st.one_of(LATIN, st.sampled_from(ODD)) for name in OPTIONAL},
+    ),
+    st.binary(max_size=20),
+)
+@settings(deadline=None, max_examples=400)
+def test_any_request_is_a_call_or_a_problem(
+    method: str, target: str, headers: dict[str, str], body: bytes
+) -> None:
+    raw = RawRequest(method, target, headers, body)
+    result = parse_call(raw, CALL_TABLE, KeyIndex(CALL_TABLE), RequestId("r"))
+    if isinstance(result, Success):
+        call = result.unwrap()
+        assert call.hint is None or 0 < call.hint < float("inf")
+        assert call.deadline is None or call.deadline == call.deadline
