Measure membership and the table, and pace full views by the fleet's size

Cause: there were no figures. Ruled out: dropping the full views, as gossip alone needs minutes to bring 770 VMs together after they all start at once. Change: live addresses are kept until the members change; in an upheaval the pause between full views grows with the number of VMs. make membership runs the membership object on virtual time; make table edits a team on a whole fleet of processes under faults.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format demo fleet bench soak capacity microbench
+.PHONY: setup test format demo fleet bench soak capacity microbench membership table
 
 setup: $(VENV)/.installed
 
@@ -39,3 +39,9 @@
 
 microbench: setup
 	$(BIN)/python -m standins.microbench
+
+membership: setup
+	$(BIN)/python -m standins.membership_bench $(MEMBERSHIP_ARGS)
+
+table: setup
+	$(BIN)/python -m standins.table_bench $(TABLE_ARGS)
--- a/src/oleandershift/cli/session.py
+++ b/src/oleandershift/cli/session.py
@@ -17,8 +17,9 @@
 from oleandershift.exceptions import Finding, OleanderError, SettingsError, TableError
 from oleandershift.history import History, HistoryEntry, entry_of
 from oleandershift.ids import EditId, FleetId, VmId
-from oleandershift.io.force import Fleet, wait_in_force
+from oleandershift.io.force import wait_in_force
 from oleandershift.io.platform import PlatformClient
+from oleandershift.io.query import FleetClient
 from oleandershift.messages import RowVersion
 from oleandershift.plan import Planner
 from oleandershift.rows import Kind
@@ -27,6 +28,7 @@
 
 EDIT_ID_BYTES = 8
 HISTORY_SECONDS = 5.0
+ASK_SECONDS = 1.0
 
 TIMEOUT = Setting(
     "timeout_seconds",
@@ -170,7 +172,9 @@
     def _wait(self, entries: Sequence[HistoryEntry], key: str) -> tuple[VmId, ...]:
         if self.args.wait is None or not entries:
             return ()
-        fleet = Fleet(FleetId(self.args.fleet), self.args.query_address)
+        fleet = FleetClient(
+            FleetId(self.args.fleet), self.args.query_address, ASK_SECONDS
+        )
         wanted = [RowVersion(e.kind, e.name, e.version) for e in entries]
         try:
             return wait_in_force(fleet, wanted, time.time() + self.args.wait)
--- a/src/oleandershift/members.py
+++ b/src/oleandershift/members.py
@@ -28,6 +28,7 @@
 LONGEST_SYNC_SECONDS = 256.0
 UPHEAVAL_UPDATES = 50
 UPHEAVAL_PERIOD_SECONDS = 60.0
+UPHEAVAL_SYNC_SECONDS_A_MEMBER = 0.01
 FROZEN_AFTER_SECONDS = 1.0
 MAX_RELAYS = 1024
 
@@ -65,6 +66,8 @@
         Link addresses to contact first, and again while none of them is alive.
     seed : int
         Seed of the random choices.
+    sync_seconds : float
+        First pause between two requests for all members; it doubles each time.
 
     Attributes
     ----------
@@ -72,12 +75,20 @@
         Digest that rides on probes.
     """
 
-    def __init__(self, me: Member, contacts: Sequence[str], seed: int) -> None:
+    def __init__(
+        self,
+        me: Member,
+        contacts: Sequence[str],
+        seed: int,
+        sync_seconds: float = FIRST_SYNC_SECONDS,
+    ) -> None:
         self.table_digest = b""
         self._beliefs = Beliefs(me)
         self._contacts = tuple(contacts)
         self._listed: tuple[str, ...] = ()
         self._rng = random.Random(seed)
+        self._live: set[str] = set()
+        self._live_at = Seq(0)
         self._order: list[VmId] = []
         self._probes: dict[Seq, _Probe] = {}
         self._relays: dict[Seq, _Relay] = {}
@@ -85,7 +96,7 @@
         self._last_tick: float | None = None
         self._next_probe = 0.0
         self._next_contact = 0.0
-        self._sync_period = FIRST_SYNC_SECONDS
+        self._sync_period = sync_seconds
         self._next_sync = 0.0
         self._next_upheaval = 0.0
 
@@ -105,6 +116,10 @@
         """Return every known VM, with suspicions."""
         return self._beliefs.members()
 
+    def dead(self) -> list[Member]:
+        """Return the VMs believed dead that are still remembered."""
+        return self._beliefs.dead()
+
     def peers(self, region: RegionId | None = None) -> list[Member]:
         """Return the other VMs not believed dead, of one region or of all."""
         return [
@@ -187,7 +202,7 @@
         last, self._last_tick = self._last_tick, now
         if last is None:
             self._next_probe = now + self._rng.random() * PROBE_PERIOD_SECONDS
-            self._next_sync = now + FIRST_SYNC_SECONDS
+            self._next_sync = now + self._rng.random() * self._sync_period
             return
         if 0.0 <= now - last <= FROZEN_AFTER_SECONDS:
             return
@@ -266,9 +281,7 @@
 
     def _contact(self) -> list[Send]:
         """Probe an address from which nothing is heard, if there is one."""
-        live = {link_address(member) for member in (self.me, *self.peers())}
-        known = dict.fromkeys((*self._contacts, *self._listed))
-        strangers = [address for address in known if address not in live]
+        strangers = self._strangers()
         dead = self._beliefs.dead()
         if not strangers and not dead:
             return []
@@ -277,6 +290,15 @@
         address = self._rng.choice(strangers)
         return [Send(address, self.me.region, self._introduction())]
 
+    def _strangers(self) -> list[str]:
+        """Return the contacts that belong to no VM known to live."""
+        if self._live_at != self.seq:
+            self._live_at = self.seq
+            known = (self.me, *self.peers())
+            self._live = {link_address(member) for member in known}
+        contacts = dict.fromkeys((*self._contacts, *self._listed))
+        return [address for address in contacts if address not in self._live]
+
     def _sync(self, now: float) -> list[Send]:
         """Ask a random peer for all members, seldom unless there is much news."""
         jitter = self._rng.uniform(0.75, 1.25)
@@ -295,8 +317,9 @@
         if len(self._beliefs.news) < UPHEAVAL_UPDATES or now < self._next_upheaval:
             return
         self._next_upheaval = now + UPHEAVAL_PERIOD_SECONDS
-        self._sync_period = FIRST_SYNC_SECONDS
-        self._next_sync = now + self._rng.random() * FIRST_SYNC_SECONDS
+        paced = self._size() * UPHEAVAL_SYNC_SECONDS_A_MEMBER
+        self._sync_period = max(FIRST_SYNC_SECONDS, paced)
+        self._next_sync = now + self._rng.random() * self._sync_period
 
     def _ping_dead(self, member: Member) -> Send:
         own = link_address(self.me)
--- a/standins/membership_loop.py
+++ b/standins/membership_loop.py
@@ -14,7 +14,7 @@
     Seq,
     VmId,
 )
-from oleandershift.members import Membership, link_address
+from oleandershift.members import FIRST_SYNC_SECONDS, Membership, link_address
 from oleandershift.messages import (
     Body,
     Envelope,
@@ -60,6 +60,8 @@
         Regions that the VMs fall into.
     contacts : int
         VMs that each one's settings name as first contacts.
+    sync_seconds : float
+        First pause between two requests of a VM for all members.
 
     Attributes
     ----------
@@ -78,7 +80,12 @@
     """
 
     def __init__(
-        self, size: int, seed: int, regions: int = 3, contacts: int = 3
+        self,
+        size: int,
+        seed: int,
+        regions: int = 3,
+        contacts: int = 3,
+        sync_seconds: float = FIRST_SYNC_SECONDS,
     ) -> None:
         self.now = 1000.0
         self.loss = 0.0
@@ -89,6 +96,7 @@
         self.nodes: dict[VmId, Membership] = {}
         self._regions = regions
         self._contacts = contacts
+        self._sync_seconds = sync_seconds
         self._rng = random.Random(seed)
         self._by_address: dict[str, VmId] = {}
         self._flying: list[tuple[float, int, VmId, VmId, Body]] = []
@@ -105,7 +113,9 @@
             link_address(make_member(i, 0, self._regions))
             for i in range(self._contacts)
         ]
-        self.nodes[me.vm] = Membership(me, seeds, self._rng.getrandbits(32))
+        self.nodes[me.vm] = Membership(
+            me, seeds, self._rng.getrandbits(32), self._sync_seconds
+        )
         self._by_address[link_address(me)] = me.vm
         self._process[me.vm] = ProcessId(me.vm, Role.AGENT, me.incarnation)
         self.down.discard(me.vm)
@@ -149,7 +159,30 @@
     def is_settled(self) -> bool:
         """Tell whether every running VM holds every running VM alive, and no other."""
         running = {vm for vm in self.nodes if vm not in self.down}
-        return all(self.alive(vm) == running for vm in running - self.frozen)
+        awake = running - self.frozen
+        if any(self._count(vm) != len(running) for vm in awake):
+            return False
+        return all(self.alive(vm) == running for vm in awake)
+
+    def false_deaths(self, holders: Iterable[VmId] | None = None) -> int:
+        """Return how many beliefs that a running VM is dead there are.
+
+        Parameters
+        ----------
+        holders : iterable of VmId, optional
+            Whose beliefs to count; those of all running VMs when absent.
+        """
+        counted = self.nodes if holders is None else holders
+        return sum(
+            member.vm not in self.down
+            for vm in counted
+            if vm not in self.down
+            for member in self.nodes[vm].dead()
+        )
+
+    def _count(self, vm: VmId) -> int:
+        node = self.nodes[vm]
+        return len(node.members()) - len(node.dead())
 
     def alive(self, vm: VmId) -> set[VmId]:
         """Return the VMs that one VM does not hold for dead."""
--- /dev/null
+++ b/standins/table_bench.py
@@ -0,0 +1,216 @@
+"""Measurements of the table on a whole local fleet of real processes."""
+
+import argparse
+import secrets
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from statistics import median
+
+import msgspec
+import urllib3
+from returns.result import Failure
+
+from oleandershift.edits import CellChange, EditType, RowEdit
+from oleandershift.ids import EditId, FleetId, VmId
+from oleandershift.io.force import wait_in_force
+from oleandershift.io.platform import PlatformClient
+from oleandershift.io.queries import ask
+from oleandershift.io.query import FleetClient
+from oleandershift.messages import OperatorQuery, QueryKind, Role, RowVersion
+from oleandershift.rows import Kind, TeamRow
+from oleandershift.table import TableClient
+from standins.fleet import Fleet, FleetConfig
+from standins.platform import Counters, Loss, Outage, PlatformFaults
+
+EDITS = 20
+LOSSY_EDITS = 20
+ASK_SECONDS = 1.0
+LIMIT_SECONDS = 30.0
+FROZEN_SECONDS = 8.0
+QUIET_SECONDS = 10.0
+
+
+class TableFigures(msgspec.Struct, frozen=True, kw_only=True):
+    """What was measured on nine VMs in three regions.
+
+    Parameters
+    ----------
+    in_force_median_seconds, in_force_worst_seconds : float
+        From an edit's acceptance until the router and the allocator of every VM have
+        it in force, seen by polling.
+    after_freeze_seconds : float
+        The same, from the thaw of a VM that was frozen when the edit was accepted.
+    platform_back_seconds : float
+        From the end of an outage of the platform until an edit that waited for it is
+        in force everywhere.
+    restart_seconds : float
+        From the start of an agent with nothing remembered, the platform away, until
+        its VM has the table in force.
+    lossy_edits, lossy_versions : int
+        Edits made while the platform lost every second answer to a write, and the
+        versions that the row went up by.
+    calls_a_second : dict
+        Calls of all agents to the platform by type, while nothing changes.
+    waiting_watches : int
+        Watches that wait at the platform.
+    """
+
+    in_force_median_seconds: float
+    in_force_worst_seconds: float
+    after_freeze_seconds: float
+    platform_back_seconds: float
+    restart_seconds: float
+    lossy_edits: int
+    lossy_versions: int
+    calls_a_second: dict[str, float]
+    waiting_watches: int
+
+
+class TableBench:
+    """Edits one team's weight on a running fleet, under faults.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The running fleet.
+    """
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        found = fleet.addresses
+        self._team = found.teams[0].name
+        self._control = found.platform_control
+        self._table = TableClient(PlatformClient(found.platform))
+        self._agents = FleetClient(FleetId("oleander"), found.vms[0].query, ASK_SECONDS)
+        self._http = urllib3.PoolManager(retries=False, timeout=5.0)
+
+    def measure(self) -> TableFigures:
+        """Return all figures."""
+        seconds = [self._wait(self._edit()) for _ in range(EDITS)]
+        calls, watches = self._measure_calls()
+        after_freeze = self._measure_freeze()
+        back = self._measure_outage()
+        restart = self._measure_restart()
+        before = self._version()
+        self._set_faults(PlatformFaults(lose=Loss.SECOND))
+        for _ in range(LOSSY_EDITS):
+            self._edit()
+        self._set_faults(PlatformFaults())
+        return TableFigures(
+            in_force_median_seconds=median(seconds),
+            in_force_worst_seconds=max(seconds),
+            after_freeze_seconds=after_freeze,
+            platform_back_seconds=back,
+            restart_seconds=restart,
+            lossy_edits=LOSSY_EDITS,
+            lossy_versions=self._version() - before,
+            calls_a_second=calls,
+            waiting_watches=watches,
+        )
+
+    def _edit(self) -> RowVersion:
+        """Change the weight and return the accepted version."""
+        deadline = time.time() + LIMIT_SECONDS
+        state = self._table.read_row(Kind.TEAMS, self._team, deadline)
+        assert isinstance(state.row, TeamRow)
+        change = CellChange(state.row.weight, state.row.weight + 1.0)
+        edit = RowEdit(
+            EditId(secrets.token_hex(8)),
+            EditType.SET,
+            Kind.TEAMS,
+            self._team,
+            {"weight": change},
+        )
+        accepted = self._table.apply(edit, deadline, state)
+        return RowVersion(Kind.TEAMS.value, self._team, accepted.version)
+
+    def _wait(self, wanted: RowVersion) -> float:
+        """Return the time until a version is in force on every live VM."""
+        started = time.time()
+        wait_in_force(self._agents, [wanted], started + LIMIT_SECONDS)
+        return time.time() - started
+
+    def _version(self) -> int:
+        deadline = time.time() + LIMIT_SECONDS
+        return self._table.read_row(Kind.TEAMS, self._team, deadline).version
+
+    def _measure_calls(self) -> tuple[dict[str, float], int]:
+        before = self._counters()
+        time.sleep(QUIET_SECONDS)
+        after = self._counters()
+        calls = {
+            name: (count - before.calls.get(name, 0)) / QUIET_SECONDS
+            for name, count in after.calls.items()
+        }
+        return calls, after.waiting_watches
+
+    def _measure_freeze(self) -> float:
+        children = self._fleet.vm_processes(self._last_vm())
+        for child in children:
+            child.freeze()
+        wanted = self._edit()
+        time.sleep(FROZEN_SECONDS)
+        for child in children:
+            child.thaw()
+        started = time.time()
+        while not self._has(self._last_vm(), wanted):
+            time.sleep(0.02)
+        return time.time() - started
+
+    def _measure_outage(self) -> float:
+        self._set_faults(PlatformFaults(outage=Outage.CLOSED))
+        time.sleep(FROZEN_SECONDS)
+        self._set_faults(PlatformFaults())
+        started = time.time()
+        self._wait(self._edit())
+        return time.time() - started
+
+    def _measure_restart(self) -> float:
+        wanted = RowVersion(Kind.TEAMS.value, self._team, self._version())
+        self._set_faults(PlatformFaults(outage=Outage.CLOSED))
+        agent = self._fleet.daemon(self._last_vm(), Role.AGENT)
+        agent.kill()
+        agent.wait(LIMIT_SECONDS)
+        agent.start()
+        started = time.time()
+        while not self._has(self._last_vm(), wanted):
+            time.sleep(0.02)
+        self._set_faults(PlatformFaults())
+        return time.time() - started
+
+    def _last_vm(self) -> VmId:
+        return VmId(self._fleet.addresses.vms[-1].vm)
+
+    def _has(self, vm: VmId, wanted: RowVersion) -> bool:
+        address = self._fleet.addresses.vm(vm).query
+        query = OperatorQuery(QueryKind.TABLE, f"{wanted.kind}/{wanted.name}")
+        result = ask(address, FleetId("oleander"), query, ASK_SECONDS)
+        if isinstance(result, Failure):
+            return False
+        versions = result.unwrap().versions
+        return any(found.version >= wanted.version for found in versions)
+
+    def _counters(self) -> Counters:
+        data = self._http.request("GET", f"{self._control}/counters").data
+        return msgspec.json.decode(data, type=Counters)
+
+    def _set_faults(self, faults: PlatformFaults) -> None:
+        body = msgspec.json.encode(faults)
+        self._http.request("PUT", f"{self._control}/faults", body=body)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Measure and print one JSON object."""
+    parser = argparse.ArgumentParser("standins.table_bench", description=__doc__)
+    parser.add_argument("--net", default="127.23", help="first two address numbers")
+    parser.add_argument("--out", type=Path, default=Path("out/table"))
+    cfg = parser.parse_args(argv)
+    with Fleet(FleetConfig(net=cfg.net, out=cfg.out, policy="fair")) as fleet:
+        figures = TableBench(fleet).measure()
+    print(msgspec.json.encode(figures).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
