Let the next VM take the role of a silent allocator

Cause: membership watches VMs, not processes. While an allocator hung, or was gone, on a VM that lived, its region's slots were granted to nobody. Ruled out: the agent withdrawing the role, which needs a change of the membership. Change: a router that has had no answer for 3 s turns to the next VM by hash; an allocator that routers go on asking for 1.5 s takes the role, and leaves it 10 s after it was last asked. The other regions follow the allocator that took the role last.

--- a/src/oleandershift/allocation.py
+++ b/src/oleandershift/allocation.py
@@ -131,6 +131,7 @@
             if now >= client.heard_at + seconds and self._is_working(client):
                 self._lose(now, client)
         self._holdings.on_tick(now)
+        self._peers.leave_silent(now)
         for peer in self._peers:
             peer.expire(now)
         self._check_recovery(now)
@@ -239,7 +240,8 @@
             return self._add_client(snapshot)
         if client.process == snapshot.client:
             return client
-        if snapshot.client.incarnation < client.process.incarnation:
+        silent = now >= client.heard_at + PEER_SECONDS
+        if snapshot.client.incarnation < client.process.incarnation and not silent:
             self._charging.merge(snapshot.client, snapshot.service_totals)
             return None
         self._lose(now, client)
@@ -288,6 +290,7 @@
             client.avoid[use.upstream] = now + AVOID_SECONDS
 
     def _on_grants(self, now: float, message: Grants) -> None:
+        self._peers.follow_speaker(message)
         peer = self._peers.get(message.region)
         if peer is None:
             return
--- a/src/oleandershift/fair.py
+++ b/src/oleandershift/fair.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from oleandershift.dispatch import Action, QueuedRequest, Send
-from oleandershift.ids import RegionId, ServiceId, TeamId
+from oleandershift.ids import RegionId, ServiceId, TeamId, VmId
 from oleandershift.messages import (
     Envelope,
     Grant,
@@ -16,11 +16,17 @@
 )
 from oleandershift.queueing import QueueingPolicy, ServiceState, ended
 from oleandershift.rendezvous import allocator_for
-from oleandershift.streams import ROUTER_PACE, SnapshotStream, UseKey
+from oleandershift.streams import ROUTER_PACE, Delta, SnapshotStream, UseKey
 
 URGENT_GROWTH = 2
 """A backlog that has grown by this factor since it was sent is sent at once."""
 
+SILENCE_SECONDS = 3.0
+"""An allocator that owes an answer for so long is held to be silent."""
+
+SILENT_SECONDS = 60.0
+"""How long others are preferred to a silent allocator, unless it speaks."""
+
 
 @dataclass
 class _Link:
@@ -34,18 +40,46 @@
         Grants received, with their deadlines.
     sent_waiting : dict
         Each team's waiting requests as last sent.
+    asked_at : float or None
+        When the first snapshot was sent that the allocator has not answered.
+    silent : dict
+        VMs whose allocator did not answer, with the instant until which others are
+        preferred.
     """
 
     stream: SnapshotStream = field(default_factory=lambda: SnapshotStream(ROUTER_PACE))
     allocator: Member | None = None
     seen: dict[UseKey, float] = field(default_factory=dict)
     sent_waiting: dict[TeamId, int] = field(default_factory=dict)
+    asked_at: float | None = None
+    silent: dict[VmId, float] = field(default_factory=dict)
 
     def follow(self, found: Member | None) -> None:
         """Take the VM that plays the role now."""
         held, self.allocator = self.allocator, found
         if held is not None and found is not None and _address(held) != _address(found):
             self.stream.restart()
+            self.asked_at = None
+
+    def note_sent(self, now: float, delta: Delta) -> None:
+        """Note that a snapshot was sent; one with something new is to be answered."""
+        if delta.base < delta.seq and self.asked_at is None:
+            self.asked_at = now
+
+    def note_heard(self, allocator: ProcessId) -> None:
+        """Note that an allocator has spoken."""
+        self.silent.pop(allocator.vm, None)
+        if self.allocator is not None and self.allocator.vm == allocator.vm:
+            self.asked_at = None
+
+    def check_silence(self, now: float) -> None:
+        """Put an allocator that does not answer behind the others for a while."""
+        self.silent = {vm: at for vm, at in self.silent.items() if at > now}
+        if self.asked_at is None or now < self.asked_at + SILENCE_SECONDS:
+            return
+        self.asked_at = None
+        if self.allocator is not None:
+            self.silent[self.allocator.vm] = now + SILENT_SECONDS
 
     def expects(self, allocator: ProcessId) -> bool:
         """Tell whether an allocator is the one that snapshots go to."""
@@ -70,6 +104,7 @@
     def __init__(self, process: ProcessId, region: RegionId, address: str) -> None:
         super().__init__(process, region, address)
         self._links: dict[ServiceId, _Link] = {}
+        self._members: Mapping[str, Member] = {}
 
     def on_envelope(self, now: float, envelope: Envelope) -> list[Action]:
         """Take a message."""
@@ -80,6 +115,8 @@
         if service is None:
             return []
         link = self._link(service)
+        link.note_heard(body.allocator)
+        self._choose(service)
         if link.expects(body.allocator):
             link.stream.on_ack(now, body.allocator, body.ack)
         actions: list[Action] = []
@@ -90,7 +127,10 @@
     def on_tick(self, now: float) -> list[Action]:
         """Take the passage of time."""
         for service in self._services.values():
-            self._link(service).forget_before(now)
+            link = self._link(service)
+            link.forget_before(now)
+            link.check_silence(now)
+            self._choose(service)
         return super().on_tick(now)
 
     def drain(self, now: float) -> list[Action]:
@@ -104,8 +144,15 @@
         return self._links.setdefault(service.name, _Link())
 
     def _follow(self, service: ServiceState, members: Mapping[str, Member]) -> None:
-        found = allocator_for(service.name, self._region, members.values())
-        self._link(service).follow(found)
+        self._members = members
+        self._choose(service)
+
+    def _choose(self, service: ServiceState) -> None:
+        """Follow the role to the VM that plays it, or that should."""
+        link = self._link(service)
+        members = self._members.values()
+        found = allocator_for(service.name, self._region, members, link.silent)
+        link.follow(found)
 
     def _on_change(self, now: float, service: ServiceState, team: TeamId) -> None:
         link = self._link(service)
@@ -122,6 +169,7 @@
         if allocator is None or not link.stream.is_due(now, service.is_working()):
             return []
         delta = link.stream.advance(now)
+        link.note_sent(now, delta)
         loads = tuple(self._load(service, team) for team in delta.teams)
         for load in loads:
             link.sent_waiting[load.team] = load.waiting
--- a/src/oleandershift/io/allocator.py
+++ b/src/oleandershift/io/allocator.py
@@ -81,6 +81,7 @@
         self._act(self._roles.on_tick(now))
         if now >= self._next_report:
             self._next_report = now + HEARTBEAT_SECONDS
+            self._poller.set_upstreams(self._roles.polled())
             self._report(now)
         if self._stop_at is not None and now >= self._stop_at:
             self.stop()
--- a/src/oleandershift/peers.py
+++ b/src/oleandershift/peers.py
@@ -13,10 +13,11 @@
     TeamLoad,
 )
 from oleandershift.rendezvous import allocator_for
-from oleandershift.streams import PEER_PACE, SnapshotStream, UseKey
+from oleandershift.streams import NEVER, PEER_PACE, SnapshotStream, UseKey
 from oleandershift.totals import Totals
 
 SIGNIFICANT_FACTOR = 2
+SILENCE_SECONDS = 10.0
 
 
 def aggregated(team: TeamId, loads: Iterable[TeamLoad]) -> TeamLoad:
@@ -41,6 +42,10 @@
     return new > old * SIGNIFICANT_FACTOR or old > new * SIGNIFICANT_FACTOR
 
 
+def _address(member: Member) -> str:
+    return f"tcp://{member.ip}:{member.allocator_port}"
+
+
 class Peer:
     """The allocator of one other region, which may lend its slots.
 
@@ -60,6 +65,7 @@
         self.address = address
         self.stream = SnapshotStream(PEER_PACE)
         self.stream.touch(urgent=True)
+        self.heard_at = NEVER
         self._sent: dict[TeamId, TeamLoad] = {}
         self._totals_at: dict[Seq, Seq] = {}
         self._seen: dict[UseKey, float] = {}
@@ -86,6 +92,7 @@
         """
         if message.allocator.vm != self.vm:
             return ()
+        self.heard_at = now
         if not self.stream.expects(message.allocator):
             return ()
         self.stream.on_ack(now, message.allocator, message.ack)
@@ -162,6 +169,8 @@
         self._service = service
         self._region = region
         self._held: dict[RegionId, Peer] = {}
+        self._members: Mapping[str, Member] = {}
+        self._chosen: dict[RegionId, Member] = {}
 
     def __iter__(self) -> Iterator[Peer]:
         return iter(self._held.values())
@@ -174,6 +183,7 @@
         self, members: Mapping[str, Member], served: frozenset[RegionId]
     ) -> None:
         """Take the members, and the regions that have upstreams of the service."""
+        self._members = members
         present = {member.region for member in members.values()} - {self._region}
         for region in self._held.keys() - (present & served):
             del self._held[region]
@@ -181,9 +191,27 @@
             member = allocator_for(self._service, region, members.values())
             if member is None:
                 continue
-            address = f"tcp://{member.ip}:{member.allocator_port}"
+            address = _address(member)
             peer = self._held.setdefault(region, Peer(region, member.vm, address))
-            peer.move(member.vm, address)
+            if self._chosen.get(region) != member:
+                self._chosen[region] = member
+                peer.move(member.vm, address)
+
+    def follow_speaker(self, message: Grants) -> None:
+        """Turn to an allocator that has taken a region's role more recently."""
+        peer = self._held.get(message.region)
+        member = self._members.get(message.allocator.vm)
+        if peer is None or member is None or member.region != message.region:
+            return
+        if peer.vm != member.vm and peer.stream.is_newer(message.allocator):
+            peer.move(member.vm, _address(member))
+
+    def leave_silent(self, now: float) -> None:
+        """Turn back to the chosen VMs where those that took their place are silent."""
+        for region, peer in self._held.items():
+            member = self._chosen[region]
+            if member.vm != peer.vm and now >= peer.heard_at + SILENCE_SECONDS:
+                peer.move(member.vm, _address(member))
 
     def touch(self) -> None:
         """Note that there is something new for every peer."""
--- a/src/oleandershift/rendezvous.py
+++ b/src/oleandershift/rendezvous.py
@@ -1,6 +1,6 @@
 """Rendezvous hashing: which VM plays a role, without any agreement."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 import xxhash
 
@@ -18,11 +18,15 @@
 
 
 def allocator_for(
-    service: ServiceId, region: RegionId, members: Iterable[Member]
+    service: ServiceId,
+    region: RegionId,
+    members: Iterable[Member],
+    silent: Container[VmId] = (),
 ) -> Member | None:
     """Return the VM whose allocator grants a service's upstreams in a region.
 
-    Only alive members of the region are considered; None when there is none.
+    Only alive members of the region are considered; None when there is none. Those
+    whose allocator is silent come last.
     """
     alive = [
         member
@@ -30,7 +34,8 @@
         if member.region == region and member.state is MemberState.ALIVE
     ]
     order = ranked(f"{service}/{region}", alive)
-    return order[0] if order else None
+    heard = [member for member in order if member.vm not in silent]
+    return next(iter(heard or order), None)
 
 
 def watchers_for(
--- a/src/oleandershift/roles.py
+++ b/src/oleandershift/roles.py
@@ -1,6 +1,7 @@
 """Allocator roles that fall on one VM."""
 
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from oleandershift.allocation import Allocator, AllocatorAction
 from oleandershift.dispatch import UpstreamLoad
@@ -21,6 +22,19 @@
 from oleandershift.rows import UpstreamRow
 
 NANOSECONDS = 1_000_000_000
+CALL_SECONDS = 1.5
+"""How long routers must ask for a role that is not this VM's before it is taken."""
+
+CALL_FORGET_SECONDS = 10.0
+"""How long after the last such call the role is kept."""
+
+
+@dataclass
+class _Calls:
+    """When routers first and last asked for a role."""
+
+    first: float
+    last: float
 
 
 class Roles:
@@ -42,6 +56,9 @@
         self._address = address
         self._allocators: dict[ServiceId, Allocator] = {}
         self._table = Table()
+        self._members: Mapping[str, Member] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self._calls: dict[ServiceId, _Calls] = {}
 
     def configure(
         self,
@@ -51,9 +68,11 @@
         leaving: frozenset[str],
     ) -> list[AllocatorAction]:
         """Take the table and members now in force."""
-        self._table = table
+        self._table, self._members, self._leaving = table, members, leaving
         wanted = {
-            service for service in table.services if self._is_mine(service, members)
+            service
+            for service in table.services
+            if self._is_mine(service, members) or self._is_called(now, service)
         }
         actions: list[AllocatorAction] = []
         for service in sorted(self._allocators.keys() - wanted):
@@ -71,8 +90,13 @@
         body = envelope.body
         if not isinstance(body, Snapshot | Grants):
             return []
+        actions: list[AllocatorAction] = []
+        if isinstance(body, Snapshot) and body.client.role is Role.ROUTER:
+            actions = self._take_call(now, body.service)
         allocator = self._allocators.get(body.service)
-        return [] if allocator is None else allocator.on_envelope(now, envelope)
+        if allocator is not None:
+            actions += allocator.on_envelope(now, envelope)
+        return actions
 
     def on_load(self, now: float, load: UpstreamLoad) -> list[AllocatorAction]:
         """Pass a load report to the allocator of its upstream."""
@@ -83,6 +107,10 @@
     def on_tick(self, now: float) -> list[AllocatorAction]:
         """Take the passage of time."""
         actions: list[AllocatorAction] = []
+        for service, calls in tuple(self._calls.items()):
+            if now >= calls.last + CALL_FORGET_SECONDS:
+                del self._calls[service]
+                actions += self._configure_again(now)
         for allocator in self._allocators.values():
             actions += allocator.on_tick(now)
         return actions
@@ -104,6 +132,21 @@
             for status in allocator.upstreams()
         )
 
+    def _take_call(self, now: float, service: ServiceId) -> list[AllocatorAction]:
+        """Take a role that routers go on asking for, as its allocator is silent."""
+        calls = self._calls.setdefault(service, _Calls(now, now))
+        calls.last = now
+        if service in self._allocators or not self._is_called(now, service):
+            return []
+        return self._configure_again(now)
+
+    def _is_called(self, now: float, service: ServiceId) -> bool:
+        calls = self._calls.get(service)
+        return calls is not None and now >= calls.first + CALL_SECONDS
+
+    def _configure_again(self, now: float) -> list[AllocatorAction]:
+        return self.configure(now, self._table, self._members, self._leaving)
+
     def _is_mine(self, service: ServiceId, members: Mapping[str, Member]) -> bool:
         found = allocator_for(service, self._region, members.values())
         return found is not None and found.vm == self._vm
--- a/src/oleandershift/streams.py
+++ b/src/oleandershift/streams.py
@@ -148,6 +148,11 @@
             or receiver.incarnation >= held.incarnation
         )
 
+    def is_newer(self, receiver: ProcessId) -> bool:
+        """Tell whether an allocator has taken its role later than the one known."""
+        held = self._receiver
+        return held is not None and receiver.incarnation > held.incarnation
+
     def on_ack(self, now: float, receiver: ProcessId, ack: Seq) -> None:
         """Take an allocator's position; 0 asks for a full snapshot."""
         if receiver != self._receiver:
--- a/tests/test_hard_cases.py
+++ b/tests/test_hard_cases.py
@@ -15,7 +15,7 @@
 from oleandershift.charging import Charging
 from oleandershift.costs import CostModel
 from oleandershift.dispatch import Action, Policy
-from oleandershift.fair import FairPolicy
+from oleandershift.fair import FairPolicy, _Link
 from oleandershift.holdings import Holdings
 from oleandershift.ids import RegionId
 from oleandershift.local import StaticSplitPolicy
@@ -174,6 +174,26 @@
     return found
 
 
+def allocator_hung_gap() -> Found:
+    """Return the gap while a VM lives without its allocator."""
+    made = six_teams()
+    made.run(20.0)
+    made.roles.pop(owner(made, "a"))
+    made.run(45.0)
+    return gap(made)
+
+
+def allocator_hung() -> Found:
+    """Return the idle share of all slots while a VM lives without its allocator."""
+    made = six_teams()
+    made.run(20.0)
+    made.roles.pop(owner(made, "a"))
+    made.run(15.0)
+    busy, slots = made.busy_seconds, made.slot_seconds
+    made.run(30.0)
+    return Found(1 - (made.busy_seconds - busy) / (made.slot_seconds - slots), 0.1)
+
+
 def router_killed() -> Found:
     made = six_teams()
     made.run(20.0)
@@ -246,6 +266,10 @@
     return max(0, held.row.slots - held.opened)
 
 
+def no_stand_in(patch: Patch) -> None:
+    patch.setattr(_Link, "check_silence", lambda *args: None)
+
+
 def free_at_once(patch: Patch) -> None:
     def lose(self: Holdings, now: float, client: str) -> None:
         for held in self._ledger.orphan(now, client):
@@ -282,6 +306,8 @@
     (one_router, static_split),
     (slow_upstream, static_split),
     (allocator_killed, no_recovery),
+    (allocator_hung, no_stand_in),
+    (allocator_hung_gap, no_stand_in),
     (router_killed, free_at_once),
     (unreliable_messages, repeated_grants_used),
     (two_owners, no_load_reports),
