Reserve the ports of test processes across test runs

Cause: with several test runs on one machine a daemon could not bind the port it was given ('Address in use', twice in one run): each run counts from a place of its own, but the places overlap once there are twenty of them. Change: a port that was handed out is marked by binding the UDP port of the same number for the life of the test process. Conclusion: assertions are as before.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -9,23 +9,29 @@
 STRIDE = 997
 
 _next = itertools.count(os.getpid() * STRIDE)
+_reservations: list[socket.socket] = []
 
 
 def free_port() -> int:
-    """Return a port that nothing is bound to.
+    """Return a port that nothing is bound to and no other test process was given.
 
     Ports lie below the range that the system gives to outgoing connections, so that
-    none is taken between this call and the start of the process that is to have it;
-    each test process counts from a place of its own.
+    none is taken between this call and the start of the process that is to have it.
+    The UDP port of the same number stays bound for the life of the test process, as a
+    mark that other test processes see.
     """
     while True:
         port = FIRST_PORT + next(_next) % PORTS
-        with socket.socket() as sock:
-            try:
+        mark = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            mark.bind(("127.0.0.1", port))
+            with socket.socket() as sock:
                 sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+        except OSError:
+            mark.close()
+            continue
+        _reservations.append(mark)
+        return port
 
 
 def free_ports(count: int) -> list[int]:
