End a daemon that can't listen, with a message

Change: a daemon that can't listen says on which address and why, and ends with code 1 at once; one whose actor has failed to start ends with code 1 after 30 s (the time that a normal stop may take).

--- a/src/oleandershift/io/daemon.py
+++ b/src/oleandershift/io/daemon.py
@@ -9,9 +9,10 @@
 from abc import abstractmethod
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NoReturn
 
 import pykka
+import pynng
 from loguru import logger
 from returns.result import Failure
 
@@ -25,7 +26,10 @@
 from oleandershift.settings import Setting, load, parser
 
 TICK_SECONDS = 0.05
+STOP_SECONDS = 30.0
 STACK_BYTES = 256 * 1024
+FAILED = 1
+"""Exit code of a daemon that can't run."""
 
 
 @dataclass(frozen=True)
@@ -212,20 +216,36 @@
         metrics,
     )
     stopped = threading.Event()
-    ref = start(Runtime(cfg, process, events, links, stopped, metrics))
-    inbox.actor = ref
-    links.start()
+    try:
+        ref = start(Runtime(cfg, process, events, links, stopped, metrics))
+        inbox.actor = ref
+        links.start()
+    except (OSError, pynng.NNGException) as exc:
+        _give_up(f"can't listen on {cfg.ip}: {exc}")
     events.write(EventName.STARTED)
     _handle_signals(ref, cfg.drain_seconds)
-    while not stopped.wait(TICK_SECONDS):
-        if ref.is_alive():
-            ref.tell(Tick())
+    _run_ticks(ref, stopped)
     events.write(EventName.STOPPED)
     links.close()
     metrics.close()
     return 0
 
 
+def _give_up(why: str) -> NoReturn:
+    """End the process at once, whatever its threads do; it has not begun to work."""
+    logger.error(why)
+    print(why, file=sys.stderr, flush=True)
+    os._exit(FAILED)
+
+
+def _run_ticks(ref: pykka.ActorRef[Any], stopped: threading.Event) -> None:
+    while not stopped.wait(TICK_SECONDS):
+        if ref.is_alive():
+            ref.tell(Tick())
+        elif not stopped.wait(STOP_SECONDS):
+            _give_up("the daemon's actor has failed; see the log")
+
+
 def _handle_signals(ref: pykka.ActorRef[Any], drain_seconds: float) -> None:
     signals = []
 
--- a/tests/integration/test_listening.py
+++ b/tests/integration/test_listening.py
@@ -60,20 +60,48 @@
     return dict(zip(PORTS, free_ports(len(PORTS)), strict=True))
 
 
-@pytest.fixture(params=LISTENS_ON)
-def daemon(
-    request: pytest.FixtureRequest, ports: dict[str, int], tmp_path: Path
-) -> Iterator[tuple[str, "subprocess.Popen[bytes]"]]:
+def start(
+    name: str, ports: dict[str, int], tmp_path: Path
+) -> "subprocess.Popen[bytes]":
     flags = [f"--{name}={port}" for name, port in ports.items()]
     flags += [f"--ip={IP}", "--vm=vm-1", "--region=south", "--data-centre=south-1"]
     flags += [f"--log-file={tmp_path / 'log'}"]
-    if request.param != "allocator":
+    if name != "allocator":
         flags.append("--platform-url=http://127.0.0.1:9")
-    module = f"oleandershift.cli.{request.param}"
-    process = subprocess.Popen([sys.executable, "-m", module, *flags])
+    module = f"oleandershift.cli.{name}"
+    command = [sys.executable, "-m", module, *flags]
+    return subprocess.Popen(command, stderr=subprocess.PIPE)
+
+
+@pytest.fixture(params=LISTENS_ON)
+def daemon(
+    request: pytest.FixtureRequest, ports: dict[str, int], tmp_path: Path
+) -> Iterator[tuple[str, "subprocess.Popen[bytes]"]]:
+    process = start(request.param, ports, tmp_path)
     yield request.param, process
     process.kill()
-    process.wait(30)
+    process.communicate()
+
+
+@pytest.mark.parametrize(
+    ("name", "taken"), [(n, port) for n in LISTENS_ON for port in sorted(LISTENS_ON[n])]
+)
+def test_daemon_that_can_not_listen_says_so_and_ends(
+    name: str, taken: str, ports: dict[str, int], tmp_path: Path
+) -> None:
+    with socket.socket() as held:
+        held.bind((IP, ports[taken]))
+        held.listen()
+        process = start(name, ports, tmp_path)
+        try:
+            _, errors = process.communicate(timeout=60)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.communicate()
+            raise
+    assert process.returncode == 1
+    assert b"in use" in errors + (tmp_path / "log").read_bytes()
+    assert b"Traceback" not in errors
 
 
 def test_daemon_listens_only_where_configured(
