--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format demo fleet bench soak capacity microbench
+.PHONY: setup test format demo fleet bench soak rolling capacity microbench
+.PHONY: membership table
 
 setup: $(VENV)/.installed
 
@@ -34,8 +35,17 @@
 soak: setup
 	$(BIN)/python -m standins.soak --seed $(or $(SEED),1)
 
+rolling: setup
+	$(BIN)/python -m standins.rolling --seed $(or $(SEED),1)
+
 capacity: setup
 	$(BIN)/python -m standins.capacity
 
 microbench: setup
 	$(BIN)/python -m standins.microbench
+
+membership: setup
+	$(BIN)/python -m standins.membership_bench $(MEMBERSHIP_ARGS)
+
+table: setup
+	$(BIN)/python -m standins.table_bench $(TABLE_ARGS)
