--- a/src/oleandershift/allocation.py
+++ b/src/oleandershift/allocation.py
@@ -319,8 +319,9 @@
             if client is not None:
                 self._answer(now, client)
         self._to_answer.clear()
+        has_load = self._backlog.has_local_load()
         for peer in self._peers:
-            self._speak(now, peer)
+            self._speak(now, peer, has_load)
         actions, self._actions = self._actions, []
         return actions
 
@@ -340,8 +341,8 @@
         )
         self._actions.append(Send(client.address, client.region, answer))
 
-    def _speak(self, now: float, peer: Peer) -> None:
-        working = self._backlog.has_local_load() or bool(peer.stream.uses)
+    def _speak(self, now: float, peer: Peer, has_load: bool) -> None:
+        working = has_load or bool(peer.stream.uses)
         if not peer.stream.is_due(now, working):
             return
         snapshot = peer.snapshot(
