Keep the ports of test processes reserved until the test process ends

Cause: now and then a daemon under test ended with "address in use": the port was free when it was chosen, and another test process, also of another checkout on the machine, chose it too before the daemon listened. Ruled out: counting from other places, as places of processes still meet. Change: the chosen port stays bound without listening, with address reuse set after the bind; servers of pynng, waitress and http.server can listen on it (each was tried), other test processes can't bind it.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -9,23 +9,28 @@
 STRIDE = 997
 
 _next = itertools.count(os.getpid() * STRIDE)
+_reserved: list[socket.socket] = []
 
 
 def free_port() -> int:
     """Return a port that nothing is bound to.
 
     Ports lie below the range that the system gives to outgoing connections, so that
-    none is taken between this call and the start of the process that is to have it;
-    each test process counts from a place of its own.
+    none is taken between this call and the start of the process that is to have it.
+    The port stays bound, without listening, until this process ends: other test
+    processes find it taken, but a server that reuses addresses can listen on it.
     """
     while True:
         port = FIRST_PORT + next(_next) % PORTS
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+        sock = socket.socket()
+        try:
+            sock.bind(("127.0.0.1", port))
+        except OSError:
+            sock.close()
+            continue
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        _reserved.append(sock)
+        return port
 
 
 def free_ports(count: int) -> list[int]:
