--- a/src/oleandershift/beliefs.py
+++ b/src/oleandershift/beliefs.py
@@ -35,6 +35,15 @@
     return member
 
 
+def _looks_alike(one: Member, other: Member) -> bool:
+    """Tell whether two beliefs are the same to local processes.
+
+    They have no use for the incarnation, which every refutation raises.
+    """
+    alike = msgspec.structs.replace(published(other), incarnation=one.incarnation)
+    return alike == published(one)
+
+
 class Beliefs:
     """Beliefs about every known VM, this one included.
 
@@ -90,10 +99,12 @@
 
     def declare(self, state: MemberState) -> None:
         """Change the state of this VM."""
+        changed = state is not self.me.state
         self.me = msgspec.structs.replace(self.me, state=state)
         self._members[self.me.vm] = self.me
         self.news.add(self.me)
-        self.renumber()
+        if changed:
+            self.renumber()
 
     def apply(self, now: float, updates: Iterable[Member], spread: bool = True) -> None:
         """Take what another VM believes.
@@ -178,7 +189,7 @@
             self.news.add(member)
         else:
             self.news.drop(member.vm)
-        if held is None or published(held) != published(member):
+        if held is None or not _looks_alike(held, member):
             self.renumber()
         self._died.pop(member.vm, None)
         if member.state is MemberState.SUSPECT:
--- a/src/oleandershift/replication.py
+++ b/src/oleandershift/replication.py
@@ -28,6 +28,8 @@
 
 FANOUT = 4
 COMPARE_PERIOD_SECONDS = 0.3
+DIFFERS_FOR_SECONDS = 0.5
+DIFFERS_AGAIN_WITHIN_SECONDS = 2.0
 MAX_ROWS_PER_MESSAGE = 500
 MAX_VERSIONS_PER_MESSAGE = 5000
 
@@ -67,6 +69,15 @@
     region: RegionId
 
 
+@dataclass
+class _Difference:
+    """Own digest from which peers have differed, since when, and when last."""
+
+    digest: bytes
+    since: float
+    last: float
+
+
 class Replication:
     """One agent's replica and its exchange with other agents.
 
@@ -91,6 +102,7 @@
         self._address = address
         self._rng = random.Random(seed)
         self._next_compare = 0.0
+        self._difference = _Difference(b"", 0.0, 0.0)
 
     def digest(self) -> bytes:
         """Return the digest to tell peers; empty while the table is not whole."""
@@ -138,7 +150,7 @@
         if digest == self.replica.digest():
             self.replica.complete = True
             return []
-        if now < self._next_compare:
+        if now < self._next_compare or not self._differs_lastingly(now):
             return []
         self._next_compare = now + COMPARE_PERIOD_SECONDS
         return [Send(peer.address, peer.region, self._opening())]
@@ -149,6 +161,23 @@
             return self._answer_digests(peer, summary)
         return self._answer_versions(peer, summary)
 
+    def _differs_lastingly(self, now: float) -> bool:
+        """Tell whether peers go on to differ while these rows stay the same.
+
+        A difference that a push is about to end is not worth a comparison; an agent
+        without a whole table does not wait.
+        """
+        if not self.replica.complete:
+            return True
+        own = self.replica.digest()
+        held = self._difference
+        recent = now <= held.last + DIFFERS_AGAIN_WITHIN_SECONDS
+        if held.digest != own or not recent:
+            self._difference = _Difference(own, now, now)
+            return False
+        held.last = now
+        return now >= held.since + DIFFERS_FOR_SECONDS
+
     def _opening(self) -> TableSummary:
         own = self.replica.digest()
         if own == EMPTY_DIGEST:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -152,6 +152,23 @@
     assert send.body.updates[0] == make_member("a", 6)
 
 
+def test_refutation_is_no_news_to_local_processes(
+    make_member: Callable[..., Member],
+) -> None:
+    node = Membership(make_member("a"), (), seed=1)
+    view = MembersView(Seq(1), (make_member("b", 1),))
+    node.on_message(1.0, VmId("b"), view)
+    number = node.seq
+    for update in (
+        make_member("b", 1, MemberState.SUSPECT),
+        make_member("b", 2),
+        make_member("a", 1, MemberState.SUSPECT),
+    ):
+        node.on_message(1.0, VmId("c"), Ack(Seq(9), VmId("c"), (update,)))
+    assert node.seq == number
+    assert (node.me.incarnation, node.members()[VmId("b")].incarnation) == (2, 2)
+
+
 def test_probe_of_a_third_vm_is_relayed(make_member: Callable[..., Member]) -> None:
     node = Membership(make_member("a"), (), seed=1)
     view = MembersView(Seq(1), (make_member("b"), make_member("c")))
