--- a/src/oleandershift/cli/session.py
+++ b/src/oleandershift/cli/session.py
@@ -21,6 +21,7 @@
 from oleandershift.io.platform import PlatformClient
 from oleandershift.io.query import FleetClient
 from oleandershift.messages import RowVersion
+from oleandershift.pace import Pace
 from oleandershift.plan import Planner
 from oleandershift.rows import Kind
 from oleandershift.settings import Setting, seconds, text
@@ -29,6 +30,7 @@
 EDIT_ID_BYTES = 8
 HISTORY_SECONDS = 5.0
 ASK_SECONDS = 1.0
+EDITS_A_SECOND = 50.0
 
 TIMEOUT = Setting(
     "timeout_seconds",
@@ -147,8 +149,11 @@
             raise TableError(plan.failure())
         self._check_wait()
         entries: list[HistoryEntry] = []
+        pace = Pace(EDITS_A_SECOND)
         try:
             for edit in plan.unwrap():
+                now = time.time()
+                time.sleep(pace.take(now) - now)
                 entries.append(self._apply(state, edit))
         except OleanderError:
             self._print(EditReport(tuple(entries)))
