Count what is served, refused and lost while the platform or a router is out

The test that a stopping router keeps outcomes failed once in a busy full run: it relied on an answer that took 0.3 s. The upstream now holds its answer until the test lets it go, and the test looks at the router after its grace; without the wait for outcomes it fails.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup test format demo fleet bench soak rolling capacity microbench
+.PHONY: setup test format demo fleet bench soak rolling outage capacity microbench
 
 setup: $(VENV)/.installed
 
@@ -34,6 +34,9 @@
 soak: setup
 	$(BIN)/python -m standins.soak --seed $(or $(SEED),1)
 
+outage: setup
+	$(BIN)/python -m standins.outage --seed $(or $(SEED),1)
+
 rolling: setup
 	$(BIN)/python -m standins.rolling --seed $(or $(SEED),1)
 
--- a/standins/faulty.py
+++ b/standins/faulty.py
@@ -21,6 +21,7 @@
 CUT_AFTER_EVENTS = 2
 SLOTS = 64
 LARGE_BYTES = 32 << 20
+HELD_SECONDS = 30.0
 
 
 class FaultName(Enum):
@@ -48,6 +49,7 @@
     HANG = "hang"
     FORGET = "forget"
     LARGE = "large"
+    HELD = "held"
 
 
 @dataclass(frozen=True)
@@ -157,6 +159,8 @@
             body = b"x" * LARGE_BYTES
         if fault is FaultName.HANG:
             time.sleep(LATE_SECONDS * 20)
+        if fault is FaultName.HELD:
+            self.server.released.wait(HELD_SECONDS)
         if fault is FaultName.LATE:
             time.sleep(LATE_SECONDS)
         if fault is FaultName.CLOSE_AFTER:
@@ -276,6 +280,7 @@
         self.always = always
         self.ledger = Ledger()
         self.echoes: dict[str, str] = {}
+        self.released = threading.Event()
         self._lock = threading.Lock()
         self._running = 0
 
@@ -328,6 +333,10 @@
         self._thread = threading.Thread(target=self._server.serve_forever, daemon=True)
         self._thread.start()
 
+    def release(self) -> None:
+        """Let held requests be answered."""
+        self._server.released.set()
+
     def close(self) -> None:
         """Stop serving."""
         self._server.shutdown()
--- a/standins/rolling.py
+++ b/standins/rolling.py
@@ -2,7 +2,6 @@
 
 import argparse
 import os
-import random
 import sys
 import threading
 import time
@@ -12,22 +11,13 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from standins.faulty import FaultName
+from standins.balancer import Balancer, keep_calling
 from standins.processes import exit_on_signals
-from standins.soak_calls import (
-    TIMEOUT_SECONDS,
-    CallForm,
-    Seen,
-    SoakCall,
-    SoakCaller,
-    SoakRecord,
-)
+from standins.soak_calls import Seen
 from standins.soak_fleet import SoakFleet
 
 VMS = 9
 CALLERS = 12
-PAUSE_SECONDS = 0.02
-CHECK_SECONDS = 0.1
 GRACE_SECONDS = 1.0
 SETTLE_SECONDS = 0.2
 DEFAULT_NET = "127.22"
@@ -56,58 +46,18 @@
     seconds: float
 
 
-class _Balancer:
-    """Sends callers to routers that called themselves ready at the last check."""
-
-    def __init__(self, fleet: SoakFleet) -> None:
-        self._fleet = fleet
-        self._ready = tuple(fleet.router_urls)
-
-    def check(self) -> None:
-        """Ask every router whether it is ready."""
-        urls = self._fleet.router_urls
-        self._ready = tuple(url for url in urls if self._fleet.is_ready(url))
-
-    def choose(self, rng: random.Random) -> str:
-        """Return a ready router."""
-        return rng.choice(self._ready)
-
-
-def _keep_calling(
-    balancer: _Balancer, seed: int, done: threading.Event
-) -> list[SoakRecord]:
-    rng = random.Random(seed)
-    caller = SoakCaller()
-    records: list[SoakRecord] = []
-    while not done.wait(PAUSE_SECONDS):
-        call = SoakCall(
-            rng.choice(list(CallForm)),
-            f"c{seed}-{len(records)}",
-            balancer.choose(rng),
-            FaultName.NONE,
-            TIMEOUT_SECONDS,
-        )
-        records.append(caller.send(call))
-    return records
-
-
 def run(ip: str, out: Path, vms: int, seed: int, policy: str = "fair") -> RollingReport:
     """Restart every VM in turn while callers go on."""
     done = threading.Event()
     exits: list[int | None] = []
     with SoakFleet(ip, out, policy, vms, GRACE_SECONDS) as fleet:
-        balancer = _Balancer(fleet)
-
-        def check() -> None:
-            while not done.wait(CHECK_SECONDS):
-                balancer.check()
-
-        checker = threading.Thread(target=check)
+        balancer = Balancer(fleet)
+        checker = threading.Thread(target=balancer.check_until, args=(done,))
         began = time.monotonic()
         checker.start()
         with ThreadPoolExecutor(CALLERS) as pool:
             callers = [
-                pool.submit(_keep_calling, balancer, seed * CALLERS + number, done)
+                pool.submit(keep_calling, balancer, seed * CALLERS + number, done)
                 for number in range(CALLERS)
             ]
             try:
@@ -117,7 +67,7 @@
             finally:
                 done.set()
                 checker.join()
-        records = [record for caller in callers for record in caller.result()]
+        records = [one.record for caller in callers for one in caller.result()]
     failed = (one for one in records if one.seen is not Seen.WHOLE)
     failures = Counter(f"{one.seen.value} {one.status} {one.detail}" for one in failed)
     seconds = time.monotonic() - began
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -66,6 +66,8 @@
         Number of VMs.
     grace_seconds : float
         For which a stopping router still takes requests.
+    claim_seconds : float
+        Limit of a platform call while a caller waits.
 
     Attributes
     ----------
@@ -80,7 +82,9 @@
         policy: str,
         vms: int = ROUTERS,
         grace_seconds: float = 0.0,
+        claim_seconds: float = 1.0,
     ) -> None:
+        self._claim_seconds = claim_seconds
         self._vms = vms
         self._grace_seconds = grace_seconds
         self._ip = ip
@@ -125,6 +129,24 @@
             return self._break_platform(rng)
         return self._break_proxy(rng)
 
+    def set_platform(self, faults: PlatformFaults) -> None:
+        """Replace the platform's faults."""
+        self._put(f"{self._platform_control}/faults", faults)
+
+    def kill_router(self, number: int) -> None:
+        """End a router at once and start it again."""
+        router = self._routers[number]
+        router.kill()
+        router.start()
+        self._wait_ready(f"{self.router_urls[number]}/readyz", router)
+
+    def freeze_router(self, number: int) -> None:
+        """Pause a router for a while."""
+        router = self._routers[number]
+        router.freeze()
+        time.sleep(FREEZE_SECONDS)
+        router.thaw()
+
     def heal(self) -> None:
         """End all faults."""
         self._put(f"{self._platform_control}/faults", PlatformFaults())
@@ -201,19 +223,14 @@
         return f"platform {faults.outage.value} {faults.lose.value}"
 
     def _freeze_router(self, rng: random.Random) -> str:
-        router = rng.choice(self._routers)
-        router.freeze()
-        time.sleep(FREEZE_SECONDS)
-        router.thaw()
-        return f"{router.name} frozen"
+        number = rng.randrange(self._vms)
+        self.freeze_router(number)
+        return f"router{number} frozen"
 
     def _restart_router(self, rng: random.Random) -> str:
         number = rng.randrange(self._vms)
-        router = self._routers[number]
-        router.kill()
-        router.start()
-        self._wait_ready(f"{self.router_urls[number]}/readyz", router)
-        return f"{router.name} killed and started again"
+        self.kill_router(number)
+        return f"router{number} killed and started again"
 
     def _put(self, url: str, value: object) -> None:
         answer = self._http.request("PUT", url, body=msgspec.json.encode(value))
@@ -292,7 +309,7 @@
             policy=self._policy,
             idle_seconds=1,
             connect_seconds=1,
-            claim_seconds=1,
+            claim_seconds=self._claim_seconds,
             max_requests=100,
             grace_seconds=self._grace_seconds,
             drain_seconds=20,
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -1,5 +1,6 @@
 """Tests that a non-idempotent call runs at most once, judged by the ledger."""
 
+import time
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 
@@ -96,18 +97,23 @@
     claimed, upstream, platform, table, start_router
 ) -> None:
     with ThreadPoolExecutor(1) as pool:
-        running = pool.submit(charge, claimed, "k", b"1", "late")
+        running = pool.submit(charge, claimed, "k", b"1", "held")
         wait_until(lambda: bool(upstream.ledger.executions()), "running")
         platform.set_faults(PlatformFaults(outage=Outage.CLOSED))
+        upstream.release()
         claimed.process.terminate()
         assert running.result().status == 200
-    assert claimed.process.poll() is None
+    wait_until(lambda: claimed.call("POST", "/v1/chat/x").status == 503, "grace over")
+    for _ in range(20):
+        time.sleep(0.05)
+        assert claimed.process.poll() is None
     platform.set_faults(PlatformFaults())
     assert claimed.process.wait(30) == 0
     other = start_router(table, platform_url=platform.url)
     wait_until(other.is_ready, "other router ready")
     assert charge(other, "k").status == 200
-    assert len(upstream.ledger.executions()) == 1
+    paths = [execution.path for execution in upstream.ledger.executions()]
+    assert paths.count("/charge") == 1
 
 
 def test_concurrent_calls_with_one_key_run_once(claimed, upstream) -> None:
