--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 BIN := $(VENV)/bin
 
 .PHONY: setup test format demo fleet bench soak rolling outage capacity microbench
+.PHONY: membership table
 
 setup: $(VENV)/.installed
 
@@ -45,3 +46,9 @@
 
 microbench: setup
 	$(BIN)/python -m standins.microbench
+
+membership: setup
+	$(BIN)/python -m standins.membership_bench $(MEMBERSHIP_ARGS)
+
+table: setup
+	$(BIN)/python -m standins.table_bench $(TABLE_ARGS)
--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -1,75 +1,55 @@
-"""Steady callers behind a stand-in for the platform's balancer."""
+"""What the platform's balancer does for callers: choose a router that is ready."""
 
-import random
 import threading
-import time
-from dataclasses import dataclass
+from collections.abc import Sequence
 
-from standins.faulty import FaultName
-from standins.soak_calls import (
-    TIMEOUT_SECONDS,
-    CallForm,
-    SoakCall,
-    SoakCaller,
-    SoakRecord,
-)
-from standins.soak_fleet import SoakFleet
+import urllib3
 
-PAUSE_SECONDS = 0.02
-CHECK_SECONDS = 0.1
+from standins.workload import WorkItem
 
-
-@dataclass(frozen=True)
-class TimedRecord:
-    """A call's record, and the monotonic instant at which it was sent."""
-
-    sent: float
-    record: SoakRecord
+POLL_SECONDS = 0.2
+PROBE_SECONDS = 1.0
 
 
 class Balancer:
-    """Sends callers to routers that called themselves ready at the last check.
+    """Polls `/readyz` of routers and sends callers to ready ones.
 
     Parameters
     ----------
-    fleet : SoakFleet
-        The routers.
+    routers : sequence of str
+        URLs of all routers; taken as ready at first.
     """
 
-    def __init__(self, fleet: SoakFleet) -> None:
-        self._fleet = fleet
-        self._ready = tuple(fleet.router_urls)
-
-    def check(self) -> None:
-        """Ask every router whether it is ready."""
-        urls = self._fleet.router_urls
-        self._ready = tuple(url for url in urls if self._fleet.is_ready(url))
-
-    def check_until(self, done: threading.Event) -> None:
-        """Go on asking until `done` is set."""
-        while not done.wait(CHECK_SECONDS):
-            self.check()
-
-    def choose(self, rng: random.Random) -> str:
-        """Return a ready router; any, when none is ready."""
-        return rng.choice(self._ready or tuple(self._fleet.router_urls))
-
-
-def keep_calling(
-    balancer: Balancer, seed: int, done: threading.Event
-) -> list[TimedRecord]:
-    """Send one call after the other, without faults, until `done` is set."""
-    rng = random.Random(seed)
-    caller = SoakCaller()
-    records: list[TimedRecord] = []
-    while not done.wait(PAUSE_SECONDS):
-        call = SoakCall(
-            rng.choice(list(CallForm)),
-            f"c{seed}-{len(records)}",
-            balancer.choose(rng),
-            FaultName.NONE,
-            TIMEOUT_SECONDS,
-        )
-        sent = time.monotonic()
-        records.append(TimedRecord(sent, caller.send(call)))
-    return records
+    def __init__(self, routers: Sequence[str]) -> None:
+        self._ready = dict.fromkeys(routers, True)
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._poll, args=(router,), daemon=True)
+            for router in routers
+        ]
+
+    def start(self) -> None:
+        """Begin to poll."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop polling."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join()
+
+    def choose(self, item: WorkItem) -> str:
+        """Return the router for a request: its own one, or else one that is ready."""
+        candidates = (item.router, *item.team.routers, *self._ready)
+        ready = (router for router in candidates if self._ready[router])
+        return next(ready, item.router)
+
+    def _poll(self, router: str) -> None:
+        with urllib3.PoolManager(retries=False, timeout=PROBE_SECONDS) as http:
+            while not self._stopping.wait(POLL_SECONDS):
+                try:
+                    answer = http.request("GET", f"{router}/readyz")
+                    self._ready[router] = answer.status == 200
+                except urllib3.exceptions.HTTPError:
+                    self._ready[router] = False
--- a/standins/outage.py
+++ b/standins/outage.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from standins.balancer import Balancer, TimedRecord, keep_calling
+from standins.steady import Balancer, TimedRecord, keep_calling
 from standins.platform import Outage, PlatformFaults
 from standins.processes import exit_on_signals
 from standins.soak import judge
--- a/standins/rolling.py
+++ b/standins/rolling.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from standins.balancer import Balancer, keep_calling
+from standins.steady import Balancer, keep_calling
 from standins.processes import exit_on_signals
 from standins.soak_calls import Seen
 from standins.soak_fleet import SoakFleet
