Delete expired claims, a page at a time

Claims stayed in the platform for good. Ruled out: deleting a claim once its outcome was read, as a caller may ask again at any time before the expiry.

--- a/src/oleandershift/io/desk.py
+++ b/src/oleandershift/io/desk.py
@@ -15,6 +15,7 @@
 from oleandershift.io.front import Carrier
 from oleandershift.io.jobs import Job, Snapshot
 from oleandershift.io.platform import PlatformClient
+from oleandershift.io.sweeper import Sweeper
 from oleandershift.io.upstreams import Connections
 from oleandershift.replica import Table
 from oleandershift.retries import RetryBudget
@@ -40,10 +41,13 @@
         self.events = runtime.events
         self.budget = RetryBudget()
         self.settler: Settler | None = None
+        self.sweeper: Sweeper | None = None
         store: PlatformClient | None = None
         if cfg.platform_url:
             store = PlatformClient(cfg.platform_url)
             self.settler = Settler(store, runtime.events)
+            self.sweeper = Sweeper(store, lambda: self.snapshot().sweeping)
+            self.sweeper.start()
         self.claims = ClaimDesk(store, self.settler, cfg.claim_seconds, runtime.events)
         self._snapshot = Snapshot(Table(), KeyIndex(Table()), False, False)
         self._actor: pykka.ActorRef[Any] | None = None
@@ -70,6 +74,8 @@
         self.connections.close()
         if self.settler is not None:
             self.settler.close()
+        if self.sweeper is not None:
+            self.sweeper.close()
 
     def carry(self, call: Call, is_gone: Callable[[], bool]) -> Carrier:
         """Return a carrier for a checked request."""
--- a/src/oleandershift/io/jobs.py
+++ b/src/oleandershift/io/jobs.py
@@ -30,6 +30,8 @@
         New requests are taken.
     draining : bool
         The router stops.
+    sweeping : bool
+        This VM is the one that deletes expired claims.
     """
 
     table: Table
@@ -37,6 +39,7 @@
     ready: bool
     accepting: bool
     draining: bool = False
+    sweeping: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/oleandershift/io/router.py
+++ b/src/oleandershift/io/router.py
@@ -27,15 +27,24 @@
 )
 from oleandershift.io.server import Server
 from oleandershift.lifecycle import Fault
-from oleandershift.messages import DrainCommand, Envelope, Outcome, Role, StatusReport
+from oleandershift.messages import (
+    DrainCommand,
+    Envelope,
+    MemberState,
+    Outcome,
+    Role,
+    StatusReport,
+)
 from oleandershift.outliers import Outliers
 from oleandershift.pauses import PauseDetector
 from oleandershift.policies import POLICIES
+from oleandershift.rendezvous import ranked
 from oleandershift.subscription import Subscription
 
 CHECK_SECONDS = 0.25
 REPORT_SECONDS = 1.0
 REPORTED_OUTCOMES = 256
+CLAIMS_ROLE = "claims"
 PAGE_KIBIBYTES = 4
 
 
@@ -197,9 +206,16 @@
                 ready=complete and not draining,
                 accepting=complete and not closed,
                 draining=draining,
+                sweeping=self._is_first_for_claims() and not draining,
             )
         )
 
+    def _is_first_for_claims(self) -> bool:
+        members = self._subscription.members.values()
+        alive = [one for one in members if one.state is MemberState.ALIVE]
+        order = ranked(CLAIMS_ROLE, alive)
+        return bool(order) and order[0].vm == self._runtime.process.vm
+
     # Requests
 
     def _submit(self, message: Submit) -> None:
--- a/standins/outage.py
+++ b/standins/outage.py
@@ -11,11 +11,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from standins.steady import Balancer, TimedRecord, keep_calling
 from standins.platform import Outage, PlatformFaults
 from standins.processes import exit_on_signals
 from standins.soak import judge
 from standins.soak_fleet import SoakFleet
+from standins.steady import Balancer, TimedRecord, keep_calling
 
 VMS = 3
 CALLERS = 12
--- a/standins/rolling.py
+++ b/standins/rolling.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from standins.steady import Balancer, keep_calling
 from standins.processes import exit_on_signals
 from standins.soak_calls import Seen
 from standins.soak_fleet import SoakFleet
+from standins.steady import Balancer, keep_calling
 
 VMS = 9
 CALLERS = 12
