--- a/src/oleandershift/allocation.py
+++ b/src/oleandershift/allocation.py
@@ -131,6 +131,7 @@
             if now >= client.heard_at + seconds and self._is_working(client):
                 self._lose(now, client)
         self._holdings.on_tick(now)
+        self._peers.leave_silent(now)
         for peer in self._peers:
             peer.expire(now)
         self._check_recovery(now)
@@ -199,12 +200,16 @@
 
     def _lose(self, now: float, client: Client) -> None:
         """Forget a client that has vanished."""
+        teams = self._backlog.teams_of(client.key)
         self._backlog.forget(now, client.key)
         self._holdings.lose(now, client.key)
         self._clients.remove(client.key)
         if client.remote:
             self._charging.relay(client.process)
             self._peers.touch()
+            return
+        for team in sorted(teams):
+            self._peers.note_load(self._local_load(team))
 
     # Snapshots
 
@@ -232,15 +237,20 @@
             return None
         client = self._clients.get(client_key(snapshot.client, snapshot.region))
         if client is None:
-            return self._clients.add(snapshot)
+            return self._add_client(snapshot)
         if client.process == snapshot.client:
-            client.address = snapshot.reply_to
             return client
-        if snapshot.client.incarnation < client.process.incarnation:
+        silent = now >= client.heard_at + PEER_SECONDS
+        if snapshot.client.incarnation < client.process.incarnation and not silent:
             self._charging.merge(snapshot.client, snapshot.service_totals)
             return None
         self._lose(now, client)
-        return self._clients.add(snapshot)
+        return self._add_client(snapshot)
+
+    def _add_client(self, snapshot: Snapshot) -> Client:
+        key = client_key(snapshot.client, snapshot.region)
+        address, _ = self._awaited.get(key, (snapshot.reply_to, snapshot.region))
+        return self._clients.add(snapshot, snapshot.reply_to or address)
 
     def _take(self, now: float, client: Client, snapshot: Snapshot) -> None:
         loads = snapshot.teams
@@ -280,6 +290,7 @@
             client.avoid[use.upstream] = now + AVOID_SECONDS
 
     def _on_grants(self, now: float, message: Grants) -> None:
+        self._peers.follow_speaker(message)
         peer = self._peers.get(message.region)
         if peer is None:
             return
@@ -331,6 +342,8 @@
                 due.append(held.grant)
         if not due and (client.ack_due_at is None or now < client.ack_due_at):
             return
+        if not client.address:
+            return
         client.ack_due_at = None
         answer = Grants(
             self._service, self._region, self.process, client.have, tuple(due)
--- a/tests/integration/test_callers.py
+++ b/tests/integration/test_callers.py
@@ -5,11 +5,13 @@
 import signal
 import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from conftest import KEY, wait_until
 
+from oleandershift.messages import DrainCommand
 from oleandershift.replica import Replica
 from oleandershift.rows import TeamRow, UpstreamRow
 
@@ -93,6 +95,27 @@
     return sum(event.get("name") == name for event in router.events())
 
 
+def test_caller_that_takes_no_answer_holds_no_slot(
+    table, start_router, upstream
+) -> None:
+    table.put(
+        UpstreamRow(
+            name="u1", service="chat", region="north", url=upstream.url, slots=1
+        )
+    )
+    router = start_router(table, idle_seconds="1")
+    wait_until(router.is_ready, "router ready")
+    conn = http.client.HTTPConnection("127.0.0.1", router.port, timeout=30)
+    headers = {"Authorization": f"Bearer {KEY}", "X-Fault": "large"}
+    conn.request("POST", "/v1/chat/x", b"{}", headers)
+    wait_until(lambda: count(router, "request-sent") == 1, "sent")
+    assert router.call("POST", "/v1/chat/x", b"{}").status == 200
+    router.process.terminate()
+    assert router.process.wait(30) == 0
+    with pytest.raises((http.client.IncompleteRead, ConnectionError)):
+        conn.getresponse().read()
+
+
 def test_full_router_refuses_at_once_and_stays_healthy(
     table, start_router, upstream
 ) -> None:
@@ -211,5 +234,16 @@
     hung.join(30)
 
 
+def test_drain_command_stops_a_router_that_finishes_its_work(
+    router, table, upstream
+) -> None:
+    running = stream(router, "late")
+    wait_until(lambda: len(upstream.ledger.executions()) == 1, "running")
+    table.order = DrainCommand(time.time() + 60)
+    wait_until(lambda: router.call("GET", "/readyz").status == 503, "not ready")
+    assert running.getresponse().read().rstrip().endswith(b"[DONE]")
+    assert router.process.wait(30) == 0
+
+
 def drop(conn: http.client.HTTPConnection) -> None:
     conn.getresponse().read()
