Use one balancer stand-in for every load tool

The rolling restart and the outage run had a balancer of their own beside the one of the bench. They now use that one.

--- a/standins/balancer.py
+++ b/standins/balancer.py
@@ -45,6 +45,11 @@
         ready = (router for router in candidates if self._ready[router])
         return next(ready, item.router)
 
+    def ready(self) -> tuple[str, ...]:
+        """Return the routers that are ready; all, when none is."""
+        found = tuple(router for router, ready in self._ready.items() if ready)
+        return found or tuple(self._ready)
+
     def _poll(self, router: str) -> None:
         with urllib3.PoolManager(retries=False, timeout=PROBE_SECONDS) as http:
             while not self._stopping.wait(POLL_SECONDS):
--- a/standins/outage.py
+++ b/standins/outage.py
@@ -11,11 +11,12 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from standins.balancer import Balancer
 from standins.platform import Outage, PlatformFaults
 from standins.processes import exit_on_signals
 from standins.soak import judge
 from standins.soak_fleet import SoakFleet
-from standins.steady import Balancer, TimedRecord, keep_calling
+from standins.steady import TimedRecord, keep_calling
 
 VMS = 3
 CALLERS = 12
@@ -98,9 +99,9 @@
     """Go through the phases while callers go on."""
     done = threading.Event()
     fleet = SoakFleet(ip, out, "fair", VMS, claim_seconds=CLAIM_SECONDS)
-    with fleet, ThreadPoolExecutor(CALLERS + 1) as pool:
-        balancer = Balancer(fleet)
-        pool.submit(balancer.check_until, done)
+    with fleet, ThreadPoolExecutor(CALLERS) as pool:
+        balancer = Balancer(fleet.router_urls)
+        balancer.start()
         callers = [
             pool.submit(keep_calling, balancer, seed * CALLERS + number, done)
             for number in range(CALLERS)
@@ -109,6 +110,7 @@
             phases = _run_phases(fleet, away_seconds)
         finally:
             done.set()
+            balancer.stop()
         records = [one for caller in callers for one in caller.result()]
         executions = fleet.executions()
     violations = judge([one.record for one in records], executions)
--- a/standins/rolling.py
+++ b/standins/rolling.py
@@ -11,10 +11,11 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+from standins.balancer import Balancer
 from standins.processes import exit_on_signals
 from standins.soak_calls import Seen
 from standins.soak_fleet import SoakFleet
-from standins.steady import Balancer, keep_calling
+from standins.steady import keep_calling
 
 VMS = 9
 CALLERS = 12
@@ -51,10 +52,9 @@
     done = threading.Event()
     exits: list[int | None] = []
     with SoakFleet(ip, out, policy, vms, GRACE_SECONDS) as fleet:
-        balancer = Balancer(fleet)
-        checker = threading.Thread(target=balancer.check_until, args=(done,))
+        balancer = Balancer(fleet.router_urls)
         began = time.monotonic()
-        checker.start()
+        balancer.start()
         with ThreadPoolExecutor(CALLERS) as pool:
             callers = [
                 pool.submit(keep_calling, balancer, seed * CALLERS + number, done)
@@ -66,7 +66,7 @@
                     time.sleep(SETTLE_SECONDS)
             finally:
                 done.set()
-                checker.join()
+                balancer.stop()
         records = [one.record for caller in callers for one in caller.result()]
     failed = (one for one in records if one.seen is not Seen.WHOLE)
     failures = Counter(f"{one.seen.value} {one.status} {one.detail}" for one in failed)
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -184,10 +184,6 @@
         self._wait_ready(f"{self.router_urls[number]}/readyz", router)
         return tuple(codes)
 
-    def is_ready(self, url: str) -> bool:
-        """Tell whether a router calls itself ready."""
-        return self._answers(f"{url}/readyz")
-
     # Faults
 
     def _break_proxy(self, rng: random.Random) -> str:
