Hold a thawed router until its agent has answered

Cause: test_frozen_router_sends_nothing_to_an_upstream_that_left failed once on a busy machine: a router held its decisions for 0.5 s after a pause, and the agent's answer with the upstream's leaving came later than that. Ruled out: a longer fixed hold, which costs every short pause its length. Change: after a pause the router's heartbeat carries a number that the agent's answer repeats, sent after all that the router lacks; the hold ends with that answer, or after 3 s without one. Messages of allocators that arrive in the hold are left to be repeated. Conclusion: a paused router acts on what is true, not on what was true before.

--- a/src/oleandershift/io/router.py
+++ b/src/oleandershift/io/router.py
@@ -123,21 +123,25 @@
     def on_envelope(self, envelope: Envelope) -> None:
         """Take a message of another process."""
         now = time.time()
+        self._note_active(now)
         if envelope.sender.role is Role.AGENT:
             self._on_agent(now, envelope)
+        if self._pause.holds(now):
+            return
         self._carry_out(self._policy.on_envelope(now, envelope))
 
     def on_other(self, message: object) -> None:
         """Take a message of a request's thread."""
-        self._pause.active(time.time())
-        if self._pause.holds(time.time()):
+        now = time.time()
+        self._note_active(now)
+        if self._pause.holds(now):
             self._held.append(message)
             return
         self._handlers[type(message)](message)
 
     def on_tick(self, now: float) -> None:
         """Take the passage of time."""
-        self._pause.active(now)
+        self._note_active(now)
         if self._pause.holds(now):
             self._refresh(now)
             return
@@ -174,6 +178,8 @@
         incarnation = envelope.sender.incarnation
         was_ready = self._subscription.is_complete()
         changes = self._subscription.on_message(incarnation, envelope.body)
+        if self._subscription.is_current():
+            self._pause.release()
         ready = self._subscription.is_complete()
         if not (changes.rows or changes.members or ready != was_ready):
             return
@@ -189,8 +195,13 @@
         )
         self._publish()
 
+    def _note_active(self, now: float) -> None:
+        if self._pause.was_paused(now):
+            self._subscription.query()
+        self._pause.active(now)
+
     def _refresh(self, now: float) -> None:
-        """Ask the agent for what a paused process may have missed."""
+        """Send the agent the heartbeat that is due."""
         for body in self._subscription.on_tick(now, self._desk.snapshot().ready):
             self._runtime.links.send(self._runtime.agent_address, body)
 
--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -185,10 +185,14 @@
         Rows with their versions.
     complete : bool
         The sender has a whole table; a receiver without one may use it from here on.
+    answers : Seq
+        The `query` of the `Subscribe` that it answers; 0 for none. It is sent after
+        everything else that the receiver lacks.
     """
 
     rows: tuple[Row, ...]
     complete: bool = False
+    answers: Seq = Seq(0)
 
 
 class RowVersion(msgspec.Struct, frozen=True, array_like=True):
@@ -236,12 +240,16 @@
         The `MembersView` it has.
     ready : bool
         The process takes work.
+    query : Seq
+        Above 0 the process was paused and asks for an answer that repeats this
+        number, even when it lacks nothing.
     """
 
     address: str
     digest: bytes
     members_seq: Seq
     ready: bool
+    query: Seq = Seq(0)
 
 
 # Allocation
--- a/src/oleandershift/pauses.py
+++ b/src/oleandershift/pauses.py
@@ -1,14 +1,15 @@
 """Notices that a process was paused, so that it does not act on old knowledge."""
 
 PAUSE_SECONDS = 0.75
-HOLD_SECONDS = 0.5
+HOLD_SECONDS = 3.0
 
 
 class PauseDetector:
     """Holds decisions back for a moment after a pause.
 
     A process that was stopped, or starved of the processor, still believes what it
-    knew before. Within the hold it can hear what changed meanwhile.
+    knew before. It holds its decisions until it has heard what changed meanwhile, or
+    `HOLD_SECONDS` have passed without an answer.
 
     Parameters
     ----------
@@ -20,12 +21,20 @@
         self._last = now
         self._hold_until = 0.0
 
+    def was_paused(self, now: float) -> bool:
+        """Tell whether the process was paused since the last call of `active`."""
+        return now - self._last >= PAUSE_SECONDS
+
     def active(self, now: float) -> None:
         """Take note that the process runs; it does so many times a second."""
-        if now - self._last >= PAUSE_SECONDS:
+        if self.was_paused(now):
             self._hold_until = now + HOLD_SECONDS
         self._last = now
 
+    def release(self) -> None:
+        """End the hold: the process knows what it missed."""
+        self._hold_until = 0.0
+
     def holds(self, now: float) -> bool:
         """Tell whether decisions have to wait."""
         return now < self._hold_until
--- a/src/oleandershift/subscription.py
+++ b/src/oleandershift/subscription.py
@@ -62,6 +62,8 @@
         self._seq = Seq(0)
         self._agent = 0
         self._next_heartbeat = 0.0
+        self._query = Seq(0)
+        self._answered = Seq(0)
 
     def is_complete(self) -> bool:
         """Tell whether a whole table has been received."""
@@ -71,12 +73,23 @@
         """Return the digest of the table in force."""
         return self._replica.digest()
 
+    def is_current(self) -> bool:
+        """Tell whether the agent has answered the last query."""
+        return self._answered >= self._query
+
+    def query(self) -> None:
+        """Ask the agent at once for what a paused process may have missed."""
+        self._query = Seq(self._query + 1)
+        self._next_heartbeat = 0.0
+
     def on_tick(self, now: float, ready: bool) -> tuple[Body, ...]:
         """Return the messages due to the agent."""
         if now < self._next_heartbeat:
             return ()
         self._next_heartbeat = now + HEARTBEAT_SECONDS
-        return (Subscribe(self._address, self._replica.digest(), self._seq, ready),)
+        query = Seq(0) if self.is_current() else self._query
+        digest = self._replica.digest()
+        return (Subscribe(self._address, digest, self._seq, ready, query),)
 
     def on_message(self, agent: int, body: Body) -> Changes:
         """Take a message of the agent.
@@ -91,6 +104,7 @@
         if isinstance(body, RowsUpdate):
             taken = self._replica.apply(body.rows, body.complete)
             self.table.update(taken)
+            self._answered = max(self._answered, body.answers)
             if taken:
                 self._next_heartbeat = 0.0
             return Changes(rows=taken)
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -17,6 +17,7 @@
 from oleandershift.io.links import Links
 from oleandershift.io.logs import EventLog
 from oleandershift.messages import (
+    Body,
     DrainCommand,
     Envelope,
     MembersView,
@@ -50,6 +51,7 @@
         self.rows: dict[tuple[str, str], Row] = {}
         self.leaving: tuple[str, ...] = ()
         self.order: DrainCommand | None = None
+        self.answer_after_seconds = 0.0
         self.reports: list[StatusReport] = []
         process = ProcessId(VmId("vm1"), Role.AGENT, Incarnation(time.time_ns()))
         events = EventLog(process, RegionId("north"))
@@ -79,13 +81,18 @@
         if isinstance(envelope.body, StatusReport):
             self.reports.append(envelope.body)
         if isinstance(envelope.body, Subscribe):
-            rows = tuple(self.rows.values())
-            address = envelope.body.address
-            self._links.send(address, RowsUpdate(rows, bool(rows)))
-            view = MembersView(time.time_ns(), (), self.leaving)
-            self._links.send(address, view)
-            if self.order is not None:
-                self._links.send(address, self.order)
+            time.sleep(self.answer_after_seconds)
+            self._answer(envelope.body)
+
+    def _answer(self, subscribe: Subscribe) -> None:
+        rows = tuple(self.rows.values())
+        view = MembersView(time.time_ns(), (), self.leaving)
+        bodies: list[Body] = [RowsUpdate(rows, bool(rows)), view]
+        if self.order is not None:
+            bodies.append(self.order)
+        bodies.append(RowsUpdate((), answers=subscribe.query))
+        for body in bodies:
+            self._links.send(subscribe.address, body)
 
 
 @dataclass
--- a/tests/integration/test_upstreams.py
+++ b/tests/integration/test_upstreams.py
@@ -34,8 +34,9 @@
     made.close()
 
 
+@pytest.mark.parametrize("answer_after_seconds", [0.0, 1.0])
 def test_frozen_router_sends_nothing_to_an_upstream_that_left(
-    router, table, upstream, second
+    router, table, upstream, second, answer_after_seconds
 ) -> None:
     put(table, "u2", second.url)
     wait_until(lambda: ran_on(router, second), "second upstream used")
@@ -47,6 +48,7 @@
                 for _ in range(8)
             ]
             put(table, "u1", upstream.url, "leaving")
+            table.answer_after_seconds = answer_after_seconds
             time.sleep(FROZEN_SECONDS)
             router.process.send_signal(signal.SIGCONT)
             assert {call.result().status for call in waiting} == {200}
--- a/tests/test_outliers.py
+++ b/tests/test_outliers.py
@@ -104,3 +104,11 @@
     pause.active(5.0)
     assert pause.holds(5.0)
     assert not pause.holds(5.0 + HOLD_SECONDS)
+
+
+def test_hold_ends_once_the_process_knows_what_it_missed() -> None:
+    pause = PauseDetector(0.0)
+    assert pause.was_paused(5.0)
+    pause.active(5.0)
+    pause.release()
+    assert not pause.holds(5.0)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -124,3 +124,12 @@
     agent.hear(0.0, digest, incarnation=2)
     assert agent.hear(1.0, EMPTY_DIGEST, incarnation=1) == []
     assert agent.version() == 1
+
+
+def test_query_is_answered_last_even_when_nothing_is_lacking(agent: Agent) -> None:
+    digest = agent.take(1)
+    sender = ProcessId(VmId("vm"), Role.ROUTER, Incarnation(1))
+    for held in (EMPTY_DIGEST, digest):
+        subscribe = Subscribe("tcp://router", held, VIEW.seq, True, Seq(7))
+        sends = agent.processes.on_subscribe(0.0, sender, subscribe, VIEW)
+        assert sends[-1].body == RowsUpdate((), answers=Seq(7))
