--- a/standins/cases.py
+++ b/standins/cases.py
@@ -1,5 +1,6 @@
 """Cases of the bench: loads, and harm done to the fleet under them."""
 
+import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field, replace
 from types import MappingProxyType
@@ -15,6 +16,7 @@
 from standins.fleet import Fleet
 from standins.fleet_file import FleetFile
 from standins.load import TeamLoad, backlogged
+from standins.sampling import sample
 from standins.workload import Mix
 
 SPARE_CALLERS = 8
@@ -93,12 +95,23 @@
     return fleet.plan.vms[0].vm
 
 
-def _kill(role: Role) -> Callable[[Fleet], None]:
-    return lambda fleet: fleet.daemon(_first_vm(fleet), role).kill()
+def _granting_vm(fleet: Fleet) -> VmId:
+    """Return a VM of the busiest region whose allocator grants engines' slots."""
+    region = fleet.plan.regions[0]
+    service = fleet.plan.engine_service
+    for report in sample(fleet, time.time()).reports:
+        serves = any(one.service == service for one in report.upstreams)
+        if serves and fleet.addresses.vm(report.process.vm).region == region:
+            return report.process.vm
+    return _first_vm(fleet)
 
 
-def _restart(role: Role) -> Callable[[Fleet], None]:
-    return lambda fleet: fleet.daemon(_first_vm(fleet), role).start()
+def _kill_router(fleet: Fleet) -> None:
+    fleet.daemon(_first_vm(fleet), Role.ROUTER).kill()
+
+
+def _kill_allocator(fleet: Fleet) -> None:
+    fleet.daemon(_granting_vm(fleet), Role.ALLOCATOR).kill()
 
 
 def _kill_allocators_of_region(fleet: Fleet) -> None:
@@ -107,10 +120,12 @@
             fleet.daemon(vm.vm, Role.ALLOCATOR).kill()
 
 
-def _restart_allocators_of_region(fleet: Fleet) -> None:
-    for vm in fleet.plan.vms:
-        if vm.region == fleet.plan.regions[0]:
-            fleet.daemon(vm.vm, Role.ALLOCATOR).start()
+def _restart(fleet: Fleet) -> None:
+    """Start every daemon that has ended."""
+    for role in Role:
+        for child in fleet.daemons(role):
+            if not child.is_running():
+                child.start()
 
 
 def _freeze_vm(fleet: Fleet) -> None:
@@ -165,18 +180,16 @@
     "entry": Case("all of the largest team at one router", one_entry=True),
     "slow": _harmed("an engine slows to a tenth", _slow, _heal),
     "kill-allocator": _harmed(
-        "an allocator is killed and comes back",
-        _kill(Role.ALLOCATOR),
-        _restart(Role.ALLOCATOR),
+        "the allocator that grants the busiest region's engines is killed",
+        _kill_allocator,
+        _restart,
     ),
     "kill-allocators": _harmed(
         "all allocators of the busiest region are killed and come back",
         _kill_allocators_of_region,
-        _restart_allocators_of_region,
-    ),
-    "kill-router": _harmed(
-        "a router is killed and comes back", _kill(Role.ROUTER), _restart(Role.ROUTER)
+        _restart,
     ),
+    "kill-router": _harmed("a router is killed and comes back", _kill_router, _restart),
     "freeze-vm": _harmed("a VM is paused and goes on", _freeze_vm, _thaw_vm),
 }
 """Cases by name."""
