Believe the VM that the membership names, not a role held for a moment

Cause: at the start each VM takes every role of its region until it has heard of the others. Allocators of other regions kept to the newest incarnation that had spoken for a region, so that such a holder shut out the true one for ten seconds; and a VM took a role again when routers had asked it once, long before. Ruled out: the load of the machine (load average 1 when measured again). Change: a region's allocator is believed where the membership places it; another is while that one has been silent for 4 s. Only calls that go on for 1.5 s without a break take a role.

--- a/src/oleandershift/allocation.py
+++ b/src/oleandershift/allocation.py
@@ -30,7 +30,7 @@
     UpstreamStatus,
 )
 from oleandershift.notes import Note
-from oleandershift.peers import Peer, Peers, aggregated
+from oleandershift.peers import STAND_IN_SECONDS, Peer, Peers, aggregated
 from oleandershift.replica import Table
 from oleandershift.rows import UpstreamState
 from oleandershift.slots import SlotTable
@@ -227,13 +227,26 @@
             return self._add_client(snapshot)
         if client.process == snapshot.client:
             return client
-        silent = now >= client.heard_at + PEER_SECONDS
-        if snapshot.client.incarnation < client.process.incarnation and not silent:
+        if not self._replaces(now, client, snapshot.client):
             self._charging.merge(snapshot.client, snapshot.service_totals)
             return None
         self._lose(now, client)
         return self._add_client(snapshot)
 
+    def _replaces(self, now: float, client: Client, process: ProcessId) -> bool:
+        """Tell whether a process speaks for a client rather than the one known.
+
+        The VM that the membership names goes before others, whose role may have lasted
+        for a moment only.
+        """
+        if now >= client.heard_at + STAND_IN_SECONDS:
+            return True
+        chosen = self._awaited.is_chosen(client.key, process.vm)
+        held_chosen = self._awaited.is_chosen(client.key, client.process.vm)
+        if chosen != held_chosen:
+            return chosen
+        return process.incarnation > client.process.incarnation
+
     def _add_client(self, snapshot: Snapshot) -> Client:
         known = self._awaited.address(client_key(snapshot.client, snapshot.region))
         return self._clients.add(snapshot, snapshot.reply_to or known)
@@ -280,7 +293,7 @@
             client.avoid[use.upstream] = now + AVOID_SECONDS
 
     def _on_grants(self, now: float, message: Grants) -> None:
-        self._peers.follow_speaker(message)
+        self._peers.follow_speaker(now, message)
         peer = self._peers.get(message.region)
         if peer is None:
             return
--- a/src/oleandershift/clients.py
+++ b/src/oleandershift/clients.py
@@ -154,6 +154,13 @@
         self._held.pop(key, None)
 
 
+@dataclass(frozen=True)
+class _Place:
+    vm: VmId
+    address: str
+    region: RegionId
+
+
 class Awaited:
     """Clients that an allocator should hear of, by the membership.
 
@@ -168,7 +175,7 @@
     def __init__(self, service: ServiceId, region: RegionId) -> None:
         self._service = service
         self._region = region
-        self._places: dict[ClientKey, tuple[str, RegionId]] = {}
+        self._places: dict[ClientKey, _Place] = {}
         self._greeted: set[tuple[ClientKey, str]] = set()
 
     def configure(self, members: Mapping[str, Member]) -> None:
@@ -177,20 +184,21 @@
         for member in members.values():
             if member.region == self._region and member.state is not MemberState.DEAD:
                 address = f"tcp://{member.ip}:{member.router_port}"
-                self._places[router_key(member.vm)] = (address, member.region)
+                place = _Place(member.vm, address, member.region)
+                self._places[router_key(member.vm)] = place
         for region in sorted({member.region for member in members.values()}):
             found = allocator_for(self._service, region, members.values())
             if found is not None and region != self._region:
                 address = f"tcp://{found.ip}:{found.allocator_port}"
-                self._places[region_key(region)] = (address, region)
+                self._places[region_key(region)] = _Place(found.vm, address, region)
 
     def take_strangers(self, clients: Clients) -> list[tuple[str, RegionId]]:
         """Return the places of clients not heard of, each only once."""
         found = []
-        for key, (address, region) in self._places.items():
-            if key not in clients and (key, address) not in self._greeted:
-                self._greeted.add((key, address))
-                found.append((address, region))
+        for key, place in self._places.items():
+            if key not in clients and (key, place.address) not in self._greeted:
+                self._greeted.add((key, place.address))
+                found.append((place.address, place.region))
         return found
 
     def are_all_in(self, clients: Clients) -> bool:
@@ -199,4 +207,10 @@
 
     def address(self, key: ClientKey) -> str:
         """Return a client's link address; empty when it is not known."""
-        return self._places.get(key, ("", self._region))[0]
+        place = self._places.get(key)
+        return place.address if place else ""
+
+    def is_chosen(self, key: ClientKey, vm: VmId) -> bool:
+        """Tell whether the membership expects a client on a VM."""
+        place = self._places.get(key)
+        return place is not None and place.vm == vm
--- a/src/oleandershift/peers.py
+++ b/src/oleandershift/peers.py
@@ -18,6 +18,8 @@
 
 SIGNIFICANT_FACTOR = 2
 SILENCE_SECONDS = 10.0
+STAND_IN_SECONDS = 4.0
+"""Silence of a region's allocator after which another may speak for the region."""
 
 
 def aggregated(team: TeamId, loads: Iterable[TeamLoad]) -> TeamLoad:
@@ -197,15 +199,21 @@
                 self._chosen[region] = member
                 peer.move(member.vm, address)
 
-    def follow_speaker(self, message: Grants) -> None:
-        """Turn to an allocator that has taken a region's role more recently."""
+    def follow_speaker(self, now: float, message: Grants) -> None:
+        """Turn to the chosen VM when it speaks, to another while that one is silent."""
         peer = self._held.get(message.region)
         member = self._members.get(message.allocator.vm)
         if peer is None or member is None or member.region != message.region:
             return
-        if peer.vm != member.vm and peer.stream.is_newer(message.allocator):
+        if self._is_better(now, peer, message.allocator):
             peer.move(member.vm, _address(member))
 
+    def _is_better(self, now: float, peer: Peer, speaker: ProcessId) -> bool:
+        chosen = self._chosen[peer.region].vm
+        if speaker.vm == chosen or now >= peer.heard_at + STAND_IN_SECONDS:
+            return True
+        return peer.vm != chosen and peer.stream.is_newer(speaker)
+
     def leave_silent(self, now: float) -> None:
         """Turn back to the chosen VMs where those that took their place are silent."""
         for region, peer in self._held.items():
--- a/src/oleandershift/roles.py
+++ b/src/oleandershift/roles.py
@@ -23,7 +23,7 @@
 
 NANOSECONDS = 1_000_000_000
 CALL_SECONDS = 1.5
-"""How long routers must ask for a role that is not this VM's before it is taken."""
+"""How long routers must go on asking for a role of another VM before it is taken."""
 
 CALL_FORGET_SECONDS = 10.0
 """How long after the last such call the role is kept."""
@@ -31,11 +31,21 @@
 
 @dataclass
 class _Calls:
-    """When routers first and last asked for a role."""
+    """When routers began to ask for a role, and last did."""
 
     first: float
     last: float
 
+    def note(self, now: float) -> None:
+        """Note a call; after a break the asking begins again."""
+        if now >= self.last + CALL_SECONDS:
+            self.first = now
+        self.last = now
+
+    def is_lasting(self) -> bool:
+        """Tell whether routers have gone on asking."""
+        return self.last >= self.first + CALL_SECONDS
+
 
 class Roles:
     """Makes and drops allocators as the membership changes.
@@ -72,7 +82,7 @@
         wanted = {
             service
             for service in table.services
-            if self._is_mine(service, members) or self._is_called(now, service)
+            if self._is_mine(service, members) or self._is_called(service)
         }
         actions: list[AllocatorAction] = []
         for service in sorted(self._allocators.keys() - wanted):
@@ -134,15 +144,14 @@
 
     def _take_call(self, now: float, service: ServiceId) -> list[AllocatorAction]:
         """Take a role that routers go on asking for, as its allocator is silent."""
-        calls = self._calls.setdefault(service, _Calls(now, now))
-        calls.last = now
-        if service in self._allocators or not self._is_called(now, service):
+        self._calls.setdefault(service, _Calls(now, now)).note(now)
+        if service in self._allocators or not self._is_called(service):
             return []
         return self._configure_again(now)
 
-    def _is_called(self, now: float, service: ServiceId) -> bool:
+    def _is_called(self, service: ServiceId) -> bool:
         calls = self._calls.get(service)
-        return calls is not None and now >= calls.first + CALL_SECONDS
+        return calls is not None and calls.is_lasting()
 
     def _configure_again(self, now: float) -> list[AllocatorAction]:
         return self.configure(now, self._table, self._members, self._leaving)
