Number the roles and kinds of messages, and drop the region from the envelope

Cause: sharing and membership spend most control bytes on what each message repeats before its first entry: some 130 B. Change: message tags and roles travel as numbers; nobody read the envelope's region. Role.label gives the name for logs and files.

--- a/examples/embed.py
+++ b/examples/embed.py
@@ -112,7 +112,7 @@
         sender = ALLOCATOR if to_router else ROUTER
         receiver = self._policy if to_router else self._allocator
         wall = int(self.now * 1e9)
-        message = Envelope(FleetId("f"), sender, REGION, wall, 0, send.body)
+        message = Envelope(FleetId("f"), sender, wall, 0, send.body)
         self._act(receiver.on_envelope(self.now, message))
 
 
--- a/src/oleandershift/cli/status.py
+++ b/src/oleandershift/cli/status.py
@@ -55,7 +55,7 @@
 
 
 def _process_text(line: ProcessLine) -> str:
-    notes = [line.role.value]
+    notes = [line.role]
     if line.draining:
         notes.append("draining")
     elif not line.ready:
--- a/src/oleandershift/io/daemon.py
+++ b/src/oleandershift/io/daemon.py
@@ -88,7 +88,7 @@
         except Exception:
             sender = envelope.sender
             kind = type(envelope.body).__name__
-            logger.exception("dropped {} of {}/{}", kind, sender.vm, sender.role.value)
+            logger.exception("dropped {} of {}/{}", kind, sender.vm, sender.role.label)
 
     @abstractmethod
     def on_envelope(self, envelope: Envelope) -> None:
--- a/src/oleandershift/io/links.py
+++ b/src/oleandershift/io/links.py
@@ -134,7 +134,6 @@
         envelope = Envelope(
             self._fleet,
             self._process,
-            self._region,
             stamp.wall,
             stamp.logical,
             body,
--- a/src/oleandershift/io/logs.py
+++ b/src/oleandershift/io/logs.py
@@ -68,7 +68,7 @@
             logical=stamp.logical,
             vm=self._process.vm,
             region=self._region,
-            process=self._process.role.value,
+            process=self._process.role.label,
             incarnation=self._process.incarnation,
             name=name,
             **fields,
--- a/src/oleandershift/io/otlp.py
+++ b/src/oleandershift/io/otlp.py
@@ -20,7 +20,7 @@
 def _resource(process: ProcessId, region: RegionId) -> Resource:
     return Resource.create(
         {
-            "service.name": f"oleander-{process.role.value}",
+            "service.name": f"oleander-{process.role.label}",
             "service.version": program_version(),
             "service.instance.id": f"{process.vm}/{process.incarnation}",
             "host.name": process.vm,
--- a/src/oleandershift/io/queries.py
+++ b/src/oleandershift/io/queries.py
@@ -124,9 +124,7 @@
         stamp = self._events.stamp()
         who = self._identity
         return encode(
-            Envelope(
-                who.fleet, who.process, who.region, stamp.wall, stamp.logical, reply
-            )
+            Envelope(who.fleet, who.process, stamp.wall, stamp.logical, reply)
         )
 
     def _drop(self, why: str) -> None:
@@ -156,7 +154,7 @@
     """
     sender = ProcessId(VmId("operator"), Role.AGENT, Incarnation(0))
     body: Body = query
-    data = encode(Envelope(fleet, sender, RegionId(""), 0, 0, body))
+    data = encode(Envelope(fleet, sender, 0, 0, body))
     timeout_ms = int(timeout_seconds * MILLISECONDS)
     with pynng.Req0(
         recv_timeout=timeout_ms,
--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -28,9 +28,14 @@
 class Role(Enum):
     """The daemon that a process runs."""
 
-    ROUTER = "router"
-    ALLOCATOR = "allocator"
-    AGENT = "agent"
+    ROUTER = 1
+    ALLOCATOR = 2
+    AGENT = 3
+
+    @property
+    def label(self) -> str:
+        """Return the name for logs, flags and file names."""
+        return self.name.lower()
 
 
 class MemberState(Enum):
@@ -60,8 +65,8 @@
     incarnation: Incarnation
 
 
-class Message(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Base of every message body."""
+class Message(msgspec.Struct, frozen=True, array_like=True):
+    """Base of every message body; tags and roles are numbers to save bytes."""
 
 
 # Membership
@@ -98,7 +103,7 @@
     state: MemberState = MemberState.ALIVE
 
 
-class Ping(Message, frozen=True, tag=True, array_like=True):
+class Ping(Message, frozen=True, tag=1, array_like=True):
     """Probe of a member, with gossip.
 
     Parameters
@@ -122,7 +127,7 @@
     table_digest: bytes = b""
 
 
-class Ack(Message, frozen=True, tag=True, array_like=True):
+class Ack(Message, frozen=True, tag=2, array_like=True):
     """Answer to a `Ping`, with gossip."""
 
     seq: Seq
@@ -131,7 +136,7 @@
     table_digest: bytes = b""
 
 
-class MembersView(Message, frozen=True, tag=True, array_like=True):
+class MembersView(Message, frozen=True, tag=3, array_like=True):
     """All members, from an agent to its own VM's processes or to a joining agent.
 
     Parameters
@@ -176,7 +181,7 @@
     deleted: bool = False
 
 
-class RowsUpdate(Message, frozen=True, tag=True, array_like=True):
+class RowsUpdate(Message, frozen=True, tag=4, array_like=True):
     """Rows that the receiver may lack.
 
     Parameters
@@ -203,7 +208,7 @@
     version: int
 
 
-class TableSummary(Message, frozen=True, tag=True, array_like=True):
+class TableSummary(Message, frozen=True, tag=5, array_like=True):
     """What a replica holds, sent when digests differ so that gaps can be filled.
 
     Parameters
@@ -227,7 +232,7 @@
     versions: tuple[RowVersion, ...] = ()
 
 
-class Subscribe(Message, frozen=True, tag=True, array_like=True):
+class Subscribe(Message, frozen=True, tag=6, array_like=True):
     """A local process asks its VM's agent for members and table, at every heartbeat.
 
     Parameters
@@ -319,7 +324,7 @@
     charged: float = 0.0
 
 
-class Snapshot(Message, frozen=True, tag=True, array_like=True):
+class Snapshot(Message, frozen=True, tag=7, array_like=True):
     """State of an allocator's client (a router, or another region's allocator).
 
     Holds what changed since `base`, the last position that the allocator
@@ -423,7 +428,7 @@
     charged: float = 0.0
 
 
-class Grants(Message, frozen=True, tag=True, array_like=True):
+class Grants(Message, frozen=True, tag=8, array_like=True):
     """An allocator's answer to a client.
 
     Parameters
@@ -496,7 +501,7 @@
     upstream: UpstreamId | None = None
 
 
-class StatusReport(Message, frozen=True, tag=True, array_like=True):
+class StatusReport(Message, frozen=True, tag=9, array_like=True):
     """What a daemon tells its VM's agent at every heartbeat."""
 
     process: ProcessId
@@ -512,7 +517,7 @@
     resident_bytes: int = 0
 
 
-class DrainCommand(Message, frozen=True, tag=True, array_like=True):
+class DrainCommand(Message, frozen=True, tag=10, array_like=True):
     """Order to a local daemon to finish its work, take no more and exit.
 
     Parameters
@@ -537,7 +542,7 @@
     DRAIN = "drain"
 
 
-class OperatorQuery(Message, frozen=True, tag=True, array_like=True):
+class OperatorQuery(Message, frozen=True, tag=11, array_like=True):
     """An operator's question or order to one agent.
 
     Parameters
@@ -562,7 +567,7 @@
     weight: float
 
 
-class OperatorReply(Message, frozen=True, tag=True, array_like=True):
+class OperatorReply(Message, frozen=True, tag=12, array_like=True):
     """An agent's answer.
 
     Parameters
@@ -620,8 +625,6 @@
         Name of the fleet.
     sender : ProcessId
         Who sent it.
-    region : RegionId
-        The sender's region, for counting traffic.
     wall, logical : int
         The sender's hybrid logical clock: nanoseconds and tie-breaker.
     body : Body
@@ -630,7 +633,6 @@
 
     fleet: FleetId
     sender: ProcessId
-    region: RegionId
     wall: int
     logical: int
     body: Body
--- a/src/oleandershift/status.py
+++ b/src/oleandershift/status.py
@@ -15,7 +15,6 @@
     Member,
     MemberState,
     OperatorReply,
-    Role,
     StatusReport,
     TeamStatus,
     UpstreamStatus,
@@ -30,8 +29,8 @@
 
     Parameters
     ----------
-    role : Role
-        What it is.
+    role : str
+        Name of the daemon.
     ready, draining : bool
         Whether it takes work, and whether it is stopping.
     table_digest : str
@@ -46,7 +45,7 @@
         Its memory.
     """
 
-    role: Role
+    role: str
     ready: bool
     draining: bool
     table_digest: str
@@ -197,7 +196,7 @@
     )
     if reply is None:
         return line
-    reports = sorted(reply.reports, key=lambda report: report.process.role.value)
+    reports = sorted(reply.reports, key=lambda report: report.process.role.label)
     return VmLine(
         vm=line.vm,
         region=line.region,
@@ -219,7 +218,7 @@
     if before is not None and elapsed > 0:
         cpu_share = (report.cpu_seconds - before.cpu_seconds) / elapsed
     return ProcessLine(
-        role=report.process.role,
+        role=report.process.role.label,
         ready=report.ready,
         draining=report.draining,
         table_digest=report.table_digest.hex(),
--- a/standins/capacity/allocation.py
+++ b/standins/capacity/allocation.py
@@ -229,13 +229,12 @@
         envelope = Envelope(
             FleetId("oleander"),
             ProcessId(member.vm, role, Incarnation(2)),
-            member.region,
             int(self.now * 1e9),
             0,
             send.body,
         )
         data = self.watches[role].time(encode, envelope)
-        kind = role.value if member.region == send.region else "between regions"
+        kind = role.label if member.region == send.region else "between regions"
         self.sent_bytes[kind] += len(data)
         self.messages[kind] += 1
         if send.address in self._objects:
--- a/standins/capacity/codec.py
+++ b/standins/capacity/codec.py
@@ -122,7 +122,7 @@
         decoding: list[tuple[float, float]] = []
         for size in SIZES:
             envelope = Envelope(
-                FleetId("oleander"), PROCESS, REGION, int(NOW * 1e9), 0, make(size)
+                FleetId("oleander"), PROCESS, int(NOW * 1e9), 0, make(size)
             )
             data = encode(envelope)
             sizes.append((size, float(len(data))))
--- a/standins/capacity/daemons.py
+++ b/standins/capacity/daemons.py
@@ -82,12 +82,12 @@
         args = [f"--{name}={port}" for name, port in self.ports.items()]
         args += [f"--ip={self.ip}", "--vm=vm-0000", f"--region={region(0)}"]
         args += ["--data-centre=dc-00", f"--fleet={FLEET}"]
-        args += [f"--log-file={logs / role.value}.jsonl"]
+        args += [f"--log-file={logs / role.label}.jsonl"]
         if role is not Role.ALLOCATOR:
             args.append(f"--platform-url={self.platform.url}")
         if role is Role.ROUTER:
             args += [f"--policy={self.policy}", "--max-requests=1000"]
-        module = f"oleandershift.cli.{role.value}"
+        module = f"oleandershift.cli.{role.label}"
         return subprocess.Popen([sys.executable, "-m", module, *args])
 
     def _wait_ready(self) -> None:
@@ -148,7 +148,7 @@
             size = f"{teams} teams, {upstreams} upstreams"
             for role in vm.processes:
                 used = (vm.cpu(role) - before[role]) / IDLE_SECONDS
-                name = f"{role.value} idle, {size}"
+                name = f"{role.label} idle, {size}"
                 report.add(name, vm.resident_mib(role), "MiB resident")
                 report.add(name, vm.proportional_mib(role), "MiB proportional")
                 report.add(name, 100 * used, "% of a core")
--- a/standins/capacity/members.py
+++ b/standins/capacity/members.py
@@ -42,7 +42,6 @@
         self.messages = 0
         self._queue: list[tuple[float, int, VmId, bytes]] = []
         self._vm_of = {link_address(member): member.vm for member in members}
-        self._region_of = {member.vm: member.region for member in members}
         self.objects = {
             member.vm: Membership(member, [], SEED + number)
             for number, member in enumerate(members)
@@ -78,7 +77,6 @@
                 Envelope(
                     FleetId("oleander"),
                     sender,
-                    self._region_of[vm],
                     int(self.now * 1e9),
                     0,
                     send.body,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -302,8 +302,8 @@
         if role is Role.ROUTER:
             args += ["--policy", self.cfg.policy]
             args += ["--max-requests", ROUTER_MAX_REQUESTS, *self.cfg.router_args]
-        module = f"oleandershift.cli.{role.value}"
-        return ChildProcess(f"{vm.vm}-{role.value}", module, args, self._logs)
+        module = f"oleandershift.cli.{role.label}"
+        return ChildProcess(f"{vm.vm}-{role.label}", module, args, self._logs)
 
     def _seeds(self, vm: VmPlan) -> str:
         firsts = {other.region: other for other in reversed(self.plan.vms)}
--- a/standins/membership_loop.py
+++ b/standins/membership_loop.py
@@ -231,7 +231,6 @@
 
     def _size(self, sender: VmId, body: Body) -> int:
         wall = int(self.now * 1e9)
-        region = self.nodes[sender].me.region
         process = self._process[sender]
-        envelope = Envelope(FleetId("oleander"), process, region, wall, 0, body)
+        envelope = Envelope(FleetId("oleander"), process, wall, 0, body)
         return len(encode(envelope))
--- a/standins/microbench.py
+++ b/standins/microbench.py
@@ -201,7 +201,7 @@
 
 def _envelope(sender: ProcessId, region: RegionId, body: Snapshot) -> Envelope:
     wall = int(NOW * 1e9)
-    return Envelope(FleetId("oleander"), sender, region, wall, 0, body)
+    return Envelope(FleetId("oleander"), sender, wall, 0, body)
 
 
 def _messages(teams: int, upstreams: int, routers: int) -> tuple[float, float]:
--- a/standins/sampling.py
+++ b/standins/sampling.py
@@ -139,14 +139,14 @@
     seconds = last.at - first.at
     return tuple(
         _role(
-            role.value,
+            role.label,
             [
                 (
                     100 * (process.cpu_seconds - before[process.name]) / seconds,
                     process.resident_bytes / 1e6,
                 )
                 for process in last.processes
-                if process.role == role.value
+                if process.role == role.label
             ],
         )
         for role in Role
@@ -168,7 +168,7 @@
     return tuple(
         ProcessSample(
             child.name,
-            role.value,
+            role.label,
             processor_seconds(child.pid),
             resident_bytes(child.pid),
         )
--- a/tests/integration/test_agents.py
+++ b/tests/integration/test_agents.py
@@ -251,7 +251,7 @@
         "outcome",
     )
     reports = agents[0].ask(QueryKind.STATUS).reports  # type: ignore[union-attr]
-    assert {report.process.role.value for report in reports} == {"router", "agent"}
+    assert {report.process.role.label for report in reports} == {"router", "agent"}
 
 
 def test_leaving_upstreams_of_the_platform_s_list_reach_local_processes(
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -135,7 +135,7 @@
 
 def envelope(body: Body, fleet: FleetId = FLEET) -> Envelope:
     """Return an envelope with a body."""
-    return Envelope(fleet, ROUTER, REGION, int(NOW * 1e9), 0, body)
+    return Envelope(fleet, ROUTER, int(NOW * 1e9), 0, body)
 
 
 def _mutated(rng: random.Random, data: bytes) -> bytes:
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -48,7 +48,7 @@
     ) -> list[Body]:
         """Take a heartbeat of a process and return what it gets."""
         sender = ProcessId(VmId("vm"), role, Incarnation(incarnation))
-        subscribe = Subscribe(f"tcp://{role.value}", digest, VIEW.seq, True)
+        subscribe = Subscribe(f"tcp://{role.label}", digest, VIEW.seq, True)
         sends = self.processes.on_subscribe(now, sender, subscribe, VIEW)
         return [send.body for send in sends]
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -354,7 +354,7 @@
         sender = ProcessId(VmId(vm), role, Incarnation(1))
         region = self.members[vm].region
         envelope = Envelope(
-            FleetId("f"), sender, region, int(self.stamp(vm) * 1e9), 0, action.body
+            FleetId("f"), sender, int(self.stamp(vm) * 1e9), 0, action.body
         )
         data = encode(envelope)
         self.bytes[region, action.region] += len(data)
