--- a/src/oleandershift/messages.py
+++ b/src/oleandershift/messages.py
@@ -585,7 +585,7 @@
     versions : tuple of RowVersion
         For `TABLE`: versions in force at the least advanced local process.
     platform : str
-        `ok`, `slow` or `away`, as the agent sees it.
+        `ok`, `slow`, `away` or, where the agent does not watch it, `unwatched`.
     weights : tuple of TeamWeight
         For `STATUS`: weights of the teams in `reports`.
     """
