Share loads between VMs, and refuse early what comes too late

Change: VMs tell each other by datagrams what they have at each upstream and what teams ask; a request is refused at once when its predicted first byte is past its target, sooner beyond its team's max-min share.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -68,10 +68,12 @@
 
     def __init__(self) -> None:
         self._entries: dict[UpstreamId, Upstream] = {}
+        self._revisions: dict[UpstreamId, int] = {}
         self._lapsed: dict[UpstreamId, float] = {}
         self._back_at: float | None = None
         self._away = False
         self.revision = 0
+        self._listed = 0
         self.loaded = False
 
     def on_store_lost(self) -> None:
@@ -87,32 +89,57 @@
     def replace(
         self, now: float, revision: int, entries: Iterable[Upstream]
     ) -> tuple[Upstream, ...]:
-        """Take a complete list and return the entries that are gone at once."""
+        """Take a complete list and return the entries that are gone at once.
+
+        A list that is older than what is known already is left aside.
+        """
+        if self.loaded and revision < self.revision:
+            return ()
         listed = {entry.name: entry for entry in entries}
         missing = [name for name in self._entries if name not in listed]
         gone = [entry for name in missing if (entry := self._vanish(now, name))]
         for entry in listed.values():
-            self._take(entry)
+            self._take(revision, entry)
         self.revision = revision
+        self._listed = revision
         self.loaded = True
         return tuple(gone)
 
-    def put(self, revision: int, entry: Upstream) -> None:
-        """Take a new or changed entry."""
-        self._take(entry)
+    def put(self, revision: int, entry: Upstream) -> bool:
+        """Take a new or changed entry; return False when it is known already."""
+        if revision <= max(self._listed, self._revisions.get(entry.name, 0)):
+            return False
+        self._take(revision, entry)
+        self.revision = max(self.revision, revision)
+        return True
+
+    def remove(self, now: float, revision: int, name: UpstreamId) -> bool:
+        """Take a removal; return whether the entry is gone at once.
+
+        Parameters
+        ----------
+        now : float
+            The current instant.
+        revision : int
+            Revision that the removal names; an entry that is newer stays.
+        name : UpstreamId
+            Whose entry.
+        """
         self.revision = max(self.revision, revision)
+        if revision and revision < self._revisions.get(name, 0):
+            return False
+        return self._vanish(now, name) is not None
 
-    def remove(self, now: float, revision: int, name: UpstreamId) -> Upstream | None:
-        """Take a removal; return the entry if it is gone at once."""
+    def advance(self, revision: int) -> None:
+        """Take note that everything up to a revision has been seen."""
         self.revision = max(self.revision, revision)
-        return self._vanish(now, name)
 
     def expire(self, now: float) -> tuple[Upstream, ...]:
         """Drop the lapsed entries that did not come back in time."""
         over = [name for name, until in self._lapsed.items() if until <= now]
         for name in over:
             del self._lapsed[name]
-        return tuple(self._entries.pop(name) for name in over if name in self._entries)
+        return tuple(self._drop(name) for name in over if name in self._entries)
 
     def usable(self, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service that take new work."""
@@ -130,8 +157,9 @@
         """Return everything believed in."""
         return tuple(self._entries.values())
 
-    def _take(self, entry: Upstream) -> None:
+    def _take(self, revision: int, entry: Upstream) -> None:
         self._entries[entry.name] = entry
+        self._revisions[entry.name] = revision
         self._lapsed.pop(entry.name, None)
 
     def _vanish(self, now: float, name: UpstreamId) -> Upstream | None:
@@ -143,6 +171,10 @@
             self._lapsed.setdefault(name, until)
             return None
         self._lapsed.pop(name, None)
+        return self._drop(name)
+
+    def _drop(self, name: UpstreamId) -> Upstream:
+        self._revisions.pop(name, None)
         return self._entries.pop(name)
 
     def _kept_until(self, now: float) -> float:
--- a/src/oleandershift/io/decisionlog.py
+++ b/src/oleandershift/io/decisionlog.py
@@ -86,6 +86,10 @@
         logger.add(self.writer, level=level, format=_format, catch=True)
         self._vm = vm
 
+    def debug(self, event: str, **fields: object) -> None:
+        """Log what only a closer look needs."""
+        self._write("DEBUG", event, fields)
+
     def info(self, event: str, **fields: object) -> None:
         """Log a decision or a change of belief."""
         self._write("INFO", event, fields)
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -1,6 +1,7 @@
 """The process that stands between callers and upstreams on a platform VM."""
 
 import asyncio
+import math
 import random
 import signal
 import time
@@ -9,22 +10,27 @@
 
 from returns.result import Failure
 
+from oleandershift.demand import fair_level
 from oleandershift.exceptions import SettingsError
-from oleandershift.fleetview import Beliefs
+from oleandershift.ids import Incarnation
 from oleandershift.io.callers import CallerConnection, CallerRequest, Responder, factory
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
-from oleandershift.io.feed import ChangesRead, Feed, FeedEvent, SnapshotRead, StoreLost
+from oleandershift.io.following import StoreFollower
+from oleandershift.io.peers import PeerLink
 from oleandershift.io.pool import Pool
+from oleandershift.io.registry import VmRegistry
 from oleandershift.io.relay import Relay
-from oleandershift.node import NodeSettings
+from oleandershift.neighbours import Neighbours, Peer
+from oleandershift.node import Address, NodeSettings
 from oleandershift.outliers import Outliers
-from oleandershift.placement import Loads, Place, Placement
-from oleandershift.platform import configuration, entries, settings
+from oleandershift.placement import Place, Placement
+from oleandershift.platform import settings
 from oleandershift.platform.store import StoreClient
-from oleandershift.records import Record
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
+from oleandershift.shedding import Shedding
+from oleandershift.state import FleetState
 
 TICK_SECONDS = 0.1
 """Pace of expiry and upkeep: a twentieth of the shortest bound that depends on it."""
@@ -36,6 +42,9 @@
 """Time after SIGTERM in which requests are still taken: the balancer asks once a second
 and needs two misses."""
 
+CATCH_UP_SECONDS = 0.3
+"""Pace at which a VM that the store turns away asks the others."""
+
 STOP_MARGIN_SECONDS = 0.4
 """Time before SIGKILL at which the process ends, whatever still runs."""
 
@@ -95,22 +104,35 @@
         self._node = node
         self._path = path
         self._log = log
-        self._beliefs = Beliefs()
+        self._state = FleetState()
+        self._beliefs = self._state.beliefs
         self._pool = Pool()
-        self._loads = Loads()
         self._outliers = Outliers()
+        self._shedding = Shedding(random.Random())
+        self._neighbours = Neighbours(node.vm, node.data_centre)
+        self._peer = Peer(node.vm, node.data_centre, Address(node.ip, node.peer_port))
+        self._link = PeerLink(
+            self._peer,
+            Incarnation(time.time_ns()),
+            self._state,
+            self._neighbours,
+            log,
+        )
+        self._follower = StoreFollower(
+            self._beliefs, self._state.loads.forget_memory, log
+        )
         place = Place(node.data_centre, node.region, node.regions)
         bounds = node.bounds
-        budgets = _Budgets(
+        self._budgets = _Budgets(
             bounds.retry_ratio / 2, max(1.0, bounds.retry_extra / 2 / ASSUMED_VMS)
         )
         self._relay = Relay(
-            self._beliefs,
+            self._state,
             self._pool,
-            self._loads,
-            Placement(self._loads, place),
+            Placement(self._state.loads, place),
+            self._shedding,
             self._outliers,
-            budgets.of,
+            self._budgets.of,
             log,
         )
         self._callers: set[CallerConnection] = set()
@@ -132,7 +154,10 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        feeds = self._start_feeds(loop)
+        store = StoreClient(self._node.store)
+        self._follower.start(store, loop)
+        await self._link.open(self._follower.snapshot)
+        registry = VmRegistry(store, self._peer, self._neighbours, self._log)
         ready = await loop.create_server(
             factory(_Readiness(self), self._probes),
             self._node.readiness.host,
@@ -145,115 +170,59 @@
             backlog=512,
         )
         self._log.info("process.started", settings=str(self._path))
-        upkeep = loop.create_task(self._upkeep())
+        tasks = [
+            loop.create_task(self._upkeep()),
+            loop.create_task(self._catch_up()),
+            loop.create_task(registry.run()),
+        ]
         await self._stopping.wait()
         await self._drain(server)
-        upkeep.cancel()
+        for task in tasks:
+            task.cancel()
         ready.close()
-        for feed in feeds:
-            feed.stop()
+        self._link.close()
+        self._follower.stop()
         self._log.info("process.stopped", active=self._relay.active)
 
-    def _start_feeds(self, loop: asyncio.AbstractEventLoop) -> list[Feed]:
-        store = StoreClient(self._node.store)
-
-        def deliver(event: FeedEvent) -> None:
-            loop.call_soon_threadsafe(self._take, event)
-
-        feeds = [
-            Feed(store, kind, deliver, random.Random(time.time_ns()))
-            for kind in (configuration.KIND, entries.KIND)
-        ]
-        for feed in feeds:
-            feed.start()
-        return feeds
-
-    def _take(self, event: FeedEvent) -> None:
-        directory = self._beliefs.directory
-        if isinstance(event, StoreLost):
-            directory.on_store_lost()
-            self._log.warning(
-                "store.lost", kind=event.kind, reason=event.failure.detail
-            )
-            return
-        directory.on_store_back(now())
-        if event.kind == configuration.KIND:
-            self._take_configuration(event)
-        elif isinstance(event, SnapshotRead):
-            self._take_list(event)
-        else:
-            self._take_changes(event)
-
-    def _take_configuration(self, event: SnapshotRead | ChangesRead) -> None:
-        if isinstance(event, SnapshotRead):
-            records = list(event.snapshot.records)
-        else:
-            records = [record for record, gone in event.changes.records if not gone]
-        for record in records:
-            if record.name != configuration.NAME:
-                continue
-            result = configuration.decode(record.spec)
-            if isinstance(result, Failure):
-                self._log.warning("configuration.rejected", why=str(result.failure()))
-            elif self._beliefs.accept(result.unwrap()):
-                version = result.unwrap().version
-                self._log.info(
-                    "configuration.applied", version=version, revision=record.revision
-                )
-
-    def _take_list(self, event: SnapshotRead) -> None:
-        found = []
-        for record in event.snapshot.records:
-            result = entries.decode(record.name, record.spec)
-            if isinstance(result, Failure):
-                self._log.warning("upstream.rejected", why=str(result.failure()))
-            else:
-                found.append(result.unwrap())
-        revision = event.snapshot.revision
-        self._beliefs.directory.replace(now(), revision, found)
-        self._log.info("upstreams.listed", revision=revision, count=len(found))
-
-    def _take_changes(self, event: ChangesRead) -> None:
-        for record, gone in event.changes.records:
-            self._take_change(record, gone)
-
-    def _take_change(self, record: Record, gone: bool) -> None:
-        directory = self._beliefs.directory
-        name = entries.upstream_id(record.name)
-        if gone:
-            directory.remove(now(), record.revision, name)
-            self._log.info("upstream.removed", upstream=name, revision=record.revision)
-            return
-        result = entries.decode(record.name, record.spec)
-        if isinstance(result, Failure):
-            directory.remove(now(), record.revision, name)
-            self._log.warning("upstream.rejected", why=str(result.failure()))
-            return
-        entry = result.unwrap()
-        held = directory.get(entry.name)
-        directory.put(record.revision, entry)
-        if held is None or held.lifetime != entry.lifetime:
-            self._loads.forget_memory(entry.name)
-        self._log.info(
-            "upstream.changed",
-            upstream=entry.name,
-            state=entry.state.value,
-            service=entry.service,
-            revision=record.revision,
-        )
-
     async def _upkeep(self) -> None:
         next_look = 0.0
         while True:
             await asyncio.sleep(TICK_SECONDS)
             at = now()
             self._outliers.on_tick(at)
+            self._update_shares(at)
+            self._link.tell()
             self._beliefs.directory.expire(at)
             self._pool.sweep()
             self._log.writer.flush()
             if at >= next_look:
                 next_look = at + SETTINGS_SECONDS
 
+    def _update_shares(self, at: float) -> None:
+        state = self._state
+        state.loads.set_others(self._neighbours.others(at))
+        demand = self._neighbours.demand(at, state.demand.rates(at))
+        cfg = self._beliefs.configuration
+        capacity = cfg.limits.tokens_per_second if cfg else 0.0
+        self._shedding.demand = dict(demand)
+        self._shedding.level = fair_level(demand, capacity or math.inf)
+
+    async def _catch_up(self) -> None:
+        """Read from another VM what the store does not tell this one."""
+        while True:
+            await asyncio.sleep(CATCH_UP_SECONDS)
+            cfg = self._beliefs.configuration
+            version = cfg.version if cfg else 0
+            if not self._follower.away:
+                continue
+            revision = self._beliefs.directory.revision
+            peer = self._neighbours.ahead(now(), version, revision)
+            if peer is None:
+                continue
+            found = await self._link.fetch(peer)
+            if found is not None:
+                self._follower.take_snapshot(found, peer.vm)
+
     def _reload(self) -> None:
         result = settings.read(self._path)
         if isinstance(result, Failure):
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -8,8 +8,7 @@
 from oleandershift.directory import Upstream
 from oleandershift.eventframes import EventCutter, EventOrderError
 from oleandershift.exceptions import MalformedRequestError
-from oleandershift.fleetview import Beliefs
-from oleandershift.ids import UpstreamId
+from oleandershift.ids import RouteId, UpstreamId
 from oleandershift.io.callers import CallerRequest, Headers, Responder
 from oleandershift.io.clock import now, remaining
 from oleandershift.io.decisionlog import DecisionLog
@@ -21,11 +20,13 @@
     UpstreamConnection,
 )
 from oleandershift.outliers import Outliers
-from oleandershift.placement import Choice, Loads, Placement, Ticket
+from oleandershift.placement import Choice, Placement, Ticket
 from oleandershift.platform import headers as names
 from oleandershift.prompts import Prompt
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Configuration, Limits, Route, Service, Team
+from oleandershift.shedding import MIN_RETRY_SECONDS, Applicant, Shedding
+from oleandershift.state import FleetState
 
 HOP_BY_HOP = frozenset(
     {
@@ -47,8 +48,8 @@
 MAX_CONNECTS = 3
 """Upstreams that are tried for one request before it is refused."""
 
-MIN_RETRY_AFTER = 0.2
-"""Least time after which a refused caller is asked back."""
+RETURN_SECONDS = 0.1
+"""Least difference of callers' waits that tells a return from jitter."""
 
 MAX_BODY_BYTES = 1 << 22
 """Largest plain answer that is held until it is whole."""
@@ -74,6 +75,8 @@
         Id of the caller's attempt.
     deadline : float
         Instant at which its answer is of no use, or may not be waited for.
+    age_s : float
+        Seconds since the caller's first attempt.
     last_event : int
         Event after which a stream goes on.
     sends : int
@@ -91,9 +94,12 @@
     team: Team | None
     deadline: float
     prompt: Prompt | None
+    age_s: float
     last_event: int
     version: int
     tried: set[UpstreamId] = field(default_factory=set)
+    first_at: float = 0.0
+    predicted_s: float = 0.0
     sends: int = 0
     connects: int = 0
     may_have_run: bool = False
@@ -121,14 +127,14 @@
 
     Parameters
     ----------
-    beliefs : Beliefs
-        The configuration and the upstreams.
+    state : FleetState
+        Beliefs, work and demand.
     pool : Pool
         Connections to upstreams.
-    loads : Loads
-        Work at the upstreams.
     placement : Placement
         Chooses upstreams.
+    shedding : Shedding
+        Refuses what would come too late.
     outliers : Outliers
         Upstreams to be left out.
     budget : callable
@@ -139,18 +145,21 @@
 
     def __init__(
         self,
-        beliefs: Beliefs,
+        state: FleetState,
         pool: Pool,
-        loads: Loads,
         placement: Placement,
+        shedding: Shedding,
         outliers: Outliers,
         budget: Callable[[Service], RetryBudget],
         log: DecisionLog,
     ) -> None:
-        self._beliefs = beliefs
+        self._state = state
+        self._beliefs = state.beliefs
+        self._loads = state.loads
         self._pool = pool
-        self._loads = loads
         self._placement = placement
+        self._shedding = shedding
+        self._longest_waits: dict[RouteId, float] = {}
         self._outliers = outliers
         self._budget = budget
         self._log = log
@@ -205,8 +214,12 @@
         except MalformedRequestError as exc:
             raise _RefusalError(400, exc.message) from None
         wait_ms = route.timeout_ms
+        age_s = 0.0
         if read.wait_ms is not None:
+            age_s = self._age(route, read.wait_ms)
             wait_ms = min(wait_ms, read.wait_ms)
+        if read.prompt is not None and team is not None:
+            self._state.demand.note(now(), team.name, read.prompt.size)
         name = route.service_for(read.attempt)
         return Call(
             id=read.attempt,
@@ -216,6 +229,7 @@
             team=team,
             deadline=req.arrived + wait_ms / 1000,
             prompt=read.prompt,
+            age_s=age_s,
             last_event=read.last_event,
             version=cfg.version,
             cutter=EventCutter(last_id=read.last_event),
@@ -267,6 +281,8 @@
             if choice is None:
                 self._give_up(call, res, "no upstream to send to")
                 return
+            if not call.sends and not self._admitted(call, choice, res):
+                return
             end = await self._attempt(call, choice, res)
             if end is End.ANSWERED:
                 return
@@ -274,6 +290,35 @@
                 self._give_up(call, res, f"last attempt: {end.value}")
                 return
 
+    def _admitted(self, call: Call, choice: Choice, res: Responder) -> bool:
+        """Refuse a generation that would come too late; return whether it may go on."""
+        if call.prompt is None or not call.service.generates:
+            return True
+        applicant = Applicant(
+            team=call.team.name if call.team else None,
+            prompt=call.prompt,
+            target_s=call.route.target_ms / 1000,
+            age_s=call.age_s,
+            left_s=remaining(call.deadline),
+        )
+        verdict = self._shedding.decide(applicant, choice)
+        if verdict.admitted:
+            return True
+        detail = "beyond the team's share" if not verdict.within_share else "too late"
+        self._refuse(call, res, detail, 502, verdict.retry_after_s, choice.seconds)
+        return False
+
+    def _age(self, route: Route, wait_ms: float) -> float:
+        """Return the seconds since a caller's first attempt.
+
+        A caller that comes back after a refusal waits only for what is left of the
+        time that first attempts on the route are given.
+        """
+        longest = max(wait_ms, self._longest_waits.get(route.name, 0.0))
+        self._longest_waits[route.name] = longest
+        age = (longest - wait_ms) / 1000
+        return age if age >= RETURN_SECONDS else 0.0
+
     def _choose(self, call: Call) -> Choice | None:
         usable = self._beliefs.directory.usable(call.service.name)
         ejected = self._outliers.ejected()
@@ -298,6 +343,7 @@
 
     async def _attempt(self, call: Call, choice: Choice, res: Responder) -> End:
         upstream = choice.upstream
+        call.predicted_s = choice.seconds
         call.tried.add(upstream.name)
         ticket = self._loads.begin(now(), upstream, call.prompt)
         conn = None
@@ -417,6 +463,8 @@
             if not events:
                 continue
             self._loads.started(ticket)
+            if not call.first_at:
+                call.first_at = now()
             if not res.started:
                 res.start(head.status, _answer_fields(head))
             res.write(events)
@@ -448,6 +496,14 @@
         )
 
     def _finished(self, call: Call, upstream: Upstream, status: int) -> None:
+        self._log.debug(
+            "request.done",
+            request=call.id,
+            upstream=upstream.name,
+            status=status,
+            first_ms=round((call.first_at - call.req.arrived) * 1000),
+            predicted_ms=round(call.predicted_s * 1000),
+        )
         if status >= 400:
             self._log.info(
                 "request.failed",
@@ -479,11 +535,18 @@
             return
         self._refuse(call, res, "deadline", 504)
 
-    def _refuse(self, call: Call, res: Responder, reason: str, unknown: int) -> None:
+    def _refuse(
+        self,
+        call: Call,
+        res: Responder,
+        reason: str,
+        unknown: int,
+        wait: float = MIN_RETRY_SECONDS,
+        predicted: float | None = None,
+    ) -> None:
         status = unknown if call.may_have_run else 503
         fields: Headers = []
         if status == 503:
-            wait = max(MIN_RETRY_AFTER, 0.25 * remaining(call.deadline) / 3)
             fields.append((b"retry-after", b"%.2f" % wait))
         self._log.info(
             "request.refused",
@@ -495,6 +558,7 @@
             configuration=call.version,
             sends=call.sends,
             left_ms=round(remaining(call.deadline) * 1000),
+            predicted_ms=None if predicted is None else round(predicted * 1000),
         )
         res.send(status, fields, reason.encode())
 
--- /dev/null
+++ b/src/oleandershift/neighbours.py
@@ -0,0 +1,256 @@
+"""What a VM knows of the other VMs, and whom it tells what."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
+from oleandershift.hashing import weight_of
+from oleandershift.ids import DataCentreId, TeamId, UpstreamId, VmId
+from oleandershift.node import Address
+from oleandershift.placement import Load
+
+ALIVE_SECONDS = 0.7
+"""Silence after which a VM's digest no longer counts: seven digests in a row."""
+
+KNOWN_SECONDS = 60.0
+"""Silence after which a VM is no longer told anything."""
+
+MAX_WORK = 40
+MAX_DEMAND = 30
+"""Entries of a digest, so that it fits into one packet of 1500 bytes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another VM's process, as registered or heard."""
+
+    vm: VmId
+    data_centre: DataCentreId
+    address: Address
+
+
+@dataclass(slots=True)
+class _Heard:
+    digest: Digest
+    at: float
+
+
+class Neighbours:
+    """Digests of the other VMs.
+
+    VMs of a data centre tell each other their own work. One of them, the hub, also
+    tells the hubs of the other data centres the sum, and passes on what those say. The
+    hub is the live VM of the largest rendezvous weight; while two hold themselves for
+    it, both speak, which does no harm.
+
+    Parameters
+    ----------
+    vm : VmId
+        This VM.
+    data_centre : DataCentreId
+        Where it stands.
+    """
+
+    def __init__(self, vm: VmId, data_centre: DataCentreId) -> None:
+        self._vm = vm
+        self._data_centre = data_centre
+        self._peers: dict[VmId, Peer] = {}
+        self._seen: dict[VmId, float] = {}
+        self._vms: dict[VmId, _Heard] = {}
+        self._centres: dict[DataCentreId, _Heard] = {}
+
+    def add(self, now: float, peers: Iterable[Peer]) -> None:
+        """Take registered VMs."""
+        for peer in peers:
+            if peer.vm != self._vm:
+                self._peers[peer.vm] = peer
+                self._seen.setdefault(peer.vm, now)
+
+    def take(self, now: float, digest: Digest, sender: Address) -> bool:
+        """Take a digest; return whether it is news that a hub passes on."""
+        if digest.vm == self._vm:
+            return False
+        held = self._held(digest)
+        if held is not None and _order(held.digest) >= _order(digest):
+            return False
+        if digest.scope is Scope.VM:
+            self._vms[digest.vm] = _Heard(digest, now)
+            self._note(now, digest, sender)
+            return False
+        if digest.data_centre == self._data_centre:
+            return False
+        self._centres[digest.data_centre] = _Heard(digest, now)
+        if digest.vm in self._peers:
+            self._seen[digest.vm] = now
+        return True
+
+    def is_hub(self, now: float) -> bool:
+        """Tell whether this VM speaks for its data centre."""
+        mine = weight_of(self._data_centre, self._vm)
+        return all(
+            weight_of(self._data_centre, digest.vm) < mine
+            for digest in self._live_vms(now)
+            if digest.data_centre == self._data_centre
+        )
+
+    def mates(self, now: float) -> list[Peer]:
+        """Return the VMs of the same data centre."""
+        return [
+            peer for peer in self._known(now) if peer.data_centre == self._data_centre
+        ]
+
+    def hubs(self, now: float, all_members: bool) -> list[Peer]:
+        """Return whom a hub tells its sum in the other data centres.
+
+        Parameters
+        ----------
+        now : float
+            The current instant.
+        all_members : bool
+            Whether to tell all VMs of a data centre whose hub is not known.
+        """
+        found: list[Peer] = []
+        for centre, members in self._by_centre(now).items():
+            heard = self._centres.get(centre)
+            hub = None
+            if heard is not None and heard.at > now - ALIVE_SECONDS:
+                hub = self._peers.get(heard.digest.vm)
+            if hub is not None:
+                found.append(hub)
+            elif all_members:
+                found.extend(members)
+        return found
+
+    def others(self, now: float) -> Mapping[UpstreamId, Load]:
+        """Return the work of all other VMs."""
+        sums: dict[UpstreamId, Load] = {}
+        for digest in self._live(now):
+            _add(sums, digest.work)
+        return sums
+
+    def centre(
+        self, now: float, own: Iterable[UpstreamWork], asked: Mapping[TeamId, float]
+    ) -> tuple[tuple[UpstreamWork, ...], tuple[TeamDemand, ...], int]:
+        """Return work, demand and number of VMs of this data centre."""
+        sums: dict[UpstreamId, Load] = {}
+        _add(sums, own)
+        rates: defaultdict[TeamId, float] = defaultdict(float, asked)
+        mates = [
+            digest
+            for digest in self._live_vms(now)
+            if digest.data_centre == self._data_centre
+        ]
+        for digest in mates:
+            _add(sums, digest.work)
+            for entry in digest.demand:
+                rates[entry.team] += entry.rate
+        return work_entries(sums), demand_entries(rates), len(mates) + 1
+
+    def demand(self, now: float, own: Mapping[TeamId, float]) -> Mapping[TeamId, float]:
+        """Return what each team asks of all VMs, in tokens a second."""
+        rates: defaultdict[TeamId, float] = defaultdict(float, own)
+        for digest in self._live(now):
+            for entry in digest.demand:
+                rates[entry.team] += entry.rate
+        return rates
+
+    def count(self, now: float) -> int:
+        """Return the number of live VMs, this one included."""
+        return 1 + sum(digest.vms for digest in self._live(now))
+
+    def ahead(self, now: float, configuration: int, revision: int) -> Peer | None:
+        """Return a VM that has read more of the store than this one, if any."""
+        newer = [
+            digest
+            for digest in self._live(now)
+            if (digest.configuration > configuration or digest.revision > revision)
+            and digest.vm in self._peers
+        ]
+        if not newer:
+            return None
+        best = max(newer, key=lambda item: (item.configuration, item.revision))
+        return self._peers[best.vm]
+
+    def silent(self, now: float, seconds: float) -> list[VmId]:
+        """Return registered VMs that have not been heard for a time."""
+        return [vm for vm, at in self._seen.items() if at < now - seconds]
+
+    def forget(self, vm: VmId) -> None:
+        """Drop a VM that is gone."""
+        self._peers.pop(vm, None)
+        self._seen.pop(vm, None)
+        self._vms.pop(vm, None)
+
+    def _held(self, digest: Digest) -> _Heard | None:
+        if digest.scope is Scope.VM:
+            return self._vms.get(digest.vm)
+        held = self._centres.get(digest.data_centre)
+        return held if held is not None and held.digest.vm == digest.vm else None
+
+    def _note(self, now: float, digest: Digest, sender: Address) -> None:
+        address = Address(sender.host, digest.port)
+        self._peers[digest.vm] = Peer(digest.vm, digest.data_centre, address)
+        self._seen[digest.vm] = now
+
+    def _live_vms(self, now: float) -> list[Digest]:
+        return [
+            heard.digest
+            for heard in self._vms.values()
+            if heard.at > now - ALIVE_SECONDS
+        ]
+
+    def _live(self, now: float) -> list[Digest]:
+        centres = [
+            heard.digest
+            for heard in self._centres.values()
+            if heard.at > now - ALIVE_SECONDS
+        ]
+        return centres + [
+            digest
+            for digest in self._live_vms(now)
+            if digest.data_centre == self._data_centre
+        ]
+
+    def _known(self, now: float) -> list[Peer]:
+        return [
+            peer
+            for vm, peer in self._peers.items()
+            if self._seen.get(vm, 0.0) > now - KNOWN_SECONDS
+        ]
+
+    def _by_centre(self, now: float) -> Mapping[DataCentreId, list[Peer]]:
+        found: defaultdict[DataCentreId, list[Peer]] = defaultdict(list)
+        for peer in self._known(now):
+            if peer.data_centre != self._data_centre:
+                found[peer.data_centre].append(peer)
+        return found
+
+
+def work_entries(loads: Mapping[UpstreamId, Load]) -> tuple[UpstreamWork, ...]:
+    """Return the largest loads as entries of a digest."""
+    busy = [item for item in loads.items() if item[1].running]
+    busy.sort(key=lambda item: (item[1].unread, item[1].running), reverse=True)
+    return tuple(
+        UpstreamWork(name, load.running, load.unread, load.held)
+        for name, load in busy[:MAX_WORK]
+    )
+
+
+def demand_entries(rates: Mapping[TeamId, float]) -> tuple[TeamDemand, ...]:
+    """Return the largest demands as entries of a digest."""
+    asking = [item for item in rates.items() if item[1] >= 1.0]
+    asking.sort(key=lambda item: item[1], reverse=True)
+    return tuple(TeamDemand(team, round(rate)) for team, rate in asking[:MAX_DEMAND])
+
+
+def _order(digest: Digest) -> tuple[int, int]:
+    return digest.incarnation, digest.seq
+
+
+def _add(sums: dict[UpstreamId, Load], work: Iterable[UpstreamWork]) -> None:
+    for entry in work:
+        load = sums.setdefault(entry.upstream, Load())
+        load.running += entry.running
+        load.unread += entry.unread
+        load.held += entry.held
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -39,10 +39,13 @@
         Where it is.
     unread : int
         Prompt tokens that the engine has still to read; 0 after the first event.
+    held : int
+        Tokens in the engine's memory that only this request uses.
     """
 
     upstream: Upstream
     unread: int
+    held: int = 0
     open: bool = True
 
 
@@ -56,10 +59,13 @@
         Requests sent and not ended.
     unread : int
         Prompt tokens of requests whose first event has not come.
+    held : int
+        Tokens in memory that only these requests use.
     """
 
     running: int = 0
     unread: int = 0
+    held: int = 0
 
 
 @dataclass(slots=True)
@@ -96,15 +102,17 @@
 
     def begin(self, now: float, upstream: Upstream, prompt: Prompt | None) -> Ticket:
         """Take note of a request that is about to be sent."""
-        unread = 0
+        unread = held = 0
         if prompt is not None:
+            held = prompt.own_tokens + prompt.output
             unread = self.uncached(now, upstream.name, prompt)
             memory = self._memory.setdefault(upstream.name, _Memory())
             memory.note(now, prompt.parts)
         load = self._own.setdefault(upstream.name, Load())
         load.running += 1
         load.unread += unread
-        return Ticket(upstream, unread)
+        load.held += held
+        return Ticket(upstream, unread, held)
 
     def started(self, ticket: Ticket) -> None:
         """Take note of a request's first event."""
@@ -117,7 +125,9 @@
         if ticket.open:
             self.started(ticket)
             ticket.open = False
-            self._own[ticket.upstream.name].running -= 1
+            load = self._own[ticket.upstream.name]
+            load.running -= 1
+            load.held -= ticket.held
 
     def forget_memory(self, name: UpstreamId) -> None:
         """Take note that an upstream restarted and holds nothing."""
@@ -135,7 +145,11 @@
         """Return all known work at an upstream."""
         own = self._own.get(name, Load())
         others = self._others.get(name, Load())
-        return Load(own.running + others.running, own.unread + others.unread)
+        return Load(
+            own.running + others.running,
+            own.unread + others.unread,
+            own.held + others.held,
+        )
 
     def uncached(self, now: float, name: UpstreamId, prompt: Prompt) -> int:
         """Return the prompt tokens that an engine probably has to read."""
@@ -167,10 +181,26 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """An upstream, and the predicted seconds until its first byte."""
+    """An upstream, and what its first byte is predicted to take.
+
+    Parameters
+    ----------
+    upstream : Upstream
+        Where.
+    backlog_s : float
+        Seconds for the work that is there already.
+    own_s : float
+        Seconds for this request's own prompt and its way.
+    """
 
     upstream: Upstream
-    seconds: float
+    backlog_s: float
+    own_s: float
+
+    @property
+    def seconds(self) -> float:
+        """Return the predicted seconds until the first byte."""
+        return self.backlog_s + self.own_s
 
 
 class Placement:
@@ -204,37 +234,34 @@
         if not candidates:
             return None
         if not service.generates or prompt is None:
-            estimates = [(self._plain(item), item) for item in candidates]
+            choices = [self._plain(item) for item in candidates]
         else:
             home = _home(candidates, prompt)
-            estimates = [
-                (self._generation(now, service, item, prompt, item.name == home), item)
+            choices = [
+                self._generation(now, item, prompt, item.name == home)
                 for item in candidates
             ]
-        seconds, found = min(estimates, key=lambda pair: (pair[0], pair[1].name))
-        return Choice(found, seconds)
+        return min(choices, key=lambda item: (item.seconds, item.upstream.name))
 
-    def _plain(self, upstream: Upstream) -> float:
+    def _plain(self, upstream: Upstream) -> Choice:
         load = self._loads.at(upstream.name)
         waiting = load.running / max(1, upstream.slots)
-        return 2 * self._place.distance(upstream.data_centre) + waiting * PLAIN_SECONDS
+        way = 2 * self._place.distance(upstream.data_centre)
+        return Choice(upstream, waiting * PLAIN_SECONDS, way)
 
     def _generation(
-        self,
-        now: float,
-        service: Service,
-        upstream: Upstream,
-        prompt: Prompt,
-        is_home: bool,
-    ) -> float:
+        self, now: float, upstream: Upstream, prompt: Prompt, is_home: bool
+    ) -> Choice:
         load = self._loads.at(upstream.name)
         uncached = self._loads.uncached(now, upstream.name, prompt)
         if is_home:
-            own_part = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
-            uncached = min(uncached, own_part)
-        reading = (load.unread + uncached) / PREFILL_TOKENS_PER_SECOND
-        running = load.running * SLOT_SECONDS
-        return 2 * self._place.distance(upstream.data_centre) + reading + running
+            uncached = min(uncached, prompt.own_tokens)
+        way = 2 * self._place.distance(upstream.data_centre)
+        return Choice(
+            upstream,
+            load.unread / PREFILL_TOKENS_PER_SECOND + load.running * SLOT_SECONDS,
+            uncached / PREFILL_TOKENS_PER_SECOND + way,
+        )
 
 
 def _home(candidates: Iterable[Upstream], prompt: Prompt) -> UpstreamId | None:
--- a/src/oleandershift/prompts.py
+++ b/src/oleandershift/prompts.py
@@ -38,3 +38,17 @@
         if self.expected_output is None:
             return self.max_output
         return min(self.expected_output, self.max_output)
+
+    @property
+    def own_tokens(self) -> int:
+        """Return the prompt tokens that no other request shares."""
+        return self.parts[-1].tokens if self.parts else self.tokens
+
+    @property
+    def size(self) -> int:
+        """Return the work that counts towards a team's share.
+
+        A token read counts once and a token generated twice, as in the capacity that
+        the configuration declares.
+        """
+        return self.tokens + 2 * self.output
--- /dev/null
+++ b/src/oleandershift/shedding.py
@@ -0,0 +1,125 @@
+"""Refusal of requests that would come too late."""
+
+import math
+import random
+from dataclasses import dataclass
+
+from oleandershift.demand import ShareGate
+from oleandershift.ids import TeamId
+from oleandershift.placement import Choice
+from oleandershift.prompts import Prompt
+
+SHARE_PATIENCE = 0.8
+"""Part of the target that the predicted first byte of a request within its team's
+share may take; the rest covers errors of the prediction."""
+
+BEYOND_PATIENCE = 0.25
+"""The same for a request beyond the share: let in while engines are nearly free."""
+
+RETURNED_PATIENCE = 0.5
+"""The same for a caller that was refused before."""
+
+LEAST_BACKLOG = 0.5
+"""Part of its patience that the backlog ahead of a request may always take, however
+long its own prompt is, so that the largest requests are not the ones refused."""
+
+MIN_RETRY_SECONDS = 0.3
+"""Least time after which a caller is asked back: prompts of that many seconds are
+read meanwhile."""
+
+LEFT_SHARE = 1 / 3
+"""Callers wait no longer than this part of their time left (platform contract)."""
+
+
+@dataclass(frozen=True, slots=True)
+class Applicant:
+    """A request about to be placed.
+
+    Parameters
+    ----------
+    team : TeamId or None
+        Whose it is.
+    prompt : Prompt
+        Its size.
+    target_s : float
+        Seconds from the caller's first attempt in which an answer has its full value.
+    age_s : float
+        Seconds since the caller's first attempt.
+    left_s : float
+        Seconds until its deadline.
+    """
+
+    team: TeamId | None
+    prompt: Prompt
+    target_s: float
+    age_s: float
+    left_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a request is let in, and why.
+
+    Parameters
+    ----------
+    admitted : bool
+        Whether to send it.
+    within_share : bool
+        Whether it is part of what its team is due.
+    patience_s : float
+        The longest predicted first byte that it would have been let in with.
+    retry_after_s : float
+        When a refused caller is asked back.
+    """
+
+    admitted: bool
+    within_share: bool
+    patience_s: float
+    retry_after_s: float = 0.0
+
+
+class Shedding:
+    """Decides which requests are refused at once while engines are overloaded.
+
+    Answers two loads: more requests than the engines can start in time, of which those
+    are refused whose first byte would come too late; and one team's flood, whose part
+    beyond its share is let in only while the engines are nearly free.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the return of refused callers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._gate = ShareGate()
+        self._rng = rng
+        self.level = math.inf
+        self.demand: dict[TeamId, float] = {}
+
+    def decide(self, applicant: Applicant, choice: Choice) -> Verdict:
+        """Decide on a request by the time predicted for its best upstream."""
+        within = self._within_share(applicant)
+        patience = self._patience(applicant, within)
+        allowed = max(LEAST_BACKLOG * patience, patience - choice.own_s)
+        if choice.backlog_s <= allowed:
+            return Verdict(True, within, patience)
+        wait = max(MIN_RETRY_SECONDS, choice.backlog_s - allowed)
+        wait *= self._rng.uniform(1.0, 1.5)
+        wait = min(wait, applicant.left_s * LEFT_SHARE)
+        return Verdict(False, within, patience, wait)
+
+    def _within_share(self, applicant: Applicant) -> bool:
+        if applicant.team is None:
+            return True
+        demand = self.demand.get(applicant.team, 0.0)
+        size = applicant.prompt.size
+        return self._gate.admit(applicant.team, size, demand, self.level)
+
+    def _patience(self, applicant: Applicant, within: bool) -> float:
+        target = applicant.target_s
+        if not within:
+            return BEYOND_PATIENCE * target
+        if applicant.age_s > 0:
+            return RETURNED_PATIENCE * target
+        return SHARE_PATIENCE * target
