--- a/src/oleandershift/io/following.py
+++ b/src/oleandershift/io/following.py
@@ -7,6 +7,7 @@
 from returns.result import Failure
 
 from oleandershift.digests import BeliefsSnapshot, StoredRecord
+from oleandershift.directory import Upstream
 from oleandershift.fleetview import Beliefs
 from oleandershift.ids import UpstreamId
 from oleandershift.io.clock import now
@@ -202,9 +203,7 @@
             revision=record.revision,
         )
 
-    def _note_lifetime(
-        self, name: UpstreamId, lifetime: tuple[UpstreamId, int]
-    ) -> None:
-        held = self._beliefs.directory.get(name)
-        if held is not None and held.lifetime != lifetime:
-            self._restarted(name)
+    def _note_lifetime(self, entry: Upstream) -> None:
+        held = self._beliefs.directory.get(entry.name)
+        if held is not None and held.lifetime != entry.lifetime:
+            self._restarted(entry.name)
