Test routing, directory, placement, sharing, refusal and the platform's names

A digest of the largest size did not fit into a packet; it holds fewer upstreams and whole tokens a second now.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -52,7 +52,7 @@
     """What a team asks for, in tokens a second."""
 
     team: TeamId
-    rate: float
+    rate: int
 
 
 class Digest(msgspec.Struct, array_like=True, frozen=True):
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -16,7 +16,7 @@
 KNOWN_SECONDS = 60.0
 """Silence after which a VM is no longer told anything."""
 
-MAX_WORK = 40
+MAX_WORK = 36
 MAX_DEMAND = 30
 """Entries of a digest, so that it fits into one packet of 1500 bytes."""
 
--- /dev/null
+++ b/tests/test_digests.py
@@ -0,0 +1,76 @@
+"""Messages between VMs survive the wire; damaged ones do not get in."""
+
+import pytest
+from hypothesis import given, strategies as st
+from returns.result import Failure
+
+from oleandershift.digests import (
+    BeliefsSnapshot,
+    Digest,
+    Scope,
+    StoredRecord,
+    TeamDemand,
+    UpstreamWork,
+    decode_digest,
+    decode_snapshot,
+    encode,
+)
+from oleandershift.ids import (
+    DataCentreId,
+    Incarnation,
+    Seq,
+    TeamId,
+    UpstreamId,
+    VmId,
+)
+from oleandershift.neighbours import MAX_DEMAND, MAX_WORK
+
+PACKET_BYTES = 1472
+
+
+@pytest.fixture
+def digest():
+    work = tuple(
+        UpstreamWork(UpstreamId(f"i-{n:010x}"), 60, 99_999, 500_000)
+        for n in range(MAX_WORK)
+    )
+    demand = tuple(TeamDemand(TeamId(f"team{n:03}"), 99_000) for n in range(MAX_DEMAND))
+    return Digest(
+        VmId("edge-fukuoka-a-1"),
+        DataCentreId("fukuoka-a"),
+        Incarnation(1),
+        Seq(1),
+        Scope.VM,
+        1,
+        7,
+        530,
+        7400,
+        work,
+        demand,
+    )
+
+
+def test_digest_comes_back(digest):
+    assert decode_digest(encode(digest)).unwrap() == digest
+
+
+def test_largest_digest_fits_into_a_packet(digest):
+    assert len(encode(digest)) <= PACKET_BYTES
+
+
+def test_snapshot_comes_back():
+    record = StoredRecord("main", 3, {"version": 3})
+    snapshot = BeliefsSnapshot(record, 9, (StoredRecord("u", 4, {"a": [1, None]}),))
+    assert decode_snapshot(encode(snapshot)).unwrap() == snapshot
+
+
+@given(st.binary(max_size=200))
+def test_foreign_datagrams_are_refused(data):
+    assert isinstance(decode_digest(data), Failure)
+
+
+def test_cut_digest_is_refused(digest):
+    data = encode(digest)
+    assert all(
+        isinstance(decode_digest(data[:cut]), Failure) for cut in range(len(data))
+    )
--- /dev/null
+++ b/tests/test_neighbours.py
@@ -0,0 +1,129 @@
+"""Neighbours: whose digests count, and who speaks for a data centre."""
+
+import pytest
+
+from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
+from oleandershift.ids import (
+    DataCentreId,
+    Incarnation,
+    Seq,
+    TeamId,
+    UpstreamId,
+    VmId,
+)
+from oleandershift.neighbours import ALIVE_SECONDS, Neighbours, Peer
+from oleandershift.node import Address
+
+HERE, THERE = DataCentreId("here"), DataCentreId("there")
+PORT = 7400
+
+
+def address(number):
+    return Address(f"10.0.0.{number}", PORT)
+
+
+def make_digest(vm, centre=HERE, seq=1, scope=Scope.VM, **fields):
+    values = {
+        "vms": 1,
+        "configuration": 1,
+        "revision": 1,
+        "work": (UpstreamWork(UpstreamId("u"), 2, 100, 300),),
+        "demand": (TeamDemand(TeamId("t"), 50),),
+        **fields,
+    }
+    return Digest(
+        vm=VmId(vm),
+        data_centre=centre,
+        incarnation=Incarnation(1),
+        seq=Seq(seq),
+        scope=scope,
+        port=PORT,
+        **values,
+    )
+
+
+@pytest.fixture
+def neighbours():
+    return Neighbours(VmId("me"), HERE)
+
+
+def test_work_of_others_is_summed(neighbours):
+    neighbours.take(0.0, make_digest("a"), address(1))
+    neighbours.take(0.0, make_digest("x", THERE, scope=Scope.DATA_CENTRE), address(2))
+    load = neighbours.others(0.1)[UpstreamId("u")]
+    assert (load.running, load.unread, load.held) == (4, 200, 600)
+
+
+def test_silent_vm_no_longer_counts(neighbours):
+    neighbours.take(0.0, make_digest("a"), address(1))
+    assert neighbours.others(ALIVE_SECONDS + 0.01) == {}
+
+
+def test_older_digest_does_not_replace_a_newer(neighbours):
+    neighbours.take(0.0, make_digest("a", seq=5, work=()), address(1))
+    neighbours.take(0.1, make_digest("a", seq=4), address(1))
+    assert neighbours.others(0.1) == {}
+
+
+def test_digest_of_this_vm_is_left_aside(neighbours):
+    neighbours.take(0.0, make_digest("me"), address(1))
+    assert neighbours.others(0.0) == {}
+
+
+def test_one_hub_in_a_data_centre():
+    names = ["a", "b", "c", "d"]
+    views = {name: Neighbours(VmId(name), HERE) for name in names}
+    for name, view in views.items():
+        for other in names:
+            if other != name:
+                view.take(0.0, make_digest(other), address(1))
+    assert sum(view.is_hub(0.1) for view in views.values()) == 1
+
+
+def test_next_vm_becomes_hub_when_the_hub_is_silent():
+    names = ["a", "b", "c"]
+    views = {name: Neighbours(VmId(name), HERE) for name in names}
+    for name, view in views.items():
+        for other in names:
+            if other != name:
+                view.take(0.0, make_digest(other), address(1))
+    hub = next(name for name, view in views.items() if view.is_hub(0.1))
+    rest = [view for name, view in views.items() if name != hub]
+    for view in rest:
+        for other in names:
+            if other != hub:
+                view.take(1.0, make_digest(other, seq=2), address(1))
+    assert sum(view.is_hub(1.1) for view in rest) == 1
+
+
+def test_registered_vm_is_told_before_it_was_heard(neighbours):
+    neighbours.add(0.0, [Peer(VmId("x"), THERE, address(3))])
+    assert [peer.vm for peer in neighbours.hubs(0.0, all_members=True)] == ["x"]
+    assert neighbours.hubs(0.0, all_members=False) == []
+
+
+def test_known_hub_alone_is_told(neighbours):
+    neighbours.add(
+        0.0,
+        [Peer(VmId("x"), THERE, address(3)), Peer(VmId("y"), THERE, address(4))],
+    )
+    neighbours.take(0.0, make_digest("y", THERE, scope=Scope.DATA_CENTRE), address(4))
+    assert [peer.vm for peer in neighbours.hubs(0.1, all_members=True)] == ["y"]
+
+
+def test_vm_that_read_more_of_the_store_is_found(neighbours):
+    neighbours.take(0.0, make_digest("a", configuration=7), address(1))
+    assert neighbours.ahead(0.1, 7, 1) is None
+    assert neighbours.ahead(0.1, 6, 1).vm == "a"
+
+
+def test_demand_is_summed_over_vms(neighbours):
+    neighbours.take(0.0, make_digest("a"), address(1))
+    assert neighbours.demand(0.1, {TeamId("t"): 25.0}) == {"t": 75.0}
+
+
+def test_vms_are_counted(neighbours):
+    neighbours.take(0.0, make_digest("a"), address(1))
+    remote = make_digest("x", THERE, scope=Scope.DATA_CENTRE, vms=3)
+    neighbours.take(0.0, remote, address(2))
+    assert neighbours.count(0.1) == 5
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,110 @@
+"""Placement: which upstream gets a request under which load."""
+
+import pytest
+
+from oleandershift.directory import Upstream, UpstreamState
+from oleandershift.ids import DataCentreId, RegionId, ServiceId, UpstreamId
+from oleandershift.placement import Load, Loads, Place, Placement
+from oleandershift.prompts import PrefixPart, Prompt
+from oleandershift.routing import Service
+
+NEAR, FAR = DataCentreId("near"), DataCentreId("far")
+ENGINE = Service(ServiceId("model"), 100, batch_slots=8, cache_tokens=100_000)
+PLAIN = Service(ServiceId("desk"), 100)
+
+
+def make_upstream(name, centre=NEAR, slots=8):
+    return Upstream(
+        name=UpstreamId(name),
+        incarnation=1,
+        service=ServiceId("model"),
+        host="127.0.0.1",
+        port=8080,
+        data_centre=centre,
+        slots=slots,
+        state=UpstreamState.READY,
+    )
+
+
+def make_prompt(shared="s", shared_tokens=4000, own=500):
+    parts = (PrefixPart(shared, shared_tokens), PrefixPart("own", own))
+    return Prompt(shared_tokens + own, 100, 80, parts)
+
+
+@pytest.fixture
+def loads():
+    return Loads()
+
+
+@pytest.fixture
+def placement(loads):
+    regions = {NEAR: RegionId("r1"), FAR: RegionId("r2")}
+    return Placement(loads, Place(NEAR, RegionId("r1"), regions))
+
+
+def test_no_candidate(placement):
+    assert placement.choose(0.0, ENGINE, [], make_prompt()) is None
+
+
+def test_same_prefix_goes_to_the_same_engine_on_every_vm(placement):
+    engines = [make_upstream(f"e{number}") for number in range(6)]
+    first = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
+    again = placement.choose(0.0, ENGINE, engines[::-1], make_prompt()).upstream
+    assert first == again
+
+
+def test_prefixes_spread_over_engines(placement):
+    engines = [make_upstream(f"e{number}") for number in range(6)]
+    taken = {
+        placement.choose(0.0, ENGINE, engines, make_prompt(f"s{n}")).upstream.name
+        for n in range(60)
+    }
+    assert len(taken) == 6
+
+
+def test_long_prompt_of_another_vm_is_avoided(placement, loads):
+    engines = [make_upstream("e1"), make_upstream("e2")]
+    home = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
+    loads.set_others({home.name: Load(running=1, unread=50_000)})
+    other = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
+    assert other != home
+
+
+def test_short_backlog_does_not_cost_the_prefix(placement, loads):
+    engines = [make_upstream("e1"), make_upstream("e2")]
+    home = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
+    loads.set_others({home.name: Load(running=1, unread=2_000)})
+    assert placement.choose(0.0, ENGINE, engines, make_prompt()).upstream == home
+
+
+def test_first_event_ends_the_backlog(loads):
+    ticket = loads.begin(0.0, make_upstream("e1"), make_prompt())
+    assert loads.at(UpstreamId("e1")).unread == 4500
+    loads.started(ticket)
+    assert loads.at(UpstreamId("e1")).unread == 0
+    loads.end(ticket)
+    loads.end(ticket)
+    assert loads.at(UpstreamId("e1")) == Load()
+
+
+def test_prefix_read_before_counts_as_cached(loads):
+    loads.end(loads.begin(0.0, make_upstream("e1"), make_prompt()))
+    prompt = Prompt(4600, 10, 10, (PrefixPart("s", 4000), PrefixPart("new", 600)))
+    assert loads.uncached(1.0, UpstreamId("e1"), prompt) == 600
+
+
+def test_restarted_engine_has_nothing_cached(loads):
+    loads.end(loads.begin(0.0, make_upstream("e1"), make_prompt()))
+    loads.forget_memory(UpstreamId("e1"))
+    assert loads.uncached(1.0, UpstreamId("e1"), make_prompt()) == 4500
+
+
+def test_plain_service_goes_to_the_least_loaded(placement, loads):
+    busy, free = make_upstream("e1", slots=2), make_upstream("e2", slots=2)
+    loads.set_others({busy.name: Load(running=2)})
+    assert placement.choose(0.0, PLAIN, [busy, free], None).upstream == free
+
+
+def test_plain_service_prefers_its_own_region(placement):
+    far, near = make_upstream("e1", FAR), make_upstream("e2", NEAR)
+    assert placement.choose(0.0, PLAIN, [far, near], None).upstream == near
--- /dev/null
+++ b/tests/test_platform_entries.py
@@ -0,0 +1,55 @@
+"""Upstreams' registrations, among them those of other writers."""
+
+import pytest
+from returns.result import Failure
+
+from oleandershift.directory import UpstreamState
+from oleandershift.platform import entries
+
+SPEC = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "fukuoka-a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 1785951685287,
+}
+
+
+def test_entry():
+    found = entries.decode("i-7f", SPEC).unwrap()
+    assert (found.host, found.port) == ("10.128.0.9", 8080)
+    assert found.state is UpstreamState.READY
+    assert found.lifetime == ("i-7f", 1785951685287)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"address": "somewhere"},
+        {"address": "10.1.1.1"},
+        {"address": "host.example:80"},
+        {"slots": "many"},
+        {"service": None},
+        {"zone": 7},
+    ],
+)
+def test_foreign_entry_is_a_finding(change):
+    result = entries.decode("i-7f", {**SPEC, **change})
+    assert isinstance(result, Failure)
+    assert result.failure().place == "servers/i-7f"
+
+
+@pytest.mark.parametrize("missing", ["service", "address", "zone", "slots", "state"])
+def test_entry_with_a_field_missing_is_a_finding(missing):
+    spec = {name: value for name, value in SPEC.items() if name != missing}
+    assert isinstance(entries.decode("i-7f", spec), Failure)
+
+
+@pytest.mark.parametrize("spec", [None, "x", 3, []])
+def test_unreadable_entry_is_a_finding(spec):
+    assert isinstance(entries.decode("i-7f", spec), Failure)
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,72 @@
+"""The platform's settings file, checked as a whole."""
+
+from pathlib import Path
+
+import pytest
+from returns.result import Failure
+
+from oleandershift.platform import settings
+
+FILE = """
+nodeName = "edge-fukuoka-a-1"
+ip = "10.1.0.33"
+zone = "fukuoka-a"
+region = "fukuoka"
+portRange = [7400,7415]
+heartbeatMs = 1200
+unknown = "left aside"
+[zones]
+fukuoka-a = "fukuoka"
+[listen]
+frontend = "10.1.0.33:8783"
+readiness = "10.1.0.33:8780"
+[limits]
+memoryMb = 300
+maxFds = 4100
+[bounds]
+drainMs = 2500
+graceS = 8
+retryRatio = 0.2
+retryExtra = 58
+[platform]
+address = "10.200.1.7:8781"
+"""
+
+
+@pytest.fixture
+def path(tmp_path):
+    made = tmp_path / "local.toml"
+    made.write_text(FILE)
+    return made
+
+
+def test_file(path):
+    node = settings.read(path).unwrap()
+    assert node.vm == "edge-fukuoka-a-1"
+    assert (node.callers.host, node.callers.port) == ("10.1.0.33", 8783)
+    assert node.peer_port == 7400
+    assert node.bounds.grace_ms == 8000
+    assert node.memory_bytes == 300 << 20
+
+
+def test_all_findings_come_together(path):
+    text = FILE.replace('zone = "fukuoka-a"\n', "").replace("[7400,7415]", '"x"')
+    path.write_text(text)
+    places = {finding.place for finding in settings.read(path).failure()}
+    assert places == {"zone", "portRange"}
+
+
+def test_address_that_is_none(path):
+    path.write_text(FILE.replace("10.200.1.7:8781", "store.example:80"))
+    assert isinstance(settings.read(path), Failure)
+
+
+@pytest.mark.parametrize("text", ["= 3", "\x00"])
+def test_file_that_is_no_toml(path, text):
+    path.write_text(text)
+    assert isinstance(settings.read(path), Failure)
+
+
+def test_missing_file():
+    result = settings.read(Path("/nonexistent/file.toml"))
+    assert result.failure()[0].place == "/nonexistent/file.toml"
--- /dev/null
+++ b/tests/test_shedding.py
@@ -0,0 +1,84 @@
+"""Refusal under overload: who is let in, and when others are asked back."""
+
+import math
+import random
+
+import pytest
+
+from oleandershift.directory import Upstream, UpstreamState
+from oleandershift.ids import DataCentreId, ServiceId, TeamId, UpstreamId
+from oleandershift.placement import Choice
+from oleandershift.prompts import Prompt
+from oleandershift.shedding import LEFT_SHARE, Applicant, Shedding
+
+TEAM = TeamId("team")
+TARGET = 0.5
+ENGINE = Upstream(
+    UpstreamId("e"),
+    1,
+    ServiceId("s"),
+    "127.0.0.1",
+    1,
+    DataCentreId("z"),
+    8,
+    UpstreamState.READY,
+)
+
+
+def choice(backlog, own=0.02):
+    return Choice(ENGINE, backlog, own)
+
+
+def applicant(tokens=1000, age=0.0, left=15.0, team=TEAM):
+    return Applicant(team, Prompt(tokens, 100, 100, ()), TARGET, age, left)
+
+
+@pytest.fixture
+def shedding():
+    return Shedding(random.Random(1))
+
+
+def test_in_time_is_let_in(shedding):
+    assert shedding.decide(applicant(), choice(0.1)).admitted
+
+
+def test_too_late_is_refused_with_a_time(shedding):
+    verdict = shedding.decide(applicant(), choice(2.0))
+    assert not verdict.admitted
+    assert 1.0 < verdict.retry_after_s <= 5.0
+
+
+def test_caller_is_not_asked_back_past_its_patience(shedding):
+    verdict = shedding.decide(applicant(left=1.2), choice(9.0))
+    assert verdict.retry_after_s <= 1.2 * LEFT_SHARE
+
+
+def test_large_prompt_is_not_refused_for_its_own_length(shedding):
+    assert shedding.decide(applicant(50_000), choice(0.1, own=0.7)).admitted
+
+
+def test_flood_is_held_to_its_share_and_others_are_not(shedding):
+    other = TeamId("other")
+    shedding.level = 1000.0
+    shedding.demand = {TEAM: 4000.0, other: 800.0}
+    busy = choice(0.25)
+    flood = [shedding.decide(applicant(), busy).admitted for _ in range(400)]
+    small = [shedding.decide(applicant(team=other), busy).admitted for _ in range(50)]
+    assert sum(flood) == pytest.approx(100, abs=2)
+    assert all(small)
+
+
+def test_flood_may_use_what_is_free(shedding):
+    shedding.level = 1000.0
+    shedding.demand = {TEAM: 4000.0}
+    assert all(shedding.decide(applicant(), choice(0.01)).admitted for _ in range(50))
+
+
+def test_no_level_no_share(shedding):
+    shedding.level = math.inf
+    assert shedding.decide(applicant(), choice(0.3)).within_share
+
+
+def test_returned_caller_waits_less(shedding):
+    assert not shedding.decide(applicant(age=1.0), choice(0.3)).admitted
+    assert shedding.decide(applicant(), choice(0.3)).admitted
