--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -99,7 +99,7 @@
     version: int
     tried: set[UpstreamId] = field(default_factory=set)
     first_at: float = 0.0
-    predicted_s: float = 0.0
+    choice: Choice | None = None
     sends: int = 0
     connects: int = 0
     may_have_run: bool = False
@@ -305,7 +305,7 @@
         if verdict.admitted:
             return True
         detail = "beyond the team's share" if not verdict.within_share else "too late"
-        self._refuse(call, res, detail, 502, verdict.retry_after_s, choice.seconds)
+        self._refuse(call, res, detail, 502, verdict.retry_after_s, choice)
         return False
 
     def _age(self, route: Route, wait_ms: float) -> float:
@@ -343,7 +343,7 @@
 
     async def _attempt(self, call: Call, choice: Choice, res: Responder) -> End:
         upstream = choice.upstream
-        call.predicted_s = choice.seconds
+        call.choice = choice
         call.tried.add(upstream.name)
         ticket = self._loads.begin(now(), upstream, call.prompt)
         conn = None
@@ -502,7 +502,7 @@
             upstream=upstream.name,
             status=status,
             first_ms=round((call.first_at - call.req.arrived) * 1000),
-            predicted_ms=round(call.predicted_s * 1000),
+            **_inputs(call.choice),
         )
         if status >= 400:
             self._log.info(
@@ -542,7 +542,7 @@
         reason: str,
         unknown: int,
         wait: float = MIN_RETRY_SECONDS,
-        predicted: float | None = None,
+        choice: Choice | None = None,
     ) -> None:
         status = unknown if call.may_have_run else 503
         fields: Headers = []
@@ -558,11 +558,26 @@
             configuration=call.version,
             sends=call.sends,
             left_ms=round(remaining(call.deadline) * 1000),
-            predicted_ms=None if predicted is None else round(predicted * 1000),
+            retry_after_s=round(wait, 2) if status == 503 else None,
+            **_inputs(choice),
         )
         res.send(status, fields, reason.encode())
 
 
+def _inputs(choice: Choice | None) -> dict[str, object]:
+    """Return what a placement was decided by, for the log."""
+    if choice is None:
+        return {}
+    return {
+        "predicted_ms": round(choice.seconds * 1000),
+        "running": choice.load.running,
+        "unread": choice.load.unread,
+        "held": choice.load.held,
+        "uncached": choice.uncached,
+        "home": choice.is_home,
+    }
+
+
 def _attempt_id(req: CallerRequest) -> str:
     return (req.header(names.ATTEMPT_ID) or b"").decode("latin-1")
 
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -191,11 +191,20 @@
         Seconds for the work that is there already.
     own_s : float
         Seconds for this request's own prompt and its way.
+    load : Load
+        The known work that this is predicted from.
+    uncached : int
+        Prompt tokens that are believed to be read for this request.
+    is_home : bool
+        Whether this is where all VMs send the shared prefix, load permitting.
     """
 
     upstream: Upstream
     backlog_s: float
     own_s: float
+    load: Load
+    uncached: int = 0
+    is_home: bool = False
 
     @property
     def seconds(self) -> float:
@@ -247,7 +256,7 @@
         load = self._loads.at(upstream.name)
         waiting = load.running / max(1, upstream.slots)
         way = 2 * self._place.distance(upstream.data_centre)
-        return Choice(upstream, waiting * PLAIN_SECONDS, way)
+        return Choice(upstream, waiting * PLAIN_SECONDS, way, load)
 
     def _generation(
         self, now: float, upstream: Upstream, prompt: Prompt, is_home: bool
@@ -261,6 +270,9 @@
             upstream,
             load.unread / PREFILL_TOKENS_PER_SECOND + load.running * SLOT_SECONDS,
             uncached / PREFILL_TOKENS_PER_SECOND + way,
+            load,
+            uncached,
+            is_home,
         )
 
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -7,7 +7,7 @@
 
 from oleandershift.directory import Upstream, UpstreamState
 from oleandershift.ids import DataCentreId, ServiceId, TeamId, UpstreamId
-from oleandershift.placement import Choice
+from oleandershift.placement import Choice, Load
 from oleandershift.prompts import Prompt
 from oleandershift.shedding import LEFT_SHARE, Applicant, Shedding
 
@@ -26,7 +26,7 @@
 
 
 def choice(backlog, own=0.02):
-    return Choice(ENGINE, backlog, own)
+    return Choice(ENGINE, backlog, own, Load())
 
 
 def applicant(tokens=1000, age=0.0, left=15.0, team=TEAM):
