Keep a shared prefix at its engine while the request comes in time there

Change: the time to read a shared prefix again weighs four times; a prediction past 0.6 of the target weighs against it; what does not fit goes to the same second engine from all VMs.

--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -324,7 +324,13 @@
         ejected = self._outliers.ejected()
         fresh = [item for item in usable if item.name not in call.tried]
         sound = [item for item in fresh if item.name not in ejected]
-        return self._placement.choose(now(), call.service, sound or fresh, call.prompt)
+        return self._placement.choose(
+            now(),
+            call.service,
+            sound or fresh,
+            call.prompt,
+            call.route.target_ms / 1000,
+        )
 
     def _may_go_on(self, call: Call, end: End) -> bool:
         """Tell whether another upstream may be tried."""
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -25,6 +25,20 @@
 PLAIN_SECONDS = 0.06
 """Typical work of a plain service's request (deployment sheets)."""
 
+REREAD_WEIGHT = 4.0
+"""Weight of the time to read a shared prefix again against this request's own delay:
+it also delays every request behind it, and drives other prefixes out of memory."""
+
+RANK_SECONDS = 0.005
+"""Preference for the engine of the next higher hash weight, so that all VMs send what
+does not fit at a prefix's first engine to the same second one."""
+
+LATE_SHARE = 0.6
+"""Part of the target from which on a prediction counts as probably late."""
+
+LATE_WEIGHT = 10.0
+"""Weight of a predicted delay past that part: a late answer is worth a third."""
+
 REMEMBERED_PARTS = 4096
 """Prefix parts remembered for an upstream."""
 
@@ -217,8 +231,7 @@
 
     Answers two loads: long prompts, which hold up what an engine runs beside them, by
     counting the prompt tokens still to be read; and prompts that share parts, by
-    sending them where the parts were read before, unless that costs more time than
-    reading them again.
+    sending them where the parts were read before while they come in time there.
 
     Parameters
     ----------
@@ -238,19 +251,37 @@
         service: Service,
         candidates: Collection[Upstream],
         prompt: Prompt | None,
+        target_s: float,
     ) -> Choice | None:
-        """Return the best of the candidates, if there are any."""
+        """Return the best of the candidates, if there are any.
+
+        Parameters
+        ----------
+        now : float
+            The current instant.
+        service : Service
+            What the candidates serve.
+        candidates : collection of Upstream
+            Upstreams that may get the request.
+        prompt : Prompt or None
+            Size and parts of a generation.
+        target_s : float
+            Seconds to the first byte within which the answer has its full value.
+        """
         if not candidates:
             return None
         if not service.generates or prompt is None:
-            choices = [self._plain(item) for item in candidates]
-        else:
-            home = _home(candidates, prompt)
-            choices = [
-                self._generation(now, item, prompt, item.name == home)
-                for item in candidates
-            ]
-        return min(choices, key=lambda item: (item.seconds, item.upstream.name))
+            plain = [self._plain(item) for item in candidates]
+            return min(plain, key=lambda item: (item.seconds, item.upstream.name))
+        ranking = _ranking(candidates, prompt)
+        choices = [
+            self._generation(now, item, prompt, rank)
+            for rank, item in enumerate(ranking)
+        ]
+        costs = [
+            _cost(item, rank, prompt, target_s) for rank, item in enumerate(choices)
+        ]
+        return choices[costs.index(min(costs))]
 
     def _plain(self, upstream: Upstream) -> Choice:
         load = self._loads.at(upstream.name)
@@ -259,10 +290,11 @@
         return Choice(upstream, waiting * PLAIN_SECONDS, way, load)
 
     def _generation(
-        self, now: float, upstream: Upstream, prompt: Prompt, is_home: bool
+        self, now: float, upstream: Upstream, prompt: Prompt, rank: int
     ) -> Choice:
         load = self._loads.at(upstream.name)
         uncached = self._loads.uncached(now, upstream.name, prompt)
+        is_home = rank == 0 and len(prompt.parts) > 1
         if is_home:
             uncached = min(uncached, prompt.own_tokens)
         way = 2 * self._place.distance(upstream.data_centre)
@@ -276,10 +308,20 @@
         )
 
 
-def _home(candidates: Iterable[Upstream], prompt: Prompt) -> UpstreamId | None:
-    """Return the upstream that all VMs send a shared prompt to, load permitting."""
+def _cost(choice: Choice, rank: int, prompt: Prompt, target_s: float) -> float:
+    """Return what a placement costs this request and those behind it, in seconds."""
+    reread = max(0, choice.uncached - prompt.own_tokens) / PREFILL_TOKENS_PER_SECOND
+    late = max(0.0, choice.seconds - LATE_SHARE * target_s)
+    return (
+        choice.seconds
+        + REREAD_WEIGHT * reread
+        + LATE_WEIGHT * late
+        + RANK_SECONDS * rank
+    )
+
+
+def _ranking(candidates: Collection[Upstream], prompt: Prompt) -> list[Upstream]:
+    """Return the candidates in the order in which all VMs prefer them for a prefix."""
     shared = prompt.parts[:-1]
-    if not shared:
-        return None
-    key = shared[-1].name
-    return max(candidates, key=lambda item: weight_of(key, item.name)).name
+    key = shared[-1].name if shared else prompt.parts[-1].name if prompt.parts else ""
+    return sorted(candidates, key=lambda item: weight_of(key, item.name), reverse=True)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -8,6 +8,8 @@
 from oleandershift.prompts import PrefixPart, Prompt
 from oleandershift.routing import Service
 
+TARGET = 0.5
+
 NEAR, FAR = DataCentreId("near"), DataCentreId("far")
 ENGINE = Service(ServiceId("model"), 100, batch_slots=8, cache_tokens=100_000)
 PLAIN = Service(ServiceId("desk"), 100)
@@ -43,20 +45,22 @@
 
 
 def test_no_candidate(placement):
-    assert placement.choose(0.0, ENGINE, [], make_prompt()) is None
+    assert placement.choose(0.0, ENGINE, [], make_prompt(), TARGET) is None
 
 
 def test_same_prefix_goes_to_the_same_engine_on_every_vm(placement):
     engines = [make_upstream(f"e{number}") for number in range(6)]
-    first = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
-    again = placement.choose(0.0, ENGINE, engines[::-1], make_prompt()).upstream
+    first = placement.choose(0.0, ENGINE, engines, make_prompt(), TARGET).upstream
+    again = placement.choose(0.0, ENGINE, engines[::-1], make_prompt(), TARGET).upstream
     assert first == again
 
 
 def test_prefixes_spread_over_engines(placement):
     engines = [make_upstream(f"e{number}") for number in range(6)]
     taken = {
-        placement.choose(0.0, ENGINE, engines, make_prompt(f"s{n}")).upstream.name
+        placement.choose(
+            0.0, ENGINE, engines, make_prompt(f"s{n}"), TARGET
+        ).upstream.name
         for n in range(60)
     }
     assert len(taken) == 6
@@ -64,17 +68,19 @@
 
 def test_long_prompt_of_another_vm_is_avoided(placement, loads):
     engines = [make_upstream("e1"), make_upstream("e2")]
-    home = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
+    home = placement.choose(0.0, ENGINE, engines, make_prompt(), TARGET).upstream
     loads.set_others({home.name: Load(running=1, unread=50_000)})
-    other = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
+    other = placement.choose(0.0, ENGINE, engines, make_prompt(), TARGET).upstream
     assert other != home
 
 
 def test_short_backlog_does_not_cost_the_prefix(placement, loads):
     engines = [make_upstream("e1"), make_upstream("e2")]
-    home = placement.choose(0.0, ENGINE, engines, make_prompt()).upstream
+    home = placement.choose(0.0, ENGINE, engines, make_prompt(), TARGET).upstream
     loads.set_others({home.name: Load(running=1, unread=2_000)})
-    assert placement.choose(0.0, ENGINE, engines, make_prompt()).upstream == home
+    assert (
+        placement.choose(0.0, ENGINE, engines, make_prompt(), TARGET).upstream == home
+    )
 
 
 def test_first_event_ends_the_backlog(loads):
@@ -102,9 +108,9 @@
 def test_plain_service_goes_to_the_least_loaded(placement, loads):
     busy, free = make_upstream("e1", slots=2), make_upstream("e2", slots=2)
     loads.set_others({busy.name: Load(running=2)})
-    assert placement.choose(0.0, PLAIN, [busy, free], None).upstream == free
+    assert placement.choose(0.0, PLAIN, [busy, free], None, TARGET).upstream == free
 
 
 def test_plain_service_prefers_its_own_region(placement):
     far, near = make_upstream("e1", FAR), make_upstream("e2", NEAR)
-    assert placement.choose(0.0, PLAIN, [far, near], None).upstream == near
+    assert placement.choose(0.0, PLAIN, [far, near], None, TARGET).upstream == near
