Share what is let in, where that is less than the declared capacity

Ruled out: stale demand (the two teams' demand stood for six seconds). Change: VMs also tell what they let in; the level is that of the smaller of declared and admitted tokens. The retry budget is divided by the VMs that may be live.

--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -26,6 +26,10 @@
         rate, at = self._rates.get(team, (0.0, now))
         return rate * math.exp((at - now) / self._memory)
 
+    def total(self, now: float) -> float:
+        """Return the demand of all teams together."""
+        return sum(self.rates(now).values())
+
     def rates(self, now: float) -> dict[TeamId, float]:
         """Return all teams' demands."""
         return {team: self.rate(now, team) for team in self._rates}
--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -78,6 +78,8 @@
         Store revision of its list of upstreams.
     port : int
         Port of its snapshot server.
+    admitted : int
+        Tokens a second of the requests that were let in.
     work, demand : tuple
         Largest first.
     """
@@ -91,6 +93,7 @@
     configuration: int
     revision: int
     port: int
+    admitted: int
     work: tuple[UpstreamWork, ...]
     demand: tuple[TeamDemand, ...]
 
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -48,8 +48,15 @@
 STOP_MARGIN_SECONDS = 0.4
 """Time before SIGKILL at which the process ends, whatever still runs."""
 
-ASSUMED_VMS = 10
-"""VMs that share the retry budget until they are counted."""
+SHARE_HEADROOM = 1.1
+"""Capacity to be shared over what is let in now, so that shares grow into free room."""
+
+BUDGET_SHARE = 0.5
+"""Part of the fleet's retry budget that is used, as VMs spend it without asking: what
+they save up may fall into one window, and some may hold an old count of VMs."""
+
+LEAST_VMS = 10
+"""VMs that share the retry budget at least, until they are counted."""
 
 
 @dataclass
@@ -57,10 +64,17 @@
     """Each service's part of the fleet's retry budget."""
 
     ratio: float
-    reserve: float
+    extra: float
 
     def __post_init__(self) -> None:
         self._held: dict[str, RetryBudget] = {}
+        self.reserve = self.extra / LEAST_VMS
+
+    def share(self, vms: int) -> None:
+        """Divide what the ratio does not cover by the number of VMs."""
+        self.reserve = self.extra / max(vms, LEAST_VMS)
+        for budget in self._held.values():
+            budget.reserve = self.reserve
 
     def of(self, service: Service) -> RetryBudget:
         found = self._held.get(service.name)
@@ -124,7 +138,7 @@
         place = Place(node.data_centre, node.region, node.regions)
         bounds = node.bounds
         self._budgets = _Budgets(
-            bounds.retry_ratio / 2, max(1.0, bounds.retry_extra / 2 / ASSUMED_VMS)
+            BUDGET_SHARE * bounds.retry_ratio, BUDGET_SHARE * bounds.retry_extra
         )
         self._relay = Relay(
             self._state,
@@ -202,10 +216,13 @@
         state = self._state
         state.loads.set_others(self._neighbours.others(at))
         demand = self._neighbours.demand(at, state.demand.rates(at))
-        cfg = self._beliefs.configuration
-        capacity = cfg.limits.tokens_per_second if cfg else 0.0
+        served = self._neighbours.admitted(at, state.admitted.total(at))
+        self._budgets.share(self._neighbours.known(at))
         self._shedding.demand = dict(demand)
-        self._shedding.level = fair_level(demand, capacity or math.inf)
+        cfg = self._beliefs.configuration
+        declared = (cfg.limits.tokens_per_second if cfg else 0.0) or math.inf
+        capacity = min(declared, served * SHARE_HEADROOM)
+        self._shedding.level = fair_level(demand, capacity)
 
     async def _catch_up(self) -> None:
         """Read from another VM what the store does not tell this one."""
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -9,8 +9,6 @@
     BeliefsSnapshot,
     Digest,
     Scope,
-    TeamDemand,
-    UpstreamWork,
     decode_digest,
     decode_snapshot,
     encode,
@@ -18,7 +16,13 @@
 from oleandershift.ids import Incarnation, Seq
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
-from oleandershift.neighbours import Neighbours, Peer, demand_entries, work_entries
+from oleandershift.neighbours import (
+    CentreSum,
+    Neighbours,
+    Peer,
+    demand_entries,
+    work_entries,
+)
 from oleandershift.node import Address
 from oleandershift.state import FleetState
 
@@ -112,14 +116,15 @@
         self._seq += 1
         work = work_entries(self._state.loads.own())
         asked = self._state.demand.rates(at)
-        own = self._digest(Scope.VM, 1, work, demand_entries(asked))
-        self._send(own, self._neighbours.mates(at))
+        admitted = self._state.admitted.total(at)
+        own = CentreSum(1, round(admitted), work, demand_entries(asked))
+        self._send(self._digest(Scope.VM, own), self._neighbours.mates(at))
         if not self._neighbours.is_hub(at):
             return
         search = self._seq % SEARCH_TICKS == 0
-        summed, rates, count = self._neighbours.centre(at, work, asked)
-        total = self._digest(Scope.DATA_CENTRE, count, summed, rates)
-        self._send(total, self._neighbours.hubs(at, search))
+        total = self._neighbours.centre(at, work, asked, admitted)
+        digest = self._digest(Scope.DATA_CENTRE, total)
+        self._send(digest, self._neighbours.hubs(at, search))
 
     async def fetch(self, peer: Peer) -> BeliefsSnapshot | None:
         """Read another VM's snapshot; None when that fails."""
@@ -135,13 +140,7 @@
             return None
         return result.unwrap()
 
-    def _digest(
-        self,
-        scope: Scope,
-        vms: int,
-        work: tuple[UpstreamWork, ...],
-        demand: tuple[TeamDemand, ...],
-    ) -> Digest:
+    def _digest(self, scope: Scope, total: CentreSum) -> Digest:
         cfg = self._state.beliefs.configuration
         return Digest(
             vm=self._own.vm,
@@ -149,12 +148,13 @@
             incarnation=self._incarnation,
             seq=Seq(self._seq),
             scope=scope,
-            vms=vms,
+            vms=total.vms,
             configuration=cfg.version if cfg else 0,
             revision=self._state.beliefs.directory.revision,
             port=self._address.port,
-            work=work,
-            demand=demand,
+            admitted=total.admitted,
+            work=total.work,
+            demand=total.demand,
         )
 
     def _send(self, digest: Digest, peers: Iterable[Peer]) -> None:
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -303,6 +303,9 @@
         )
         verdict = self._shedding.decide(applicant, choice)
         if verdict.admitted:
+            if applicant.team is not None:
+                size = call.prompt.size
+                self._state.admitted.note(now(), applicant.team, size)
             return True
         detail = "beyond the team's share" if not verdict.within_share else "too late"
         self._refuse(call, res, detail, 502, verdict.retry_after_s, choice)
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -30,6 +30,26 @@
     address: Address
 
 
+@dataclass(frozen=True, slots=True)
+class CentreSum:
+    """What the VMs of a data centre do together.
+
+    Parameters
+    ----------
+    vms : int
+        How many they are.
+    admitted : int
+        Tokens a second of the requests that they let in.
+    work, demand : tuple
+        Largest first.
+    """
+
+    vms: int
+    admitted: int
+    work: tuple[UpstreamWork, ...]
+    demand: tuple[TeamDemand, ...]
+
+
 @dataclass(slots=True)
 class _Heard:
     digest: Digest
@@ -129,10 +149,18 @@
             _add(sums, digest.work)
         return sums
 
+    def admitted(self, now: float, own: float) -> float:
+        """Return the tokens a second that all VMs let in."""
+        return own + sum(digest.admitted for digest in self._live(now))
+
     def centre(
-        self, now: float, own: Iterable[UpstreamWork], asked: Mapping[TeamId, float]
-    ) -> tuple[tuple[UpstreamWork, ...], tuple[TeamDemand, ...], int]:
-        """Return work, demand and number of VMs of this data centre."""
+        self,
+        now: float,
+        own: Iterable[UpstreamWork],
+        asked: Mapping[TeamId, float],
+        admitted: float,
+    ) -> CentreSum:
+        """Return the sum over the VMs of this data centre."""
         sums: dict[UpstreamId, Load] = {}
         _add(sums, own)
         rates: defaultdict[TeamId, float] = defaultdict(float, asked)
@@ -145,7 +173,12 @@
             _add(sums, digest.work)
             for entry in digest.demand:
                 rates[entry.team] += entry.rate
-        return work_entries(sums), demand_entries(rates), len(mates) + 1
+        return CentreSum(
+            vms=len(mates) + 1,
+            admitted=round(admitted + sum(digest.admitted for digest in mates)),
+            work=work_entries(sums),
+            demand=demand_entries(rates),
+        )
 
     def demand(self, now: float, own: Mapping[TeamId, float]) -> Mapping[TeamId, float]:
         """Return what each team asks of all VMs, in tokens a second."""
@@ -159,6 +192,10 @@
         """Return the number of live VMs, this one included."""
         return 1 + sum(digest.vms for digest in self._live(now))
 
+    def known(self, now: float) -> int:
+        """Return the number of VMs that may be live, this one included."""
+        return 1 + len(self._known(now))
+
     def ahead(self, now: float, configuration: int, revision: int) -> Peer | None:
         """Return a VM that has read more of the store than this one, if any."""
         newer = [
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -13,8 +13,9 @@
 PREFILL_TOKENS_PER_SECOND = 80_000.0
 """Prompt tokens that an engine reads in a second, until it has been observed."""
 
-SLOT_SECONDS = 0.004
-"""Delay that each running generation adds to another's first token."""
+FULL_SECONDS = 0.5
+"""Delay that an engine whose slots are all taken adds to a first token. What runs takes
+memory from cached prefixes and steps from prompts, in proportion to the slots taken."""
 
 REGION_SECONDS = 0.012
 """One-way delay between regions (deployment sheets)."""
@@ -300,7 +301,8 @@
         way = 2 * self._place.distance(upstream.data_centre)
         return Choice(
             upstream,
-            load.unread / PREFILL_TOKENS_PER_SECOND + load.running * SLOT_SECONDS,
+            load.unread / PREFILL_TOKENS_PER_SECOND
+            + FULL_SECONDS * load.running / max(1, upstream.slots),
             uncached / PREFILL_TOKENS_PER_SECOND + way,
             load,
             uncached,
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -9,8 +9,9 @@
 
 @dataclass
 class FleetState:
-    """Beliefs, work and demand of one VM."""
+    """Beliefs, work, demand and what was let in of one VM."""
 
     beliefs: Beliefs = field(default_factory=Beliefs)
     loads: Loads = field(default_factory=Loads)
     demand: DemandMeter = field(default_factory=DemandMeter)
+    admitted: DemandMeter = field(default_factory=DemandMeter)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -45,6 +45,7 @@
         7,
         530,
         7400,
+        9_999_999,
         work,
         demand,
     )
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -27,6 +27,7 @@
         "vms": 1,
         "configuration": 1,
         "revision": 1,
+        "admitted": 40,
         "work": (UpstreamWork(UpstreamId("u"), 2, 100, 300),),
         "demand": (TeamDemand(TeamId("t"), 50),),
         **fields,
@@ -127,3 +128,9 @@
     remote = make_digest("x", THERE, scope=Scope.DATA_CENTRE, vms=3)
     neighbours.take(0.0, remote, address(2))
     assert neighbours.count(0.1) == 5
+
+
+def test_admitted_tokens_are_summed(neighbours):
+    neighbours.take(0.0, make_digest("a"), address(1))
+    assert neighbours.admitted(0.1, 5.0) == 45.0
+    assert neighbours.centre(0.1, (), {}, 5.0).admitted == 45
