Check that a success is signed and named; stand-ins and tests of the gateway

Found by tests of a real gateway process before upstreams and a store that misbehave; each failed first: - an answer with a content coding, or a success without receipt, was passed on; - an answer without an id on a used connection was waited past (421 and refusals may carry none); - a removal that names the entry's last change was taken for an older one; - a connection lost between its opening and its first use left the request waiting for its deadline. The settings file is read again when it changes without a signal.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -87,19 +87,28 @@
             self._back_at = now
 
     def replace(
-        self, now: float, revision: int, entries: Iterable[Upstream]
+        self, now: float, revision: int, entries: Iterable[tuple[int, Upstream]]
     ) -> tuple[Upstream, ...]:
         """Take a complete list and return the entries that are gone at once.
 
         A list that is older than what is known already is left aside.
+
+        Parameters
+        ----------
+        now : float
+            The current instant.
+        revision : int
+            Revision of the store that the list shows.
+        entries : iterable of tuple
+            Each entry after the revision of its last change.
         """
         if self.loaded and revision < self.revision:
             return ()
-        listed = {entry.name: entry for entry in entries}
+        listed = {entry.name: (changed, entry) for changed, entry in entries}
         missing = [name for name in self._entries if name not in listed]
         gone = [entry for name in missing if (entry := self._vanish(now, name))]
-        for entry in listed.values():
-            self._take(revision, entry)
+        for changed, entry in listed.values():
+            self._take(changed, entry)
         self.revision = revision
         self._listed = revision
         self.loaded = True
--- a/src/oleandershift/io/following.py
+++ b/src/oleandershift/io/following.py
@@ -158,7 +158,7 @@
                 continue
             entry = result.unwrap()
             self._note_lifetime(entry)
-            found.append(entry)
+            found.append((record.revision, entry))
         directory.replace(now(), revision, found)
         self._entries = {
             record.name: StoredRecord(record.name, record.revision, record.spec)
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -149,6 +149,10 @@
             self._budgets.of,
             log,
         )
+        self._stamp = _stamp(path)
+        self._registry = VmRegistry(
+            StoreClient(node.store), self._peer, self._neighbours, log
+        )
         self._callers: set[CallerConnection] = set()
         self._probes: set[CallerConnection] = set()
         self._stopping = asyncio.Event()
@@ -168,10 +172,8 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        store = StoreClient(self._node.store)
-        self._follower.start(store, loop)
+        self._follow_store()
         await self._link.open(self._follower.snapshot)
-        registry = VmRegistry(store, self._peer, self._neighbours, self._log)
         ready = await loop.create_server(
             factory(_Readiness(self), self._probes),
             self._node.readiness.host,
@@ -187,7 +189,7 @@
         tasks = [
             loop.create_task(self._upkeep()),
             loop.create_task(self._catch_up()),
-            loop.create_task(registry.run()),
+            loop.create_task(self._registry.run()),
         ]
         await self._stopping.wait()
         await self._drain(server)
@@ -198,6 +200,12 @@
         self._follower.stop()
         self._log.info("process.stopped", active=self._relay.active)
 
+    def _follow_store(self) -> None:
+        """Use the store that the settings name."""
+        store = StoreClient(self._node.store)
+        self._registry.store = store
+        self._follower.start(store, asyncio.get_running_loop())
+
     async def _upkeep(self) -> None:
         next_look = 0.0
         while True:
@@ -211,6 +219,7 @@
             self._log.writer.flush()
             if at >= next_look:
                 next_look = at + SETTINGS_SECONDS
+                self._look_at_settings()
 
     def _update_shares(self, at: float) -> None:
         state = self._state
@@ -240,14 +249,23 @@
             if found is not None:
                 self._follower.take_snapshot(found, peer.vm)
 
+    def _look_at_settings(self) -> None:
+        """Read the settings again if their file has changed."""
+        found = _stamp(self._path)
+        if found != self._stamp:
+            self._reload()
+
     def _reload(self) -> None:
+        self._stamp = _stamp(self._path)
         result = settings.read(self._path)
         if isinstance(result, Failure):
             findings = "; ".join(str(finding) for finding in result.failure())
             self._log.warning("settings.rejected", why=findings)
             return
-        self._node = result.unwrap()
-        self._log.info("settings.reloaded")
+        held, self._node = self._node, result.unwrap()
+        if held.store != self._node.store:
+            self._follow_store()
+        self._log.info("settings.reloaded", store=self._node.store)
 
     async def _drain(self, server: asyncio.Server) -> None:
         """Let the balancer turn away, then finish what runs."""
@@ -267,6 +285,15 @@
             await asyncio.sleep(TICK_SECONDS)
 
 
+def _stamp(path: Path) -> tuple[int, int]:
+    """Return what changes when a file is written; zeros when there is none."""
+    try:
+        found = path.stat()
+    except FileNotFoundError:
+        return 0, 0
+    return found.st_mtime_ns, found.st_size
+
+
 def run(path: Path, level: str) -> None:
     """Run the process with a settings file.
 
--- a/src/oleandershift/io/registry.py
+++ b/src/oleandershift/io/registry.py
@@ -62,7 +62,7 @@
     def __init__(
         self, store: Registrar, own: Peer, neighbours: Neighbours, log: DecisionLog
     ) -> None:
-        self._store = store
+        self.store = store
         self._own = own
         self._neighbours = neighbours
         self._log = log
@@ -85,15 +85,15 @@
 
     def _register(self) -> StoreFailure | None:
         spec = vms.encode(self._own)
-        result = self._store.create(vms.KIND, self._own.vm, spec)
+        result = self.store.create(vms.KIND, self._own.vm, spec)
         failure = _failure(result)
         if failure is not None and failure.error is StoreError.CONFLICT:
-            result = self._store.replace(vms.KIND, self._own.vm, spec)
+            result = self.store.replace(vms.KIND, self._own.vm, spec)
             failure = _failure(result)
         return failure
 
     def _read(self) -> StoreFailure | None:
-        result = self._store.snapshot(vms.KIND)
+        result = self.store.snapshot(vms.KIND)
         failure = _failure(result)
         if failure is not None:
             return failure
@@ -117,7 +117,7 @@
             await asyncio.to_thread(self._delete, vm)
 
     def _delete(self, vm: VmId) -> None:
-        result = self._store.delete(vms.KIND, vm)
+        result = self.store.delete(vms.KIND, vm)
         if isinstance(result, Failure):
             self._log.warning("registry.not-removed", vm_gone=vm)
 
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -15,6 +15,7 @@
 from oleandershift.io.pool import Pool
 from oleandershift.io.upstreamconn import (
     BrokenExchangeError,
+    Cause,
     Exchange,
     ResponseHead,
     UpstreamConnection,
@@ -381,7 +382,7 @@
         data = _request_bytes(call, upstream)
         sent = now()
         may_have_run, call.may_have_run = call.may_have_run, True
-        exchange = conn.send(data, _is_own(call.id, conn.uses == 1))
+        exchange = conn.send(data, _is_own(call.id))
         try:
             head = await exchange.head
             if _says_not_run(head):
@@ -428,6 +429,8 @@
         head: ResponseHead,
         res: Responder,
     ) -> End:
+        if not _is_genuine(head):
+            raise BrokenExchangeError(Cause.GARBAGE)
         if call.route.semantics.streams and head.status == 200:
             return await self._stream(call, upstream, ticket, exchange, head, res)
         body = await _whole(exchange)
@@ -591,16 +594,16 @@
     return (req.header(names.ATTEMPT_ID) or b"").decode("latin-1")
 
 
-def _is_own(attempt: str, first: bool) -> Callable[[ResponseHead], bool]:
+def _is_own(attempt: str) -> Callable[[ResponseHead], bool]:
     """Return what recognises the answer to an attempt on its connection.
 
-    An answer without an id is taken only on a connection that carried nothing before.
+    A late answer to an earlier attempt carries that one's id and is skipped. Some
+    refusals carry none.
     """
     wanted = attempt.encode("latin-1")
 
     def is_own(head: ResponseHead) -> bool:
-        found = head.get(names.ATTEMPT_ID)
-        return found == wanted if found is not None else first
+        return head.get(names.ATTEMPT_ID) in (wanted, None)
 
     return is_own
 
@@ -611,6 +614,19 @@
     )
 
 
+def _is_genuine(head: ResponseHead) -> bool:
+    """Tell whether an answer can be the upstream's own.
+
+    Requests ask for no content coding, and upstreams sign each success and name the
+    attempt.
+    """
+    if head.get(b"content-encoding") is not None:
+        return False
+    if head.status >= 300:
+        return True
+    return None not in (head.get(names.RECEIPT), head.get(names.ATTEMPT_ID))
+
+
 async def _whole(exchange: Exchange) -> bytes:
     parts = []
     size = 0
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -167,9 +167,13 @@
             Tells whether an answer belongs to this request.
         """
         self.uses += 1
-        self._exchange = Exchange(self, is_own)
+        exchange = Exchange(self, is_own)
+        if self.closed:
+            exchange.on_error(BrokenExchangeError(Cause.CLOSED))
+            return exchange
+        self._exchange = exchange
         self._transport.write(data)
-        return self._exchange
+        return exchange
 
     def close(self) -> None:
         """Close at once; what is not sent yet is dropped."""
--- /dev/null
+++ b/tests/integration/test_gateway.py
@@ -0,0 +1,304 @@
+"""A gateway process between callers, upstreams and the store."""
+
+import http.client
+import signal
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from standins.gateway_fleet import (
+    Fleet,
+    call_on,
+    configuration,
+    route,
+    running_fleet,
+    wait_until,
+)
+from standins.metastore import StoreMode
+from standins.modelengine import Conduct
+from standins.proxy_faults import CutStage, ProxyFaults, ProxyMode
+
+
+@pytest.fixture
+def fleet(tmp_path) -> Iterator[Fleet]:
+    with running_fleet(tmp_path) as made:
+        yield made
+
+
+@pytest.fixture
+def gateway(fleet):
+    return fleet.gateways[0]
+
+
+def total_runs(fleet, attempt):
+    return sum(engine.runs()[attempt] for engine in fleet.engines.values())
+
+
+@pytest.mark.parametrize(
+    "path",
+    ["/read/x", "/write/x", "/public/x", "/stream/once/x", "/stream/resumable/x"],
+)
+def test_whole_answer(fleet, gateway, path):
+    answer = gateway.call(path, "a1")
+    assert answer.status == 200
+    assert answer.whole
+    assert answer.headers["oleandershift-attempt-id"] == "a1"
+    assert "oleandershift-response-seal" in answer.headers
+    assert total_runs(fleet, "a1") == 1
+
+
+def test_team_is_named_and_key_is_not_passed_on(fleet, gateway):
+    gateway.call("/read/x", "a1", **{"Oleandershift-Tenant": "forged"})
+    arrivals = [item for engine in fleet.engines.values() for item in engine.ledger()]
+    assert [item.team for item in arrivals] == ["team"]
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/nowhere/x", {}, 404),
+        ("/read", {}, 404),
+        ("/read/x", {"Authorization": "Bearer unknown"}, 401),
+        ("/read/x", {"Host": "elsewhere.example"}, 404),
+        ("/read/x", {"Oleandershift-Deadline-Ms": "soon"}, 400),
+    ],
+)
+def test_request_that_is_not_allowed(fleet, gateway, path, headers, status):
+    assert gateway.call(path, "a1", **headers).status == status
+    assert total_runs(fleet, "a1") == 0
+
+
+REFUSED = ProxyFaults(mode=ProxyMode.CUT, stage=CutStage.BEFORE_CONNECT)
+CUTS = [Conduct.CUT_BEFORE, Conduct.CUT_AFTER, Conduct.CUT_MIDWAY, Conduct.GARBAGE]
+
+
+@pytest.mark.parametrize("conduct", CUTS)
+def test_call_that_may_have_run_is_not_repeated(fleet, gateway, conduct):
+    for engine in fleet.engines.values():
+        engine.conduct = conduct
+    answer = gateway.call("/write/x", "a1")
+    assert answer.status == 502
+    assert total_runs(fleet, "a1") <= 1
+
+
+@pytest.mark.parametrize("conduct", [*CUTS, Conduct.FAIL, Conduct.ENCODED])
+def test_idempotent_call_goes_to_another_upstream(fleet, gateway, conduct):
+    fleet.engines["e1"].conduct = conduct
+    fleet.engines["e2"].conduct = conduct
+    fleet.add_engine("e3")
+    answers = [gateway.call("/read/x", f"a{number}") for number in range(4)]
+    assert any(answer.status == 200 for answer in answers)
+    assert all(answer.whole for answer in answers)
+    assert all(b"e3 ran" in answer.body for answer in answers if answer.status == 200)
+
+
+@pytest.mark.parametrize("path", ["/write/x", "/read/x", "/stream/once/x"])
+def test_refusal_of_one_upstream_goes_to_the_other(fleet, gateway, path):
+    fleet.engines["e1"].conduct = Conduct.REFUSE
+    answer = gateway.call(path, "a1")
+    assert answer.status == 200
+    assert total_runs(fleet, "a1") == 1
+
+
+@pytest.mark.parametrize("path", ["/write/x", "/read/x", "/stream/once/x"])
+def test_refusal_by_all_is_told_with_a_time(fleet, gateway, path):
+    for engine in fleet.engines.values():
+        engine.conduct = Conduct.REFUSE
+    answer = gateway.call(path, "a1")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert total_runs(fleet, "a1") == 0
+
+
+def test_leftover_answer_is_not_taken(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.conduct = Conduct.LEFTOVER
+    answer = gateway.call("/write/x", "a1")
+    assert answer.status == 200
+    assert b"ran a1" in answer.body
+
+
+def test_answer_without_length_is_whole_at_its_end(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.conduct = Conduct.UNFRAMED
+    answer = gateway.call("/write/x", "a1")
+    assert (answer.status, answer.whole) == (200, True)
+    assert b"ran a1" in answer.body
+
+
+def test_stream_goes_on_at_another_upstream(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.next_conducts = [Conduct.CUT_MIDWAY]
+    fleet.add_engine("e3")
+    answer = gateway.call("/stream/resumable/x", "a1")
+    ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+    assert answer.whole
+    assert ids == [b"id: %d" % number for number in range(1, 6)]
+
+
+def test_stream_that_may_not_go_on_does_not_look_whole(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.conduct = Conduct.CUT_MIDWAY
+    answer = gateway.call("/stream/once/x", "a1")
+    assert not answer.whole
+    assert total_runs(fleet, "a1") == 1
+
+
+@pytest.mark.parametrize(
+    ("path", "status"), [("/read/x", 504), ("/write/x", 504), ("/stream/once/x", 504)]
+)
+def test_time_limit_is_answered_at_once(fleet, gateway, path, status):
+    for engine in fleet.engines.values():
+        engine.conduct = Conduct.HANG
+    answer = gateway.call(path, "a1", **{"Oleandershift-Deadline-Ms": "600"})
+    assert answer.status == status
+    assert 0.5 < answer.seconds < 1.0
+
+
+def test_upstream_stops_when_its_caller_leaves(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.conduct = Conduct.HANG
+    conn = http.client.HTTPConnection(gateway.ip, gateway.front, timeout=5)
+    fields = {
+        "Host": "caller.example",
+        "Oleandershift-Attempt-Id": "a1",
+        "Authorization": "Bearer key-of-the-team",
+    }
+    conn.request("POST", "/read/x", body=b"x", headers=fields)
+    wait_until(lambda: total_runs(fleet, "a1") == 1, "the request runs")
+    conn.close()
+    wait_until(lambda: "caller.left" in fleet.log(gateway), "the caller's leaving")
+
+
+def test_no_upstream_is_refused_at_once(fleet, gateway):
+    for name in fleet.engines:
+        fleet.store.delete("servers", name)
+    wait_until(lambda: fleet.log(gateway).count("upstream.removed") == 2, "removal")
+    answer = gateway.call("/write/x", "a1")
+    assert answer.status == 503
+    assert "retry-after" in answer.headers
+    assert answer.seconds < 0.5
+
+
+def test_upstream_that_is_down_costs_nobody_an_answer(fleet, gateway):
+    fleet.engines["e1"].stop()
+    answers = [gateway.call("/write/x", f"a{number}") for number in range(6)]
+    assert [answer.status for answer in answers] == [200] * 6
+
+
+def test_draining_upstream_gets_no_new_work(fleet, gateway):
+    engine = fleet.engines["e1"]
+    fleet.store.put("servers", "e1", engine.entry("model", "one", "draining"))
+    wait_until(lambda: '"draining"' in fleet.log(gateway), "the drain is seen")
+    before = len(engine.ledger())
+    for number in range(6):
+        assert gateway.call("/write/x", f"a{number}").status == 200
+    assert len(engine.ledger()) == before
+
+
+def test_address_of_another_upstream_runs_nothing(fleet, gateway):
+    stranger = fleet.engines["e1"]
+    stranger.name = "e9"
+    for number in range(6):
+        assert gateway.call("/write/x", f"a{number}").status == 200
+    assert stranger.ledger() == []
+
+
+def test_configuration_is_in_force_and_never_reverts(fleet, gateway):
+    fleet.store.put("config", "main", configuration(5, route("/new/", "idempotent")))
+    wait_until(lambda: gateway.call("/new/x", "a1").status == 200, "the new route")
+    fleet.store.put("config", "main", configuration(4))
+    time.sleep(0.5)
+    assert gateway.call("/new/x", "a2").status == 200
+
+
+def test_removed_key_is_refused(fleet, gateway):
+    fleet.store.put("config", "main", configuration(2, keys=("another",)))
+    wait_until(lambda: gateway.call("/read/x", "a1").status == 401, "the key is gone")
+
+
+@pytest.mark.parametrize("mode", list(StoreMode)[1:4])
+def test_store_away_changes_nothing_for_callers(fleet, gateway, mode):
+    fleet.store.set_mode(mode)
+    time.sleep(0.5)
+    assert gateway.is_ready()
+    assert gateway.call("/write/x", "a1").status == 200
+    fleet.store.set_mode(StoreMode.SERVE)
+    fleet.store.put("config", "main", configuration(2, route("/new/", "idempotent")))
+    wait_until(lambda: gateway.call("/new/x", "a2").status == 200, "the new route")
+
+
+def test_lost_history_is_read_anew(fleet, gateway):
+    fleet.store.put("config", "main", configuration(2))
+    fleet.store.forget_history()
+    fleet.store.put("config", "main", configuration(3, route("/new/", "idempotent")))
+    wait_until(lambda: gateway.call("/new/x", "a1").status == 200, "the new route")
+
+
+def test_vm_that_the_store_turns_away_learns_from_another(tmp_path):
+    with running_fleet(tmp_path, gateways=2) as fleet:
+        cut, other = fleet.gateways
+        wait_until(lambda: len(fleet.store.names("gateways")) == 2, "registration")
+        time.sleep(0.5)
+        cut.store_link.set_faults(REFUSED)
+        cut.store_link.cut_all()
+        wait_until(lambda: "store.lost" in fleet.log(cut), "the loss of the store")
+        new = configuration(2, route("/new/", "idempotent"))
+        fleet.store.put("config", "main", new)
+        wait_until(lambda: other.call("/new/x", "a1").status == 200, "the new route")
+        wait_until(lambda: cut.call("/new/x", "a2").status == 200, "the new route")
+
+
+def test_not_ready_before_a_configuration(tmp_path):
+    with running_fleet(tmp_path, gateways=0) as fleet:
+        fleet.store.set_mode(StoreMode.SILENT)
+        gateway = fleet.add_gateway()
+        wait_until(lambda: "process.started" in fleet.log(gateway), "the start")
+        assert not gateway.is_ready()
+        answer = gateway.call("/read/x", "a1")
+        assert answer.status == 503
+        assert "retry-after" in answer.headers
+        fleet.store.set_mode(StoreMode.SERVE)
+        wait_until(gateway.is_ready, "it is ready")
+
+
+def test_foreign_registrations_leave_the_others_in_use(fleet, gateway):
+    fleet.store.put("servers", "x1", {"service": 3})
+    fleet.store.put("servers", "x2", "nonsense")
+    fleet.store.put(
+        "servers", "x3", {**fleet.engines["e1"].entry("model", "one"), "state": "?"}
+    )
+    wait_until(lambda: fleet.log(gateway).count("upstream.rejected") == 3, "findings")
+    assert gateway.call("/write/x", "a1").status == 200
+
+
+def test_connection_serves_many_requests(fleet, gateway):
+    conn = http.client.HTTPConnection(gateway.ip, gateway.front, timeout=5)
+    for number in range(10):
+        assert call_on(conn, "/write/x", f"a{number}").status == 200
+    conn.close()
+
+
+def test_stop_finishes_what_runs(fleet, gateway):
+    slow = fleet.add_engine("slow", service="other", pause_seconds=0.5)
+    new = configuration(2, route("/stream/slow/", "streaming", service="other"))
+    fleet.store.put("config", "main", new)
+    wait_until(lambda: gateway.call("/stream/slow/x", "a0").status == 200, "the route")
+    conn = http.client.HTTPConnection(gateway.ip, gateway.front, timeout=20)
+    fields = {"Host": "caller.example", "Oleandershift-Attempt-Id": "a1"}
+    fields["Authorization"] = "Bearer key-of-the-team"
+    conn.request("POST", "/stream/slow/x", body=b"x", headers=fields)
+    wait_until(lambda: slow.runs()["a1"] == 1, "the stream runs")
+    gateway.process.terminate()
+    wait_until(lambda: not gateway.is_ready(), "it is not ready")
+    assert gateway.call("/write/x", "a2").status == 200
+    body = conn.getresponse().read()
+    assert body.count(b"id:") == 5
+    assert gateway.process.wait(8.0) == 0
+
+
+def test_hangup_reads_the_settings_again(fleet, gateway):
+    gateway.process.signal(signal.SIGHUP)
+    wait_until(lambda: "settings.reloaded" in fleet.log(gateway), "the settings")
+    assert gateway.call("/write/x", "a1").status == 200
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -24,6 +24,10 @@
     )
 
 
+def listed(*entries, revision=9):
+    return [(revision, entry) for entry in entries]
+
+
 def usable(directory):
     return {entry.name for entry in directory.usable(ServiceId("s"))}
 
@@ -31,7 +35,7 @@
 @pytest.fixture
 def directory():
     made = Directory()
-    made.replace(0.0, 10, [make_upstream("u1"), make_upstream("u2")])
+    made.replace(0.0, 10, listed(make_upstream("u1"), make_upstream("u2")))
     return made
 
 
@@ -56,7 +60,7 @@
 def test_entry_missing_after_the_return_is_gone(directory):
     directory.on_store_lost()
     directory.on_store_back(6.0)
-    directory.replace(6.1, 12, [make_upstream("u2")])
+    directory.replace(6.1, 12, listed(make_upstream("u2")))
     assert usable(directory) == {"u1", "u2"}
     directory.expire(6.0 + RETURN_SECONDS)
     assert usable(directory) == {"u2"}
@@ -65,7 +69,7 @@
 def test_entry_that_returns_in_time_stays(directory):
     directory.on_store_lost()
     directory.on_store_back(6.0)
-    directory.replace(6.1, 12, [make_upstream("u2")])
+    directory.replace(6.1, 12, listed(make_upstream("u2")))
     directory.put(13, make_upstream("u1"))
     directory.expire(20.0)
     assert usable(directory) == {"u1", "u2"}
@@ -79,12 +83,12 @@
 
 def test_older_list_does_not_undo_newer_changes(directory):
     directory.put(15, make_upstream("u3"))
-    directory.replace(1.0, 12, [make_upstream("u1")])
+    directory.replace(1.0, 12, listed(make_upstream("u1")))
     assert usable(directory) == {"u1", "u2", "u3"}
 
 
 def test_late_change_does_not_undo_a_list(directory):
-    directory.replace(1.0, 20, [make_upstream("u1", UpstreamState.DRAINING)])
+    directory.replace(1.0, 20, listed(make_upstream("u1", UpstreamState.DRAINING)))
     assert not directory.put(15, make_upstream("u1"))
     assert usable(directory) == set()
 
@@ -93,3 +97,8 @@
     directory.put(15, make_upstream("u1", incarnation=2))
     assert not directory.remove(1.0, 12, UpstreamId("u1"))
     assert "u1" in usable(directory)
+
+
+@pytest.mark.parametrize("revision", [9, 11])
+def test_removal_names_the_last_change_or_itself(directory, revision):
+    assert directory.remove(1.0, revision, UpstreamId("u1"))
