Let a team wait longer that got less of its due than others

Change: VMs tell asked and admitted tokens by team; patience grows with the distance of a team's part of its due from the mean part.

--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -2,6 +2,8 @@
 
 import math
 from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import cached_property
 
 from oleandershift.ids import TeamId
 
@@ -10,29 +12,93 @@
 flood shows within it."""
 
 
+@dataclass(frozen=True, slots=True)
+class TeamRate:
+    """Tokens a second that a team asks for, and that are let in."""
+
+    asked: float = 0.0
+    admitted: float = 0.0
+
+
 class DemandMeter:
-    """Tokens a second that each team asks of this VM, as a decaying average."""
+    """What each team asks of this VM and is let in, as decaying averages."""
 
     def __init__(self, memory_seconds: float = MEMORY_SECONDS) -> None:
         self._memory = memory_seconds
-        self._rates: dict[TeamId, tuple[float, float]] = {}
+        self._rates: dict[TeamId, tuple[TeamRate, float]] = {}
 
-    def note(self, now: float, team: TeamId, tokens: float) -> None:
+    def ask(self, now: float, team: TeamId, tokens: float) -> None:
         """Take note of a request."""
-        self._rates[team] = (self.rate(now, team) + tokens / self._memory, now)
+        rate = self.rate(now, team)
+        asked = rate.asked + tokens / self._memory
+        self._rates[team] = (TeamRate(asked, rate.admitted), now)
+
+    def admit(self, now: float, team: TeamId, tokens: float) -> None:
+        """Take note that a request was let in."""
+        rate = self.rate(now, team)
+        admitted = rate.admitted + tokens / self._memory
+        self._rates[team] = (TeamRate(rate.asked, admitted), now)
+
+    def rate(self, now: float, team: TeamId) -> TeamRate:
+        """Return a team's rates."""
+        rate, at = self._rates.get(team, (TeamRate(), now))
+        factor = math.exp((at - now) / self._memory)
+        return TeamRate(rate.asked * factor, rate.admitted * factor)
+
+    def rates(self, now: float) -> dict[TeamId, TeamRate]:
+        """Return all teams' rates."""
+        return {team: self.rate(now, team) for team in self._rates}
 
-    def rate(self, now: float, team: TeamId) -> float:
-        """Return a team's demand in tokens a second."""
-        rate, at = self._rates.get(team, (0.0, now))
-        return rate * math.exp((at - now) / self._memory)
 
-    def total(self, now: float) -> float:
-        """Return the demand of all teams together."""
-        return sum(self.rates(now).values())
+@dataclass(frozen=True)
+class Shares:
+    """What each team is due of what is served.
 
-    def rates(self, now: float) -> dict[TeamId, float]:
-        """Return all teams' demands."""
-        return {team: self.rate(now, team) for team in self._rates}
+    Parameters
+    ----------
+    rates : mapping
+        What teams ask for and are let in, over the fleet.
+    level : float
+        The most tokens a second that a team is due; infinite while all fits.
+    """
+
+    rates: Mapping[TeamId, TeamRate] = field(default_factory=dict)
+    level: float = math.inf
+
+    def due(self, team: TeamId) -> float:
+        """Return the tokens a second that a team is due."""
+        return min(self.rates.get(team, TeamRate()).asked, self.level)
+
+    def shortfall(self, team: TeamId) -> float:
+        """Return by how much a team's part of its due lies below the mean part."""
+        due = self.due(team)
+        if due <= 0 or self._mean <= 0:
+            return 0.0
+        return self._mean - self.rates[team].admitted / due
+
+    @cached_property
+    def _mean(self) -> float:
+        due = sum(self.due(team) for team in self.rates)
+        return sum(r.admitted for r in self.rates.values()) / due if due else 0.0
+
+
+def shares_of(
+    rates: Mapping[TeamId, TeamRate], declared: float, headroom: float
+) -> Shares:
+    """Return the max-min shares of what can be served.
+
+    Parameters
+    ----------
+    rates : mapping
+        What teams ask for and are let in, over the fleet.
+    declared : float
+        Tokens a second that the configuration declares.
+    headroom : float
+        Capacity to be shared over what is let in now.
+    """
+    served = sum(rate.admitted for rate in rates.values())
+    asked = {team: rate.asked for team, rate in rates.items()}
+    return Shares(rates, fair_level(asked, min(declared, served * headroom)))
 
 
 def fair_level(demands: Mapping[TeamId, float], capacity: float) -> float:
--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -49,10 +49,11 @@
 
 
 class TeamDemand(msgspec.Struct, array_like=True, frozen=True):
-    """What a team asks for, in tokens a second."""
+    """What a team asks for and what of it is let in, in tokens a second."""
 
     team: TeamId
     rate: int
+    admitted: int
 
 
 class Digest(msgspec.Struct, array_like=True, frozen=True):
@@ -78,8 +79,6 @@
         Store revision of its list of upstreams.
     port : int
         Port of its snapshot server.
-    admitted : int
-        Tokens a second of the requests that were let in.
     work, demand : tuple
         Largest first.
     """
@@ -93,7 +92,6 @@
     configuration: int
     revision: int
     port: int
-    admitted: int
     work: tuple[UpstreamWork, ...]
     demand: tuple[TeamDemand, ...]
 
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure
 
-from oleandershift.demand import fair_level
+from oleandershift.demand import shares_of
 from oleandershift.exceptions import SettingsError
 from oleandershift.ids import Incarnation
 from oleandershift.io.callers import CallerConnection, CallerRequest, Responder, factory
@@ -223,14 +223,11 @@
 
     def _update_shares(self, at: float) -> None:
         state = self._state
-        demand = self._neighbours.demand(at, state.demand.rates(at))
-        served = self._neighbours.admitted(at, state.admitted.total(at))
-        self._budgets.share(self._neighbours.known(at))
-        self._shedding.demand = dict(demand)
         cfg = self._beliefs.configuration
         declared = (cfg.limits.tokens_per_second if cfg else 0.0) or math.inf
-        capacity = min(declared, served * SHARE_HEADROOM)
-        self._shedding.level = fair_level(demand, capacity)
+        rates = self._neighbours.demand(at, state.demand.rates(at))
+        self._shedding.shares = shares_of(rates, declared, SHARE_HEADROOM)
+        self._budgets.share(self._neighbours.known(at))
 
     async def _catch_up(self) -> None:
         """Read from another VM what the store does not tell this one."""
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -136,13 +136,12 @@
         self._seq += 1
         work = work_entries(self._state.loads.own())
         asked = self._state.demand.rates(at)
-        admitted = self._state.admitted.total(at)
-        own = CentreSum(1, round(admitted), work, demand_entries(asked))
+        own = CentreSum(1, work, demand_entries(asked))
         self._send(self._digest(Scope.VM, own), self._neighbours.mates(at))
         if not self._neighbours.is_hub(at):
             return
         search = self._seq % SEARCH_TICKS == 0
-        total = self._neighbours.centre(at, work, asked, admitted)
+        total = self._neighbours.centre(at, work, asked)
         digest = self._digest(Scope.DATA_CENTRE, total)
         self._send(digest, self._neighbours.hubs(at, search))
 
@@ -179,7 +178,6 @@
             configuration=cfg.version if cfg else 0,
             revision=self._state.beliefs.directory.revision,
             port=self._address.port,
-            admitted=total.admitted,
             work=total.work,
             demand=total.demand,
         )
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -220,7 +220,7 @@
             age_s = self._age(route, read.wait_ms)
             wait_ms = min(wait_ms, read.wait_ms)
         if read.prompt is not None and team is not None:
-            self._state.demand.note(now(), team.name, read.prompt.size)
+            self._state.demand.ask(now(), team.name, read.prompt.size)
         name = route.service_for(read.attempt)
         return Call(
             id=read.attempt,
@@ -306,7 +306,7 @@
         if verdict.admitted:
             if applicant.team is not None:
                 size = call.prompt.size
-                self._state.admitted.note(now(), applicant.team, size)
+                self._state.demand.admit(now(), applicant.team, size)
             return True
         detail = "beyond the team's share" if not verdict.within_share else "too late"
         self._refuse(call, res, detail, 502, verdict.retry_after_s, choice)
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from oleandershift.demand import TeamRate
 from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
 from oleandershift.hashing import weight_of
 from oleandershift.ids import DataCentreId, TeamId, UpstreamId, VmId
@@ -16,7 +17,7 @@
 KNOWN_SECONDS = 60.0
 """Silence after which a VM is no longer told anything."""
 
-MAX_WORK = 36
+MAX_WORK = 34
 MAX_DEMAND = 30
 """Entries of a digest, so that it fits into one packet of 1500 bytes."""
 
@@ -38,14 +39,11 @@
     ----------
     vms : int
         How many they are.
-    admitted : int
-        Tokens a second of the requests that they let in.
     work, demand : tuple
         Largest first.
     """
 
     vms: int
-    admitted: int
     work: tuple[UpstreamWork, ...]
     demand: tuple[TeamDemand, ...]
 
@@ -149,10 +147,6 @@
             _add(sums, digest.work)
         return sums
 
-    def admitted(self, now: float, own: float) -> float:
-        """Return the tokens a second that all VMs let in."""
-        return own + sum(digest.admitted for digest in self._live(now))
-
     def centre_unread(self, now: float) -> int:
         """Return the prompt tokens that the other VMs of the data centre wait for."""
         return sum(
@@ -166,13 +160,12 @@
         self,
         now: float,
         own: Iterable[UpstreamWork],
-        asked: Mapping[TeamId, float],
-        admitted: float,
+        asked: Mapping[TeamId, TeamRate],
     ) -> CentreSum:
         """Return the sum over the VMs of this data centre."""
         sums: dict[UpstreamId, Load] = {}
         _add(sums, own)
-        rates: defaultdict[TeamId, float] = defaultdict(float, asked)
+        rates = dict(asked)
         mates = [
             digest
             for digest in self._live_vms(now)
@@ -180,21 +173,16 @@
         ]
         for digest in mates:
             _add(sums, digest.work)
-            for entry in digest.demand:
-                rates[entry.team] += entry.rate
-        return CentreSum(
-            vms=len(mates) + 1,
-            admitted=round(admitted + sum(digest.admitted for digest in mates)),
-            work=work_entries(sums),
-            demand=demand_entries(rates),
-        )
-
-    def demand(self, now: float, own: Mapping[TeamId, float]) -> Mapping[TeamId, float]:
-        """Return what each team asks of all VMs, in tokens a second."""
-        rates: defaultdict[TeamId, float] = defaultdict(float, own)
+            _add_rates(rates, digest.demand)
+        return CentreSum(len(mates) + 1, work_entries(sums), demand_entries(rates))
+
+    def demand(
+        self, now: float, own: Mapping[TeamId, TeamRate]
+    ) -> dict[TeamId, TeamRate]:
+        """Return what each team asks of all VMs, and what they let in."""
+        rates = dict(own)
         for digest in self._live(now):
-            for entry in digest.demand:
-                rates[entry.team] += entry.rate
+            _add_rates(rates, digest.demand)
         return rates
 
     def count(self, now: float) -> int:
@@ -283,11 +271,14 @@
     )
 
 
-def demand_entries(rates: Mapping[TeamId, float]) -> tuple[TeamDemand, ...]:
+def demand_entries(rates: Mapping[TeamId, TeamRate]) -> tuple[TeamDemand, ...]:
     """Return the largest demands as entries of a digest."""
-    asking = [item for item in rates.items() if item[1] >= 1.0]
-    asking.sort(key=lambda item: item[1], reverse=True)
-    return tuple(TeamDemand(team, round(rate)) for team, rate in asking[:MAX_DEMAND])
+    asking = [item for item in rates.items() if item[1].asked >= 1.0]
+    asking.sort(key=lambda item: item[1].asked, reverse=True)
+    return tuple(
+        TeamDemand(team, round(rate.asked), round(rate.admitted))
+        for team, rate in asking[:MAX_DEMAND]
+    )
 
 
 def _order(digest: Digest) -> tuple[int, int]:
@@ -300,3 +291,11 @@
         load.running += entry.running
         load.unread += entry.unread
         load.held += entry.held
+
+
+def _add_rates(rates: dict[TeamId, TeamRate], demand: Iterable[TeamDemand]) -> None:
+    for entry in demand:
+        held = rates.get(entry.team, TeamRate())
+        rates[entry.team] = TeamRate(
+            held.asked + entry.rate, held.admitted + entry.admitted
+        )
--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -1,10 +1,9 @@
 """Refusal of requests that would come too late."""
 
-import math
 import random
 from dataclasses import dataclass
 
-from oleandershift.demand import ShareGate
+from oleandershift.demand import ShareGate, Shares, TeamRate
 from oleandershift.ids import TeamId
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
@@ -19,6 +18,14 @@
 RETURNED_PATIENCE = 0.5
 """The same for a caller that was refused before."""
 
+FAVOUR_GAIN = 2.0
+"""Patience gained for a shortfall: a team that gets half of its due while the others
+get all of theirs waits twice as long."""
+
+LEAST_FAVOUR = 0.7
+MOST_FAVOUR = 2.0
+"""Bounds of the patience by what a team got."""
+
 LEAST_BACKLOG = 0.5
 """Part of its patience that the backlog ahead of a request may always take, however
 long its own prompt is, so that the largest requests are not the ones refused."""
@@ -94,8 +101,7 @@
     def __init__(self, rng: random.Random) -> None:
         self._gate = ShareGate()
         self._rng = rng
-        self.level = math.inf
-        self.demand: dict[TeamId, float] = {}
+        self.shares = Shares()
 
     def decide(self, applicant: Applicant, choice: Choice) -> Verdict:
         """Decide on a request by the time predicted for its best upstream."""
@@ -112,9 +118,9 @@
     def _within_share(self, applicant: Applicant) -> bool:
         if applicant.team is None:
             return True
-        demand = self.demand.get(applicant.team, 0.0)
+        asked = self.shares.rates.get(applicant.team, TeamRate()).asked
         size = applicant.prompt.size
-        return self._gate.admit(applicant.team, size, demand, self.level)
+        return self._gate.admit(applicant.team, size, asked, self.shares.level)
 
     def _patience(self, applicant: Applicant, within: bool) -> float:
         target = applicant.target_s
@@ -122,4 +128,11 @@
             return BEYOND_PATIENCE * target
         if applicant.age_s > 0:
             return RETURNED_PATIENCE * target
-        return SHARE_PATIENCE * target
+        return SHARE_PATIENCE * target * self._favour(applicant)
+
+    def _favour(self, applicant: Applicant) -> float:
+        """Return how much longer than others a team may wait that got less."""
+        if applicant.team is None:
+            return 1.0
+        shortfall = self.shares.shortfall(applicant.team)
+        return min(max(1.0 + FAVOUR_GAIN * shortfall, LEAST_FAVOUR), MOST_FAVOUR)
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -11,13 +11,12 @@
 
 @dataclass
 class FleetState:
-    """Beliefs, work, demand and what was let in of one VM, and its neighbours."""
+    """Beliefs, work, and demand of one VM, and its neighbours."""
 
     neighbours: Neighbours
     beliefs: Beliefs = field(default_factory=Beliefs)
     loads: Loads = field(default_factory=Loads)
     demand: DemandMeter = field(default_factory=DemandMeter)
-    admitted: DemandMeter = field(default_factory=DemandMeter)
     work_changed: Callable[[], None] = lambda: None
 
     def refresh(self, now: float) -> None:
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from oleandershift.demand import DemandMeter, ShareGate, fair_level
+from oleandershift.demand import (
+    DemandMeter,
+    ShareGate,
+    TeamRate,
+    fair_level,
+    shares_of,
+)
 from oleandershift.ids import TeamId
 
 A, B, C = TeamId("a"), TeamId("b"), TeamId("c")
@@ -29,14 +35,14 @@
 def test_meter_follows_a_steady_rate():
     meter = DemandMeter()
     for step in range(1000):
-        meter.note(step * 0.01, A, 50)
-    assert meter.rate(10.0, A) == pytest.approx(5000, rel=0.02)
+        meter.ask(step * 0.01, A, 50)
+    assert meter.rate(10.0, A).asked == pytest.approx(5000, rel=0.02)
 
 
 def test_meter_forgets():
     meter = DemandMeter(memory_seconds=1.0)
-    meter.note(0.0, A, 100)
-    assert meter.rate(5.0, A) < 1.0
+    meter.ask(0.0, A, 100)
+    assert meter.rate(5.0, A).asked < 1.0
 
 
 def test_flooding_team_gets_its_share():
@@ -55,3 +61,22 @@
 def test_team_below_the_level_always_passes():
     gate = ShareGate()
     assert all(gate.admit(B, 100, 200.0, 250.0) for _ in range(50))
+
+
+def test_level_is_that_of_what_is_let_in():
+    rates = {A: TeamRate(100.0, 50.0), B: TeamRate(100.0, 50.0)}
+    assert shares_of(rates, math.inf, 1.0).level == pytest.approx(50.0)
+    assert shares_of(rates, 60.0, 1.0).level == pytest.approx(30.0)
+
+
+def test_team_that_got_less_of_its_due_has_a_shortfall():
+    rates = {A: TeamRate(50.0, 20.0), B: TeamRate(200.0, 80.0)}
+    shares = shares_of(rates, math.inf, 1.0)
+    assert shares.shortfall(A) > 0.4
+    assert shares.shortfall(B) < 0.0
+    assert shares.shortfall(C) == 0.0
+
+
+def test_no_shortfall_while_all_are_served():
+    rates = {A: TeamRate(50.0, 50.0), B: TeamRate(200.0, 200.0)}
+    assert shares_of(rates, math.inf, 1.1).shortfall(A) == pytest.approx(0.0)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -34,7 +34,9 @@
         UpstreamWork(UpstreamId(f"i-{n:010x}"), 60, 99_999, 500_000)
         for n in range(MAX_WORK)
     )
-    demand = tuple(TeamDemand(TeamId(f"team{n:03}"), 99_000) for n in range(MAX_DEMAND))
+    demand = tuple(
+        TeamDemand(TeamId(f"team{n:03}"), 99_000, 99_000) for n in range(MAX_DEMAND)
+    )
     return Digest(
         VmId("edge-fukuoka-a-1"),
         DataCentreId("fukuoka-a"),
@@ -45,7 +47,6 @@
         7,
         530,
         7400,
-        9_999_999,
         work,
         demand,
     )
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oleandershift.demand import TeamRate
 from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
 from oleandershift.ids import (
     DataCentreId,
@@ -27,9 +28,8 @@
         "vms": 1,
         "configuration": 1,
         "revision": 1,
-        "admitted": 40,
         "work": (UpstreamWork(UpstreamId("u"), 2, 100, 300),),
-        "demand": (TeamDemand(TeamId("t"), 50),),
+        "demand": (TeamDemand(TeamId("t"), 50, 40),),
         **fields,
     }
     return Digest(
@@ -120,7 +120,9 @@
 
 def test_demand_is_summed_over_vms(neighbours):
     neighbours.take(0.0, make_digest("a"), address(1))
-    assert neighbours.demand(0.1, {TeamId("t"): 25.0}) == {"t": 75.0}
+    own = {TeamId("t"): TeamRate(25.0, 5.0)}
+    assert neighbours.demand(0.1, own) == {"t": TeamRate(75.0, 45.0)}
+    assert neighbours.centre(0.1, (), own).demand == (TeamDemand(TeamId("t"), 75, 45),)
 
 
 def test_vms_are_counted(neighbours):
@@ -128,9 +130,3 @@
     remote = make_digest("x", THERE, scope=Scope.DATA_CENTRE, vms=3)
     neighbours.take(0.0, remote, address(2))
     assert neighbours.count(0.1) == 5
-
-
-def test_admitted_tokens_are_summed(neighbours):
-    neighbours.take(0.0, make_digest("a"), address(1))
-    assert neighbours.admitted(0.1, 5.0) == 45.0
-    assert neighbours.centre(0.1, (), {}, 5.0).admitted == 45
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -1,10 +1,10 @@
 """Refusal under overload: who is let in, and when others are asked back."""
 
-import math
 import random
 
 import pytest
 
+from oleandershift.demand import Shares, TeamRate, shares_of
 from oleandershift.directory import Upstream, UpstreamState
 from oleandershift.ids import DataCentreId, ServiceId, TeamId, UpstreamId
 from oleandershift.placement import Choice, Load
@@ -59,8 +59,8 @@
 
 def test_flood_is_held_to_its_share_and_others_are_not(shedding):
     other = TeamId("other")
-    shedding.level = 1000.0
-    shedding.demand = {TEAM: 4000.0, other: 800.0}
+    rates = {TEAM: TeamRate(4000.0, 1000.0), other: TeamRate(800.0, 800.0)}
+    shedding.shares = Shares(rates, 1000.0)
     busy = choice(0.25)
     flood = [shedding.decide(applicant(), busy).admitted for _ in range(400)]
     small = [shedding.decide(applicant(team=other), busy).admitted for _ in range(50)]
@@ -69,16 +69,27 @@
 
 
 def test_flood_may_use_what_is_free(shedding):
-    shedding.level = 1000.0
-    shedding.demand = {TEAM: 4000.0}
+    shedding.shares = Shares({TEAM: TeamRate(4000.0, 1000.0)}, 1000.0)
     assert all(shedding.decide(applicant(), choice(0.01)).admitted for _ in range(50))
 
 
 def test_no_level_no_share(shedding):
-    shedding.level = math.inf
+    shedding.shares = Shares({TEAM: TeamRate(4000.0, 4000.0)})
     assert shedding.decide(applicant(), choice(0.3)).within_share
 
 
 def test_returned_caller_waits_less(shedding):
     assert not shedding.decide(applicant(age=1.0), choice(0.3)).admitted
     assert shedding.decide(applicant(), choice(0.3)).admitted
+
+
+def test_team_that_got_less_than_its_due_waits_longer(shedding):
+    """A team within its share, refused more often than a flood, catches up."""
+    flood = TeamId("flood")
+    rates = {TEAM: TeamRate(160.0, 60.0), flood: TeamRate(600.0, 220.0)}
+    shedding.shares = shares_of(rates, 1000.0, 1.0)
+    busy = choice(0.45)
+    assert shedding.decide(applicant(), busy).admitted
+    assert not any(
+        shedding.decide(applicant(team=flood), busy).admitted for _ in range(20)
+    )
