--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -8,7 +8,7 @@
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
 
-SHARE_PATIENCE = 0.8
+SHARE_PATIENCE = 0.65
 """Part of the target that the predicted first byte of a request within its team's
 share may take; the rest covers errors of the prediction."""
 
