Serve metrics, bound logs, and tell a failure's cause from its id

Each refusal, failure, retry, late answer and cut stream has a line with what decided it; answers in time have one at DEBUG only. At most 400 lines a second are written; a slow reader drops lines, which are counted. Metrics are served at port 9464; 'oleander cause' reads logs. A stream cut within an event, or resumed with another status, had no line before.

--- /dev/null
+++ b/src/oleandershift/cli/cause.py
@@ -0,0 +1,61 @@
+"""Command `oleander cause`."""
+
+import argparse
+import sys
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+from oleandershift.cli.options import add_json, print_json
+from oleandershift.exceptions import OleanderError
+from oleandershift.explaining import LogEntry, cause_of, entries_of
+
+
+def add_parser(
+    subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    """Add the command's parser."""
+    parser = subparsers.add_parser(
+        "cause",
+        help="tell from gateways' logs why a request ended as it did",
+        description="Read the logs of gateways for one request.",
+    )
+    parser.add_argument("request", help="id of the caller's attempt")
+    parser.add_argument(
+        "logs", nargs="+", metavar="LOG", help="a log of JSON lines, or `-`"
+    )
+    add_json(parser)
+
+
+def _lines(names: Sequence[str]) -> Iterator[bytes]:
+    for name in names:
+        if name == "-":
+            yield from sys.stdin.buffer
+            continue
+        try:
+            with Path(name).open("rb") as log:
+                yield from log
+        except OSError as exc:
+            raise OleanderError(f"{name}: {exc.strerror}") from exc
+
+
+def _text(entry: LogEntry) -> str:
+    fields = " ".join(f"{name}={value}" for name, value in entry.fields.items())
+    return f"{entry.time} {entry.vm} {entry.event}: {fields}"
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run the command."""
+    entries = entries_of(args.request, _lines(args.logs))
+    if not entries:
+        raise OleanderError(
+            f"no line names request {args.request}: it was answered in time, or its "
+            "gateway's log is missing"
+        )
+    cause = cause_of(entries)
+    if args.json:
+        print_json({"cause": cause, "entries": entries})
+        return 0
+    for entry in entries:
+        print(_text(entry))
+    print(f"cause: {cause or 'no line tells a failure'}")
+    return 0
--- a/src/oleandershift/cli/gateway.py
+++ b/src/oleandershift/cli/gateway.py
@@ -10,7 +10,7 @@
 from oleandershift.exceptions import OleanderError, SettingsError
 from oleandershift.io import gateway
 from oleandershift.platform.settings import DEFAULT_PATH, VARIABLE
-from oleandershift.settings import Setting, choice, load, parser, text
+from oleandershift.settings import Setting, choice, load, parser, port, text
 
 SETTINGS = (
     Setting(
@@ -20,6 +20,13 @@
         "the platform's settings file",
         os.environ.get(VARIABLE, DEFAULT_PATH),
     ),
+    Setting(
+        "metrics_port",
+        port,
+        "1 to 65535",
+        "port that serves metrics at /metrics",
+        "9464",
+    ),
     Setting(
         "log_level",
         choice("DEBUG", "INFO", "WARNING", "ERROR"),
@@ -40,7 +47,7 @@
         if isinstance(result, Failure):
             raise SettingsError(result.failure())
         cfg = result.unwrap()
-        gateway.run(Path(cfg.node_file), cfg.log_level)
+        gateway.run(Path(cfg.node_file), cfg.metrics_port, cfg.log_level)
     except OleanderError as exc:
         print(f"oleander-gateway: {exc.message}", file=sys.stderr)
         return exc.exit_code
--- a/src/oleandershift/cli/operator.py
+++ b/src/oleandershift/cli/operator.py
@@ -8,7 +8,7 @@
 
 from returns.result import Failure
 
-from oleandershift.cli import drain, explain, status, table, timeline
+from oleandershift.cli import cause, drain, explain, status, table, timeline
 from oleandershift.exceptions import OleanderError, SettingsError
 from oleandershift.settings import load, program_version
 
@@ -40,7 +40,14 @@
         """Run the command and return the exit code."""
 
 
-COMMANDS: tuple[Command, ...] = (table, status, explain, timeline, drain)
+COMMANDS: tuple[Command, ...] = (
+    table,
+    status,
+    explain,
+    cause,
+    timeline,
+    drain,
+)
 
 
 def _name(command: Command) -> str:
--- /dev/null
+++ b/src/oleandershift/explaining.py
@@ -0,0 +1,99 @@
+"""Finds in gateways' logs why a request ended as it did."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+import msgspec
+
+CAUSES = {
+    "request.refused": "refused: {reason}",
+    "request.failed": "the upstream answered {status}: {reason}",
+    "request.late": "answered late",
+    "stream.cut": "the stream was cut: {reason}",
+    "stream.disorder": "the stream was cut: {detail}",
+    "caller.left": "the caller left before the answer ended",
+    "request.error": "internal error: {exception}",
+}
+"""Events that end a request, and what they say."""
+
+FAILURES = frozenset(CAUSES) - {"request.late", "caller.left"}
+"""Events that end a request without success."""
+
+
+class _Line(msgspec.Struct):
+    time: str
+    event: str
+    vm: str = ""
+    request: str = ""
+
+
+@dataclass(frozen=True)
+class LogEntry:
+    """One line about a request.
+
+    Parameters
+    ----------
+    time : str
+        When it was written.
+    vm : str
+        Where.
+    event : str
+        What happened.
+    fields : dict
+        Inputs of the decision and its outcome.
+    """
+
+    time: str
+    vm: str
+    event: str
+    fields: dict[str, object]
+
+
+def entries_of(request: str, lines: Iterable[bytes]) -> list[LogEntry]:
+    """Return a request's lines in order; lines of other kinds are passed over.
+
+    Parameters
+    ----------
+    request : str
+        Id of the caller's attempt.
+    lines : iterable of bytes
+        Logs of one or more gateways; text before a line's JSON is passed over.
+    """
+    wanted = request.encode()
+    found = []
+    for line in lines:
+        if wanted in line:
+            entry = _entry(line)
+            if entry is not None and entry.fields.get("request") == request:
+                found.append(entry)
+    return sorted(found, key=lambda entry: entry.time)
+
+
+def cause_of(entries: Iterable[LogEntry]) -> str | None:
+    """Return why a request ended as it did; None when no line says so."""
+    cause = None
+    for entry in entries:
+        template = CAUSES.get(entry.event)
+        if template is not None:
+            cause = template.format_map(_Missing(entry.fields))
+    return cause
+
+
+def _entry(line: bytes) -> LogEntry | None:
+    start = line.find(b'{"time"')
+    if start < 0:
+        return None
+    try:
+        head = msgspec.json.decode(line[start:], type=_Line)
+        fields = msgspec.json.decode(line[start:], type=dict[str, object])
+    except msgspec.DecodeError:
+        return None
+    rest = {k: v for k, v in fields.items() if k not in ("time", "vm", "event")}
+    return LogEntry(head.time, head.vm, head.event, rest)
+
+
+class _Missing(dict[str, object]):
+    """Fields of a line, with a mark for those that it lacks."""
+
+    def __missing__(self, key: str) -> str:
+        return "not told"
--- a/src/oleandershift/io/decisionlog.py
+++ b/src/oleandershift/io/decisionlog.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+import time
 from collections import deque
 from typing import Any
 
@@ -11,6 +12,10 @@
 MAX_LINES = 2_000
 """Lines held for a reader that is slow; about half a megabyte."""
 
+LINES_PER_SECOND = 400.0
+"""Lines that are written in the mean; a VM refuses some tens of requests a second under
+overload, and a line costs about a tenth of a millisecond."""
+
 _ENCODER = msgspec.json.Encoder(enc_hook=str)
 
 
@@ -27,16 +32,28 @@
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._lines: deque[bytes] = deque()
+        self._allowed = LINES_PER_SECOND
+        self._refilled = time.monotonic()
         self.dropped = 0
 
     def __call__(self, message: Any) -> None:
         """Take a line."""
-        if len(self._lines) >= MAX_LINES:
+        if len(self._lines) >= MAX_LINES or not self._is_allowed():
             self.dropped += 1
             return
         self._lines.append(str(message).encode())
         self.flush()
 
+    def _is_allowed(self) -> bool:
+        at = time.monotonic()
+        gained = (at - self._refilled) * LINES_PER_SECOND
+        self._allowed = min(LINES_PER_SECOND, self._allowed + gained)
+        self._refilled = at
+        if self._allowed < 1.0:
+            return False
+        self._allowed -= 1.0
+        return True
+
     def flush(self) -> None:
         """Write as much as the reader takes."""
         while self._lines:
--- a/src/oleandershift/io/following.py
+++ b/src/oleandershift/io/following.py
@@ -20,6 +20,7 @@
     Source,
     StoreLost,
 )
+from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.platform import configuration, entries
 from oleandershift.records import Record
 
@@ -35,6 +36,8 @@
         Takes the name of an upstream that has a new lifetime.
     log : DecisionLog
         Changes of belief.
+    metrics : GatewayMetrics
+        Counts answers and failures.
     """
 
     def __init__(
@@ -42,10 +45,12 @@
         beliefs: Beliefs,
         restarted: Callable[[UpstreamId], None],
         log: DecisionLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self._beliefs = beliefs
         self._restarted = restarted
         self._log = log
+        self._metrics = metrics
         self._feeds: list[Feed] = []
         self._lost: set[str] = set()
         self._stored: StoredRecord | None = None
@@ -104,6 +109,7 @@
             self._take_list(found.revision, found.upstreams)
 
     def _on_lost(self, event: StoreLost) -> None:
+        self._metrics.store.labels(event.kind, event.failure.error.value).inc()
         if event.kind not in self._lost:
             failure = event.failure
             self._log.warning(
@@ -117,6 +123,7 @@
             self._beliefs.directory.on_store_lost()
 
     def _on_answer(self, kind: str) -> None:
+        self._metrics.store.labels(kind, "answered").inc()
         if kind in self._lost:
             self._lost.discard(kind)
             self._log.info("store.regained", kind=kind)
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -17,6 +17,7 @@
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.following import StoreFollower
+from oleandershift.io.gatewaymetrics import GatewayMetrics, MetricsHandler
 from oleandershift.io.peers import PeerLink
 from oleandershift.io.pool import Pool
 from oleandershift.io.registry import VmRegistry
@@ -29,6 +30,7 @@
 from oleandershift.platform.store import StoreClient
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
+from oleandershift.settings import program_version
 from oleandershift.shedding import Shedding
 from oleandershift.state import FleetState
 
@@ -76,6 +78,11 @@
         for budget in self._held.values():
             budget.reserve = self.reserve
 
+    def least(self) -> float:
+        """Return the retries left of the tightest service."""
+        left = (budget.left for budget in self._held.values())
+        return min(left, default=self.reserve)
+
     def of(self, service: Service) -> RetryBudget:
         found = self._held.get(service.name)
         if found is None:
@@ -110,18 +117,24 @@
         Settings.
     path : Path
         The settings file.
+    metrics_port : int
+        Where metrics are served.
     log : DecisionLog
         Decisions.
     """
 
-    def __init__(self, node: NodeSettings, path: Path, log: DecisionLog) -> None:
+    def __init__(
+        self, node: NodeSettings, path: Path, metrics_port: int, log: DecisionLog
+    ) -> None:
         self._node = node
         self._path = path
+        self._metrics_port = metrics_port
         self._log = log
         self._neighbours = Neighbours(node.vm, node.data_centre)
         self._state = FleetState(self._neighbours)
         self._beliefs = self._state.beliefs
         self._pool = Pool()
+        self._metrics = GatewayMetrics()
         self._outliers = Outliers()
         self._shedding = Shedding(random.Random())
         self._peer = Peer(node.vm, node.data_centre, Address(node.ip, node.peer_port))
@@ -133,7 +146,7 @@
         )
         self._state.work_changed = self._link.on_work
         self._follower = StoreFollower(
-            self._beliefs, self._state.loads.forget_memory, log
+            self._beliefs, self._state.loads.forget_memory, log, self._metrics
         )
         place = Place(node.data_centre, node.region, node.regions)
         bounds = node.bounds
@@ -148,6 +161,7 @@
             self._outliers,
             self._budgets.of,
             log,
+            self._metrics,
         )
         self._stamp = _stamp(path)
         self._registry = VmRegistry(
@@ -185,7 +199,14 @@
             self._node.callers.port,
             backlog=512,
         )
-        self._log.info("process.started", settings=str(self._path))
+        scrapes = await loop.create_server(
+            factory(MetricsHandler(self._metrics), self._probes),
+            self._node.ip,
+            self._metrics_port,
+        )
+        self._log.info(
+            "process.started", settings=str(self._path), version=program_version()
+        )
         tasks = [
             loop.create_task(self._upkeep()),
             loop.create_task(self._catch_up()),
@@ -196,6 +217,7 @@
         for task in tasks:
             task.cancel()
         ready.close()
+        scrapes.close()
         self._link.close()
         self._follower.stop()
         self._log.info("process.stopped", active=self._relay.active)
@@ -217,10 +239,28 @@
             self._beliefs.directory.expire(at)
             self._pool.sweep()
             self._log.writer.flush()
+            self._update_gauges(at)
             if at >= next_look:
                 next_look = at + SETTINGS_SECONDS
                 self._look_at_settings()
 
+    def _update_gauges(self, at: float) -> None:
+        cfg = self._beliefs.configuration
+        directory = self._beliefs.directory
+        values = {
+            "configuration_version": cfg.version if cfg else 0,
+            "upstreams_revision": directory.revision,
+            "upstreams": len(directory.entries()),
+            "upstreams_ejected": len(self._outliers.ejected()),
+            "vms": self._neighbours.count(at),
+            "active_requests": self._relay.active,
+            "connections_opened": self._pool.opened,
+            "retry_budget": self._budgets.least(),
+            "log_lines_dropped": self._log.writer.dropped,
+        }
+        for name, value in values.items():
+            self._metrics.gauges[name].set(value)
+
     def _update_shares(self, at: float) -> None:
         state = self._state
         cfg = self._beliefs.configuration
@@ -290,7 +330,7 @@
     return found.st_mtime_ns, found.st_size
 
 
-def run(path: Path, level: str) -> None:
+def run(path: Path, metrics_port: int, level: str) -> None:
     """Run the process with a settings file.
 
     Raises
@@ -305,8 +345,10 @@
     import uvloop
 
     log = DecisionLog(node.vm, level)
-    uvloop.run(_main(node, path, log))
+    uvloop.run(_main(node, path, metrics_port, log))
 
 
-async def _main(node: NodeSettings, path: Path, log: DecisionLog) -> None:
-    await Gateway(node, path, log).run()
+async def _main(
+    node: NodeSettings, path: Path, metrics_port: int, log: DecisionLog
+) -> None:
+    await Gateway(node, path, metrics_port, log).run()
--- /dev/null
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -0,0 +1,100 @@
+"""Counters and latency histograms of a gateway, in the text format of scrapers.
+
+prometheus_client serves that format itself; the OpenTelemetry SDK does so only by an
+exporter on top of the same library.
+"""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+from oleandershift.io.callers import CallerRequest, Responder
+from oleandershift.routing import Limits
+
+CONTENT_TYPE = b"text/plain; version=0.0.4; charset=utf-8"
+
+SECONDS = (0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.8, 1.5, 3, 6, 15)
+"""Bounds of latency buckets: close around the targets of 0.25 to 0.8 s."""
+
+
+class GatewayMetrics:
+    """What a gateway counts and measures."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self.requests = Counter(
+            "oleander_requests",
+            "Requests by kind and outcome.",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self.first_byte = Histogram(
+            "oleander_first_byte_seconds",
+            "Time from a request's arrival to its answer's first byte.",
+            ["kind"],
+            buckets=SECONDS,
+            registry=self._registry,
+        )
+        self.prediction_error = Histogram(
+            "oleander_prediction_error_seconds",
+            "Distance of the predicted from the seen first byte.",
+            buckets=SECONDS,
+            registry=self._registry,
+        )
+        self.attempts = Counter(
+            "oleander_attempts",
+            "Attempts at upstreams by their end.",
+            ["end"],
+            registry=self._registry,
+        )
+        self.store = Counter(
+            "oleander_store_events",
+            "Answers of the store and failed calls by kind.",
+            ["kind", "outcome"],
+            registry=self._registry,
+        )
+        self.gauges = {
+            name: Gauge(f"oleander_{name}", text, registry=self._registry)
+            for name, text in (
+                ("configuration_version", "Version in force."),
+                ("upstreams_revision", "Store revision of the list of upstreams."),
+                ("upstreams", "Upstreams believed in."),
+                ("upstreams_ejected", "Upstreams left out for failures."),
+                ("vms", "Live VMs, this one included."),
+                ("active_requests", "Requests under way."),
+                ("connections_opened", "Connections opened to upstreams."),
+                ("retry_budget", "Retries left of the tightest service."),
+                ("log_lines_dropped", "Log lines dropped for a slow reader."),
+            )
+        }
+
+    def text(self) -> bytes:
+        """Return all metrics."""
+        return generate_latest(self._registry)
+
+
+class MetricsHandler:
+    """Serves metrics.
+
+    Parameters
+    ----------
+    metrics : GatewayMetrics
+        What to serve.
+    """
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self._metrics = metrics
+
+    def limits(self) -> Limits:
+        """Return the bounds for scrapers."""
+        return Limits()
+
+    def closing(self) -> bool:
+        """Tell whether connections are closed after each answer."""
+        return False
+
+    async def handle(self, req: CallerRequest, res: Responder) -> None:
+        """Answer a scrape."""
+        if req.target.partition(b"?")[0] != b"/metrics":
+            res.send(404, [], b"metrics are at /metrics")
+            return
+        res.send(200, [(b"content-type", CONTENT_TYPE)], self._metrics.text())
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -12,6 +12,7 @@
 from oleandershift.io.callers import CallerRequest, Headers, Responder
 from oleandershift.io.clock import now, remaining
 from oleandershift.io.decisionlog import DecisionLog
+from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.pool import Pool
 from oleandershift.io.upstreamconn import (
     BrokenExchangeError,
@@ -142,6 +143,8 @@
         Returns a service's retry budget.
     log : DecisionLog
         Decisions.
+    metrics : GatewayMetrics
+        Counts and latencies.
     """
 
     def __init__(
@@ -153,6 +156,7 @@
         outliers: Outliers,
         budget: Callable[[Service], RetryBudget],
         log: DecisionLog,
+        metrics: GatewayMetrics,
     ) -> None:
         self._state = state
         self._beliefs = state.beliefs
@@ -164,6 +168,7 @@
         self._outliers = outliers
         self._budget = budget
         self._log = log
+        self._metrics = metrics
         self.draining = False
         self.stopped = False
         self.active = 0
@@ -284,7 +289,17 @@
                 return
             if not call.sends and not self._admitted(call, choice, res):
                 return
+            if call.sends:
+                self._log.info(
+                    "request.retried",
+                    request=call.id,
+                    upstream=choice.upstream.name,
+                    sends=call.sends,
+                    last_event=call.cutter.last_id,
+                    left_ms=round(remaining(call.deadline) * 1000),
+                )
             end = await self._attempt(call, choice, res)
+            self._metrics.attempts.labels(end.value).inc()
             if end is End.ANSWERED:
                 return
             if not self._may_go_on(call, end):
@@ -405,7 +420,7 @@
                 events=call.cutter.events,
             )
             if res.started and not call.repeatable:
-                res.abort()
+                self._cut(call, res, f"upstream {exc.cause.value}")
                 return End.ANSWERED
             return End.UNKNOWN
         except asyncio.CancelledError:
@@ -445,8 +460,9 @@
         else:
             self._record(call, upstream, True)
         if res.started:
-            res.abort()
+            self._cut(call, res, f"resumed with status {head.status}")
             return End.ANSWERED
+        call.first_at = now()
         res.send(head.status, fields, body)
         self._finished(call, upstream, head.status)
         return End.ANSWERED
@@ -488,7 +504,7 @@
         if not res.started:
             res.start(head.status, _answer_fields(head))
         if not call.cutter.whole:
-            res.abort()
+            self._cut(call, res, "its end came within an event")
             return End.ANSWERED
         res.finish()
         self._record(call, upstream, True)
@@ -512,27 +528,50 @@
         )
 
     def _finished(self, call: Call, upstream: Upstream, status: int) -> None:
-        self._log.debug(
-            "request.done",
-            request=call.id,
-            upstream=upstream.name,
-            status=status,
-            first_ms=round((call.first_at - call.req.arrived) * 1000),
+        first_s = max(0.0, call.first_at - call.req.arrived)
+        late = first_s + call.age_s > call.route.target_ms / 1000
+        self._measure(call, first_s)
+        fields = {
+            "request": call.id,
+            "upstream": upstream.name,
+            "status": status,
+            "first_ms": round(first_s * 1000),
+            "age_ms": round(call.age_s * 1000),
+            "sends": call.sends,
             **_inputs(call.choice),
-        )
+        }
         if status >= 400:
-            self._log.info(
-                "request.failed",
-                request=call.id,
-                upstream=upstream.name,
-                status=status,
-            )
+            self._log.info("request.failed", **fields, reason="its own answer")
+            self._count(call, "failed")
+        elif late:
+            self._log.info("request.late", **fields)
+            self._count(call, "late")
+        else:
+            self._log.debug("request.done", **fields)
+            self._count(call, "in-time")
+
+    def _measure(self, call: Call, first_s: float) -> None:
+        kind = call.route.semantics.value
+        self._metrics.first_byte.labels(kind).observe(first_s)
+        if call.choice is not None and call.prompt is not None:
+            error = abs(call.choice.seconds - first_s)
+            self._metrics.prediction_error.observe(error)
+
+    def _cut(self, call: Call, res: Responder, reason: str) -> None:
+        """Close a stream that can't go on, so that it does not look complete."""
+        self._log.warning(
+            "stream.cut", request=call.id, reason=reason, events=call.cutter.events
+        )
+        self._count(call, "cut")
+        res.abort()
+
+    def _count(self, call: Call, outcome: str) -> None:
+        self._metrics.requests.labels(call.route.semantics.value, outcome).inc()
 
     def _give_up(self, call: Call, res: Responder, reason: str) -> None:
         """Answer a request that will not be sent again."""
         if res.started:
-            self._log.warning("stream.cut", request=call.id, reason=reason)
-            res.abort()
+            self._cut(call, res, reason)
             return
         if call.failure is not None:
             status, fields, body = call.failure
@@ -540,14 +579,14 @@
             self._log.info(
                 "request.failed", request=call.id, status=status, reason=reason
             )
+            self._count(call, "failed")
             return
         self._refuse(call, res, reason, 502)
 
     def _expire(self, call: Call, res: Responder) -> None:
         """Answer a request whose time is up."""
         if res.started:
-            self._log.warning("stream.cut", request=call.id, reason="deadline")
-            res.abort()
+            self._cut(call, res, "deadline")
             return
         self._refuse(call, res, "deadline", 504)
 
@@ -577,6 +616,7 @@
             retry_after_s=round(wait, 2) if status == 503 else None,
             **_inputs(choice),
         )
+        self._count(call, "refused" if status == 503 else "unknown")
         res.send(status, fields, reason.encode())
 
 
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -165,7 +165,7 @@
         """Return the sum over the VMs of this data centre."""
         sums: dict[UpstreamId, Load] = {}
         _add(sums, own)
-        rates = dict(asked)
+        rates = _RateSum(asked)
         mates = [
             digest
             for digest in self._live_vms(now)
@@ -173,17 +173,18 @@
         ]
         for digest in mates:
             _add(sums, digest.work)
-            _add_rates(rates, digest.demand)
-        return CentreSum(len(mates) + 1, work_entries(sums), demand_entries(rates))
+            rates.add(digest.demand)
+        demand = demand_entries(rates.rates())
+        return CentreSum(len(mates) + 1, work_entries(sums), demand)
 
     def demand(
         self, now: float, own: Mapping[TeamId, TeamRate]
     ) -> dict[TeamId, TeamRate]:
         """Return what each team asks of all VMs, and what they let in."""
-        rates = dict(own)
+        rates = _RateSum(own)
         for digest in self._live(now):
-            _add_rates(rates, digest.demand)
-        return rates
+            rates.add(digest.demand)
+        return rates.rates()
 
     def count(self, now: float) -> int:
         """Return the number of live VMs, this one included."""
@@ -293,9 +294,22 @@
         load.held += entry.held
 
 
-def _add_rates(rates: dict[TeamId, TeamRate], demand: Iterable[TeamDemand]) -> None:
-    for entry in demand:
-        held = rates.get(entry.team, TeamRate())
-        rates[entry.team] = TeamRate(
-            held.asked + entry.rate, held.admitted + entry.admitted
-        )
+class _RateSum:
+    """Sum of teams' rates over several digests."""
+
+    def __init__(self, own: Mapping[TeamId, TeamRate]) -> None:
+        self._asked = {team: rate.asked for team, rate in own.items()}
+        self._admitted = {team: rate.admitted for team, rate in own.items()}
+
+    def add(self, demand: Iterable[TeamDemand]) -> None:
+        asked, admitted = self._asked, self._admitted
+        for entry in demand:
+            team = entry.team
+            asked[team] = asked.get(team, 0.0) + entry.rate
+            admitted[team] = admitted.get(team, 0.0) + entry.admitted
+
+    def rates(self) -> dict[TeamId, TeamRate]:
+        return {
+            team: TeamRate(asked, self._admitted[team])
+            for team, asked in self._asked.items()
+        }
--- a/src/oleandershift/retries.py
+++ b/src/oleandershift/retries.py
@@ -31,6 +31,11 @@
     def __post_init__(self) -> None:
         self._left = self.reserve
 
+    @property
+    def left(self) -> float:
+        """Return the retries that are saved up."""
+        return self._left
+
     def deposit(self) -> None:
         """Take note of a first attempt."""
         self._left = min(self.reserve, self._left + self.ratio)
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from oleandershift.explaining import cause_of, entries_of
 from standins.gateway_fleet import (
     Fleet,
     call_on,
@@ -302,3 +303,42 @@
     gateway.process.signal(signal.SIGHUP)
     wait_until(lambda: "settings.reloaded" in fleet.log(gateway), "the settings")
     assert gateway.call("/write/x", "a1").status == 200
+
+
+def scrape(gateway):
+    conn = http.client.HTTPConnection(gateway.ip, 9464, timeout=5)
+    conn.request("GET", "/metrics")
+    text = conn.getresponse().read().decode()
+    conn.close()
+    return text
+
+
+def test_metrics_are_served(fleet, gateway):
+    gateway.call("/write/x", "a1")
+    gateway.call("/stream/once/x", "a2")
+    text = scrape(gateway)
+    wanted = 'oleander_requests_total{kind="at-most-once",outcome="in-time"} 1.0'
+    assert wanted in text
+    assert 'oleander_first_byte_seconds_count{kind="stream"} 1.0' in text
+    wait_until(lambda: "oleander_upstreams 2.0" in scrape(gateway), "the gauges")
+
+
+@pytest.mark.parametrize(
+    ("path", "conduct", "cause"),
+    [
+        ("/write/x", Conduct.REFUSE, "refused"),
+        ("/write/x", Conduct.CUT_AFTER, "refused: last attempt: unknown"),
+        ("/stream/once/x", Conduct.CUT_MIDWAY, "the stream was cut"),
+        ("/write/x", Conduct.FAIL, "the upstream answered 500"),
+    ],
+)
+def test_failure_is_explained_by_its_id(fleet, gateway, path, conduct, cause):
+    for engine in fleet.engines.values():
+        engine.conduct = conduct
+    gateway.call(path, "a1")
+
+    def told():
+        entries = entries_of("a1", fleet.log(gateway).encode().splitlines())
+        return (cause_of(entries) or "").startswith(cause)
+
+    wait_until(told, cause)
--- /dev/null
+++ b/tests/test_explaining.py
@@ -0,0 +1,64 @@
+"""Why a request ended as it did, from gateways' logs."""
+
+import json
+
+import pytest
+
+from oleandershift.cli import operator
+from oleandershift.explaining import CAUSES, cause_of, entries_of
+
+
+def line(event, request="a1", time="2026-12-04T00:00:01", **fields):
+    made = {"time": time, "level": "INFO", "event": event, "vm": "vm1"}
+    return json.dumps({**made, "request": request, **fields}, separators=(",", ":"))
+
+
+@pytest.fixture
+def log():
+    return [
+        line("attempt.broken", cause="reset", time="2026-12-04T00:00:02"),
+        line("stream.cut", reason="upstream reset", time="2026-12-04T00:00:03"),
+        line("request.refused", "a2", reason="too late", status=503),
+        line("request.refused", "a11", reason="deadline", status=504),
+        "  12.5 vm2 " + line("attempt.not-run", upstream="e1"),
+        "Traceback (most recent call last):",
+        '{"time": a1',
+    ]
+
+
+def read(log, request):
+    return entries_of(request, [text.encode() for text in log])
+
+
+def test_lines_of_one_request_in_order(log):
+    events = [entry.event for entry in read(log, "a1")]
+    assert events == ["attempt.not-run", "attempt.broken", "stream.cut"]
+
+
+def test_cause_is_the_last_decision(log):
+    assert cause_of(read(log, "a1")) == "the stream was cut: upstream reset"
+    assert cause_of(read(log, "a2")) == "refused: too late"
+
+
+def test_request_that_is_not_named(log):
+    assert read(log, "a9") == []
+    assert cause_of([]) is None
+
+
+@pytest.mark.parametrize("event", list(CAUSES))
+def test_every_cause_can_be_told(event):
+    assert cause_of(read([line(event)], "a1"))
+
+
+def test_command_reads_logs(tmp_path, capsys, log, monkeypatch):
+    path = tmp_path / "vm1.log"
+    path.write_text("\n".join(log))
+    assert operator.main(["cause", "a2", str(path)]) == 0
+    assert "cause: refused: too late" in capsys.readouterr().out
+
+
+def test_command_says_that_nothing_was_found(tmp_path, capsys):
+    path = tmp_path / "vm1.log"
+    path.write_text("")
+    assert operator.main(["cause", "a2", str(path)]) == 1
+    assert "no line names request a2" in capsys.readouterr().err
