Watch long beside a hub's short watches; keep vanished registrations a while

Change: only hubs watch for 2.5 s; the others for 15 s, and see by the digests if they miss something, which they then read from that VM. News within 0.25 s come with one call. As an outage may now pass unnoticed, a registration that vanishes without having been draining is kept for 0.6 of the drain time.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -61,18 +61,30 @@
     """The upstreams that may get work, as far as this VM knows.
 
     The store drops registrations that were not renewed, also those of upstreams that
-    could not reach it while it was away. An entry that vanishes around an outage is
-    therefore kept until the store has been back for `RETURN_SECONDS`; one that vanishes
-    at other times, or was draining, goes at once.
+    could not reach it while it was away, and not every VM notices an outage. An entry
+    that vanishes without having been draining is therefore kept for a while, and around
+    a known outage until the store has been back for `RETURN_SECONDS`.
+
+    Parameters
+    ----------
+    grace_s : float
+        Seconds that an entry is kept in calm times; less than an upstream that leaves
+        goes on serving.
+
+    Attributes
+    ----------
+    changed : int
+        Store revision of the newest change that is known.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, grace_s: float = 0.0) -> None:
+        self._grace_s = grace_s
         self._entries: dict[UpstreamId, Upstream] = {}
         self._revisions: dict[UpstreamId, int] = {}
         self._lapsed: dict[UpstreamId, float] = {}
         self._back_at: float | None = None
         self._away = False
-        self.revision = 0
+        self.changed = 0
         self._listed = 0
         self.loaded = False
 
@@ -102,14 +114,14 @@
         entries : iterable of tuple
             Each entry after the revision of its last change.
         """
-        if self.loaded and revision < self.revision:
+        if self.loaded and revision < self.changed:
             return ()
         listed = {entry.name: (changed, entry) for changed, entry in entries}
         missing = [name for name in self._entries if name not in listed]
         gone = [entry for name in missing if (entry := self._vanish(now, name))]
         for changed, entry in listed.values():
             self._take(changed, entry)
-        self.revision = revision
+        self.changed = max([self.changed, *(changed for changed, _ in listed.values())])
         self._listed = revision
         self.loaded = True
         return tuple(gone)
@@ -119,7 +131,7 @@
         if revision <= max(self._listed, self._revisions.get(entry.name, 0)):
             return False
         self._take(revision, entry)
-        self.revision = max(self.revision, revision)
+        self.changed = max(self.changed, revision)
         return True
 
     def remove(self, now: float, revision: int, name: UpstreamId) -> bool:
@@ -134,15 +146,11 @@
         name : UpstreamId
             Whose entry.
         """
-        self.revision = max(self.revision, revision)
+        self.changed = max(self.changed, revision)
         if revision and revision < self._revisions.get(name, 0):
             return False
         return self._vanish(now, name) is not None
 
-    def advance(self, revision: int) -> None:
-        """Take note that everything up to a revision has been seen."""
-        self.revision = max(self.revision, revision)
-
     def expire(self, now: float) -> tuple[Upstream, ...]:
         """Drop the lapsed entries that did not come back in time."""
         over = [name for name, until in self._lapsed.items() if until <= now]
@@ -189,6 +197,7 @@
     def _kept_until(self, now: float) -> float:
         if self._away:
             return now + RETURN_SECONDS
+        calm = now + self._grace_s
         if self._back_at is None:
-            return now
-        return self._back_at + RETURN_SECONDS
+            return calm
+        return max(calm, self._back_at + RETURN_SECONDS)
--- a/src/oleandershift/fleetview.py
+++ b/src/oleandershift/fleetview.py
@@ -5,11 +5,17 @@
 
 
 class Beliefs:
-    """The newest configuration seen, and the directory of upstreams."""
+    """The newest configuration seen, and the directory of upstreams.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    grace_s : float
+        Seconds that a registration which vanished is kept.
+    """
+
+    def __init__(self, grace_s: float = 0.0) -> None:
         self.configuration: Configuration | None = None
-        self.directory = Directory()
+        self.directory = Directory(grace_s)
 
     def accept(self, cfg: Configuration) -> bool:
         """Take a configuration unless it is older than the one in force."""
--- a/src/oleandershift/io/feed.py
+++ b/src/oleandershift/io/feed.py
@@ -24,10 +24,25 @@
     def snapshot(self, kind: str) -> Result[Snapshot, StoreFailure]:
         """Read all objects of a kind."""
 
-    def watch(self, kind: str, revision: int) -> Result[Changes, StoreFailure]:
+    def watch(
+        self, kind: str, revision: int, wait_seconds: float
+    ) -> Result[Changes, StoreFailure]:
         """Wait for changes of a kind."""
 
 
+SHORT_WATCH_SECONDS = 2.5
+"""Wait of a watch on which others rely, too. A silent connection shows after this time
+and a margin of 1 s: within the 4 s in which a VM may be out of touch."""
+
+LONG_WATCH_SECONDS = 15.0
+"""Wait of a watch beside others: each call to the store is paid for, and a silent
+connection shows by what the other VMs have read."""
+
+GATHER_SECONDS = 0.25
+"""Pause after changes, so that the next call brings several: a tenth of the shortest
+time in which a change has to be in force."""
+
+
 @dataclass(frozen=True, slots=True)
 class StoreLost:
     """A call failed."""
@@ -84,6 +99,7 @@
         self._stopped = threading.Event()
         self._revision: int | None = None
         self._failures = 0
+        self.wait_seconds = SHORT_WATCH_SECONDS
 
     def start(self) -> None:
         """Begin to follow."""
@@ -102,7 +118,10 @@
         result = self._read() if self._revision is None else self._watch(self._revision)
         if not isinstance(result, Failure):
             self._failures = 0
-            self._deliver(result.unwrap())
+            found = result.unwrap()
+            self._deliver(found)
+            if isinstance(found, ChangesRead) and found.changes.records:
+                self._stopped.wait(GATHER_SECONDS)
             return
         failure = result.failure()
         if failure.error is StoreError.GONE:
@@ -120,7 +139,7 @@
         return result.map(lambda found: SnapshotRead(self._kind, found))
 
     def _watch(self, revision: int) -> Result[FeedEvent, StoreFailure]:
-        result = self._source.watch(self._kind, revision)
+        result = self._source.watch(self._kind, revision, self.wait_seconds)
         if isinstance(result, Failure):
             return Failure(result.failure())
         self._revision = result.unwrap().revision
--- a/src/oleandershift/io/following.py
+++ b/src/oleandershift/io/following.py
@@ -13,6 +13,8 @@
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.feed import (
+    LONG_WATCH_SECONDS,
+    SHORT_WATCH_SECONDS,
     ChangesRead,
     Feed,
     FeedEvent,
@@ -73,6 +75,11 @@
             self._feeds.append(feed)
             feed.start()
 
+    def rely_on_others(self, relies: bool) -> None:
+        """Say whether other VMs' reading shows what this one misses."""
+        for feed in self._feeds:
+            feed.wait_seconds = LONG_WATCH_SECONDS if relies else SHORT_WATCH_SECONDS
+
     def stop(self) -> None:
         """End all feeds."""
         for feed in self._feeds:
@@ -96,7 +103,7 @@
         """Return what was read from the store."""
         return BeliefsSnapshot(
             configuration=self._stored,
-            revision=self._beliefs.directory.revision,
+            revision=self._beliefs.directory.changed,
             upstreams=tuple(self._entries.values()),
         )
 
@@ -105,7 +112,7 @@
         self._log.info("snapshot.taken", peer=peer, revision=found.revision)
         if found.configuration is not None:
             self._take_configuration(found.configuration)
-        if found.revision > self._beliefs.directory.revision:
+        if found.revision > self._beliefs.directory.changed:
             self._take_list(found.revision, found.upstreams)
 
     def _on_lost(self, event: StoreLost) -> None:
@@ -155,7 +162,7 @@
         self, revision: int, records: tuple[Record, ...] | tuple[StoredRecord, ...]
     ) -> None:
         directory = self._beliefs.directory
-        if directory.loaded and revision < directory.revision:
+        if directory.loaded and revision < directory.changed:
             return
         found = []
         for record in records:
@@ -179,7 +186,6 @@
                 self._remove(record.name, record.revision)
             else:
                 self._put(record)
-        self._beliefs.directory.advance(event.changes.revision)
 
     def _remove(self, name: str, revision: int) -> None:
         self._entries.pop(name, None)
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -12,7 +12,8 @@
 
 from oleandershift.demand import shares_of
 from oleandershift.exceptions import SettingsError
-from oleandershift.ids import Incarnation
+from oleandershift.fleetview import Beliefs
+from oleandershift.ids import Incarnation, VmId
 from oleandershift.io.callers import CallerConnection, CallerRequest, Responder, factory
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
@@ -53,6 +54,10 @@
 SHARE_HEADROOM = 1.1
 """Capacity to be shared over what is let in now, so that shares grow into free room."""
 
+GRACE_SHARE = 0.6
+"""Part of the time in which a leaving upstream serves on for which a registration that
+vanished is kept; the rest is left to the way of the news."""
+
 BUDGET_SHARE = 0.5
 """Part of the fleet's retry budget that is used, as VMs spend it without asking: what
 they save up may fall into one window, and some may hold an old count of VMs."""
@@ -131,7 +136,8 @@
         self._metrics_port = metrics_port
         self._log = log
         self._neighbours = Neighbours(node.vm, node.data_centre)
-        self._state = FleetState(self._neighbours)
+        grace_s = GRACE_SHARE * node.bounds.drain_ms / 1000
+        self._state = FleetState(self._neighbours, Beliefs(grace_s))
         self._beliefs = self._state.beliefs
         self._pool = Pool()
         self._metrics = GatewayMetrics()
@@ -236,6 +242,7 @@
             self._outliers.on_tick(at)
             self._update_shares(at)
             self._link.tell()
+            self._follower.rely_on_others(self._neighbours.relies(at))
             self._beliefs.directory.expire(at)
             self._pool.sweep()
             self._log.writer.flush()
@@ -249,7 +256,7 @@
         directory = self._beliefs.directory
         values = {
             "configuration_version": cfg.version if cfg else 0,
-            "upstreams_revision": directory.revision,
+            "upstreams_revision": directory.changed,
             "upstreams": len(directory.entries()),
             "upstreams_ejected": len(self._outliers.ejected()),
             "vms": self._neighbours.count(at),
@@ -270,21 +277,29 @@
         self._budgets.share(self._neighbours.known(at))
 
     async def _catch_up(self) -> None:
-        """Read from another VM what the store does not tell this one."""
+        """Read from another VM what the store does not tell this one.
+
+        While the store answers, a VM has to be ahead twice, as news reach VMs at
+        different times.
+        """
+        suspect: VmId | None = None
         while True:
             await asyncio.sleep(CATCH_UP_SECONDS)
-            cfg = self._beliefs.configuration
-            version = cfg.version if cfg else 0
-            if not self._follower.away:
-                continue
-            revision = self._beliefs.directory.revision
-            peer = self._neighbours.ahead(now(), version, revision)
-            if peer is None:
+            peer = self._ahead()
+            if peer is None or (peer.vm != suspect and not self._follower.away):
+                suspect = peer.vm if peer else None
                 continue
             found = await self._link.fetch(peer)
             if found is not None:
                 self._follower.take_snapshot(found, peer.vm)
 
+    def _ahead(self) -> Peer | None:
+        """Return a VM that has read more of the store than this one, if any."""
+        cfg = self._beliefs.configuration
+        version = cfg.version if cfg else 0
+        changed = self._beliefs.directory.changed
+        return self._neighbours.ahead(now(), version, changed)
+
     def _look_at_settings(self) -> None:
         """Read the settings again if their file has changed."""
         found = _stamp(self._path)
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -176,7 +176,7 @@
             scope=scope,
             vms=total.vms,
             configuration=cfg.version if cfg else 0,
-            revision=self._state.beliefs.directory.revision,
+            revision=self._state.beliefs.directory.changed,
             port=self._address.port,
             work=total.work,
             demand=total.demand,
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -112,6 +112,10 @@
             if digest.data_centre == self._data_centre
         )
 
+    def relies(self, now: float) -> bool:
+        """Tell whether this VM may rely on its hub's reading of the store."""
+        return not self.is_hub(now)
+
     def mates(self, now: float) -> list[Peer]:
         """Return the VMs of the same data centre."""
         return [
@@ -204,7 +208,7 @@
         ]
         if not newer:
             return None
-        best = max(newer, key=lambda item: (item.configuration, item.revision))
+        best = max(newer, key=self._freshness)
         return self._peers[best.vm]
 
     def silent(self, now: float, seconds: float) -> list[VmId]:
@@ -217,6 +221,10 @@
         self._seen.pop(vm, None)
         self._vms.pop(vm, None)
 
+    def _freshness(self, digest: Digest) -> tuple[int, int, bool]:
+        near = digest.data_centre == self._data_centre
+        return digest.configuration, digest.revision, near
+
     def _held(self, digest: Digest) -> _Heard | None:
         if digest.scope is Scope.VM:
             return self._vms.get(digest.vm)
--- a/src/oleandershift/platform/store.py
+++ b/src/oleandershift/platform/store.py
@@ -15,10 +15,6 @@
 CONNECTIONS = 4
 """One connection for each kind that is watched, and two for other calls."""
 
-WATCH_SECONDS = 2.5
-"""How long a watch waits. A silent connection shows after this time plus the margin,
-which has to be less than the 4 s in which a VM counts as out of touch."""
-
 WATCH_MARGIN_SECONDS = 1.0
 """Answer time of a store that is 80 times slower than usual, with its round trips."""
 
@@ -99,11 +95,13 @@
                 return Success(Snapshot(revision, tuple(records)))
             after = found[-1].name
 
-    def watch(self, kind: str, revision: int) -> Result[Changes, StoreFailure]:
+    def watch(
+        self, kind: str, revision: int, wait_seconds: float
+    ) -> Result[Changes, StoreFailure]:
         """Wait for changes of a kind after a revision; none may have come."""
-        wait_ms = int(WATCH_SECONDS * 1000)
+        wait_ms = int(wait_seconds * 1000)
         path = f"/v1/objects/{kind}?watch={revision}&waitMs={wait_ms}"
-        limit = WATCH_SECONDS + WATCH_MARGIN_SECONDS
+        limit = wait_seconds + WATCH_MARGIN_SECONDS
         result = self._get(path, limit, _Events)
         if isinstance(result, Failure):
             return Failure(result.failure())
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -14,7 +14,7 @@
     """Beliefs, work, and demand of one VM, and its neighbours."""
 
     neighbours: Neighbours
-    beliefs: Beliefs = field(default_factory=Beliefs)
+    beliefs: Beliefs
     loads: Loads = field(default_factory=Loads)
     demand: DemandMeter = field(default_factory=DemandMeter)
     work_changed: Callable[[], None] = lambda: None
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -102,3 +102,19 @@
 @pytest.mark.parametrize("revision", [9, 11])
 def test_removal_names_the_last_change_or_itself(directory, revision):
     assert directory.remove(1.0, revision, UpstreamId("u1"))
+
+
+def test_entry_that_vanishes_is_kept_for_the_grace():
+    directory = Directory(grace_s=1.5)
+    directory.replace(0.0, 10, listed(make_upstream("u1"), make_upstream("u2")))
+    assert not directory.remove(1.0, 11, UpstreamId("u1"))
+    assert usable(directory) == {"u1", "u2"}
+    directory.expire(2.5)
+    assert usable(directory) == {"u2"}
+
+
+def test_change_that_is_known_is_told(directory):
+    assert directory.changed == 9
+    directory.put(12, make_upstream("u3"))
+    directory.remove(1.0, 14, UpstreamId("u3"))
+    assert directory.changed == 14
