Know a hub by its digest, before its registration is read

Change: a digest carries its sender's address, which is known from then on, also when it was passed on.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -77,8 +77,9 @@
         Newest version in force at the sender.
     revision : int
         Store revision of its list of upstreams.
+    host : str
     port : int
-        Port of its snapshot server.
+        Where it listens, by datagrams and connections.
     work, demand : tuple
         Largest first.
     """
@@ -91,6 +92,7 @@
     vms: int
     configuration: int
     revision: int
+    host: str
     port: int
     work: tuple[UpstreamWork, ...]
     demand: tuple[TeamDemand, ...]
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -177,6 +177,7 @@
             vms=total.vms,
             configuration=cfg.version if cfg else 0,
             revision=self._state.beliefs.directory.changed,
+            host=self._address.host,
             port=self._address.port,
             work=total.work,
             demand=total.demand,
@@ -197,7 +198,7 @@
             self._log.warning("digest.damaged", sender=sender, why=result.failure())
             return
         at = now()
-        is_news = self._neighbours.take(at, result.unwrap(), sender)
+        is_news = self._neighbours.take(at, result.unwrap())
         self.on_work()
         if is_news and self._neighbours.is_hub(at):
             self._send_bytes(data, self._neighbours.mates(at))
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -17,7 +17,7 @@
 KNOWN_SECONDS = 60.0
 """Silence after which a VM is no longer told anything."""
 
-MAX_WORK = 34
+MAX_WORK = 33
 MAX_DEMAND = 30
 """Entries of a digest, so that it fits into one packet of 1500 bytes."""
 
@@ -85,22 +85,23 @@
                 self._peers[peer.vm] = peer
                 self._seen.setdefault(peer.vm, now)
 
-    def take(self, now: float, digest: Digest, sender: Address) -> bool:
-        """Take a digest; return whether it is news that a hub passes on."""
+    def take(self, now: float, digest: Digest) -> bool:
+        """Take a digest; return whether it is news that a hub passes on.
+
+        Its sender is known from then on, also if its registration was not read yet.
+        """
         if digest.vm == self._vm:
             return False
         held = self._held(digest)
         if held is not None and _order(held.digest) >= _order(digest):
             return False
+        self._note(now, digest)
         if digest.scope is Scope.VM:
             self._vms[digest.vm] = _Heard(digest, now)
-            self._note(now, digest, sender)
             return False
         if digest.data_centre == self._data_centre:
             return False
         self._centres[digest.data_centre] = _Heard(digest, now)
-        if digest.vm in self._peers:
-            self._seen[digest.vm] = now
         return True
 
     def is_hub(self, now: float) -> bool:
@@ -231,8 +232,8 @@
         held = self._centres.get(digest.data_centre)
         return held if held is not None and held.digest.vm == digest.vm else None
 
-    def _note(self, now: float, digest: Digest, sender: Address) -> None:
-        address = Address(sender.host, digest.port)
+    def _note(self, now: float, digest: Digest) -> None:
+        address = Address(digest.host, digest.port)
         self._peers[digest.vm] = Peer(digest.vm, digest.data_centre, address)
         self._seen[digest.vm] = now
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -38,6 +38,7 @@
         incarnation=Incarnation(1),
         seq=Seq(seq),
         scope=scope,
+        host="10.0.0.9",
         port=PORT,
         **values,
     )
@@ -49,25 +50,25 @@
 
 
 def test_work_of_others_is_summed(neighbours):
-    neighbours.take(0.0, make_digest("a"), address(1))
-    neighbours.take(0.0, make_digest("x", THERE, scope=Scope.DATA_CENTRE), address(2))
+    neighbours.take(0.0, make_digest("a"))
+    neighbours.take(0.0, make_digest("x", THERE, scope=Scope.DATA_CENTRE))
     load = neighbours.others(0.1)[UpstreamId("u")]
     assert (load.running, load.unread, load.held) == (4, 200, 600)
 
 
 def test_silent_vm_no_longer_counts(neighbours):
-    neighbours.take(0.0, make_digest("a"), address(1))
+    neighbours.take(0.0, make_digest("a"))
     assert neighbours.others(ALIVE_SECONDS + 0.01) == {}
 
 
 def test_older_digest_does_not_replace_a_newer(neighbours):
-    neighbours.take(0.0, make_digest("a", seq=5, work=()), address(1))
-    neighbours.take(0.1, make_digest("a", seq=4), address(1))
+    neighbours.take(0.0, make_digest("a", seq=5, work=()))
+    neighbours.take(0.1, make_digest("a", seq=4))
     assert neighbours.others(0.1) == {}
 
 
 def test_digest_of_this_vm_is_left_aside(neighbours):
-    neighbours.take(0.0, make_digest("me"), address(1))
+    neighbours.take(0.0, make_digest("me"))
     assert neighbours.others(0.0) == {}
 
 
@@ -77,7 +78,7 @@
     for name, view in views.items():
         for other in names:
             if other != name:
-                view.take(0.0, make_digest(other), address(1))
+                view.take(0.0, make_digest(other))
     assert sum(view.is_hub(0.1) for view in views.values()) == 1
 
 
@@ -87,13 +88,13 @@
     for name, view in views.items():
         for other in names:
             if other != name:
-                view.take(0.0, make_digest(other), address(1))
+                view.take(0.0, make_digest(other))
     hub = next(name for name, view in views.items() if view.is_hub(0.1))
     rest = [view for name, view in views.items() if name != hub]
     for view in rest:
         for other in names:
             if other != hub:
-                view.take(1.0, make_digest(other, seq=2), address(1))
+                view.take(1.0, make_digest(other, seq=2))
     assert sum(view.is_hub(1.1) for view in rest) == 1
 
 
@@ -108,25 +109,32 @@
         0.0,
         [Peer(VmId("x"), THERE, address(3)), Peer(VmId("y"), THERE, address(4))],
     )
-    neighbours.take(0.0, make_digest("y", THERE, scope=Scope.DATA_CENTRE), address(4))
+    neighbours.take(0.0, make_digest("y", THERE, scope=Scope.DATA_CENTRE))
     assert [peer.vm for peer in neighbours.hubs(0.1, all_members=True)] == ["y"]
 
 
 def test_vm_that_read_more_of_the_store_is_found(neighbours):
-    neighbours.take(0.0, make_digest("a", configuration=7), address(1))
+    neighbours.take(0.0, make_digest("a", configuration=7))
     assert neighbours.ahead(0.1, 7, 1) is None
     assert neighbours.ahead(0.1, 6, 1).vm == "a"
 
 
 def test_demand_is_summed_over_vms(neighbours):
-    neighbours.take(0.0, make_digest("a"), address(1))
+    neighbours.take(0.0, make_digest("a"))
     own = {TeamId("t"): TeamRate(25.0, 5.0)}
     assert neighbours.demand(0.1, own) == {"t": TeamRate(75.0, 45.0)}
     assert neighbours.centre(0.1, (), own).demand == (TeamDemand(TeamId("t"), 75, 45),)
 
 
 def test_vms_are_counted(neighbours):
-    neighbours.take(0.0, make_digest("a"), address(1))
+    neighbours.take(0.0, make_digest("a"))
     remote = make_digest("x", THERE, scope=Scope.DATA_CENTRE, vms=3)
-    neighbours.take(0.0, remote, address(2))
+    neighbours.take(0.0, remote)
     assert neighbours.count(0.1) == 5
+
+
+def test_hub_is_known_by_its_digest_before_its_registration_is_read(neighbours):
+    """Registrations are read while others still register."""
+    neighbours.take(0.0, make_digest("x", THERE, scope=Scope.DATA_CENTRE))
+    told = neighbours.hubs(0.1, all_members=False)
+    assert [(peer.vm, peer.address.host) for peer in told] == [("x", "10.0.0.9")]
