Split the relay: reception, forwarding, the call itself

No change of behaviour: finding route, team and deadline, building what is sent and judging what comes back leave the module that carries a request.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -326,7 +326,7 @@
         self._log.info("process.stopping", active=self._relay.active)
         await asyncio.sleep(NOT_READY_SECONDS)
         server.close()
-        self._relay.stopped = True
+        self._relay.stop()
         while now() < end:
             for conn in list(self._callers):
                 if conn.idle:
--- /dev/null
+++ b/src/oleandershift/io/reception.py
@@ -0,0 +1,119 @@
+"""Finds the route, the team and the deadline of a caller's request."""
+
+from oleandershift.eventframes import EventCutter
+from oleandershift.exceptions import MalformedRequestError
+from oleandershift.ids import RouteId
+from oleandershift.io.call import Call
+from oleandershift.io.callers import CallerRequest
+from oleandershift.io.clock import now
+from oleandershift.platform import headers as names
+from oleandershift.routing import Configuration, Route, Service, Team
+from oleandershift.state import FleetState
+
+RETURN_SECONDS = 0.1
+"""Least difference of callers' waits that tells a return from jitter."""
+
+
+class RefusalError(Exception):
+    """A request that is answered without being sent."""
+
+    def __init__(self, status: int, detail: str) -> None:
+        super().__init__(detail)
+        self.status = status
+        self.detail = detail
+
+
+class Reception:
+    """Takes callers' requests by the configuration in force.
+
+    Parameters
+    ----------
+    state : FleetState
+        Beliefs, and the demand that is noted.
+    """
+
+    def __init__(self, state: FleetState) -> None:
+        self._state = state
+        self._beliefs = state.beliefs
+        self._longest_waits: dict[RouteId, float] = {}
+        self.stopped = False
+
+    def receive(self, req: CallerRequest) -> Call:
+        """Return a request with its route, team and deadline.
+
+        Raises
+        ------
+        RefusalError
+            When it is answered without being sent.
+        """
+        cfg = self._beliefs.configuration
+        if cfg is None or not self._beliefs.directory.loaded:
+            raise RefusalError(503, "no configuration yet")
+        if self.stopped:
+            raise RefusalError(503, "shutting down")
+        route = self._route(cfg, req)
+        team = self._team(cfg, route, req)
+        try:
+            read = names.read(req.headers)
+        except MalformedRequestError as exc:
+            raise RefusalError(400, exc.message) from None
+        wait_ms = route.timeout_ms
+        age_s = 0.0
+        if read.wait_ms is not None:
+            age_s = self._age(route, read.wait_ms)
+            wait_ms = min(wait_ms, read.wait_ms)
+        if read.prompt is not None and team is not None:
+            self._state.demand.ask(now(), team.name, read.prompt.size)
+        name = route.service_for(read.attempt)
+        return Call(
+            id=read.attempt,
+            req=req,
+            route=route,
+            service=cfg.service(name) or Service(name, 0),
+            team=team,
+            deadline=req.arrived + wait_ms / 1000,
+            prompt=read.prompt,
+            age_s=age_s,
+            last_event=read.last_event,
+            version=cfg.version,
+            cutter=EventCutter(last_id=read.last_event),
+        )
+
+    def _route(self, cfg: Configuration, req: CallerRequest) -> Route:
+        host = req.header(b"host")
+        if host is None:
+            raise RefusalError(400, "exactly one Host header is required")
+        path = req.target.partition(b"?")[0].decode("latin-1")
+        name = host.decode("latin-1").lower().partition(":")[0]
+        route = cfg.route_for(name, path)
+        if route is None:
+            raise RefusalError(404, f"no route for host {name!r} and path {path!r}")
+        return route
+
+    def _team(
+        self, cfg: Configuration, route: Route, req: CallerRequest
+    ) -> Team | None:
+        value = req.header(b"authorization")
+        scheme, _, key = (value or b"").partition(b" ")
+        team = None
+        if scheme.lower() == b"bearer":
+            team = cfg.team_for(key.strip().decode("latin-1"))
+        if team is None and cfg.requires_keys and not route.public:
+            raise RefusalError(401, "the key is missing or not known")
+        return team
+
+    def _age(self, route: Route, wait_ms: float) -> float:
+        """Return the seconds since a caller's first attempt.
+
+        A caller that comes back after a refusal waits only for what is left of the
+        time that first attempts on the route are given.
+        """
+        longest = max(wait_ms, self._longest_waits.get(route.name, 0.0))
+        self._longest_waits[route.name] = longest
+        age = (longest - wait_ms) / 1000
+        return age if age >= RETURN_SECONDS else 0.0
+
+
+def attempt_id(req: CallerRequest) -> str:
+    """Return the id of the caller's attempt, empty when it has none."""
+    return (req.header(names.ATTEMPT_ID) or b"").decode("latin-1")
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -2,18 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from enum import Enum
 
 from oleandershift.directory import Upstream
-from oleandershift.eventframes import EventCutter, EventOrderError
-from oleandershift.exceptions import MalformedRequestError
-from oleandershift.ids import RouteId, UpstreamId
+from oleandershift.eventframes import EventOrderError
+from oleandershift.io.call import Call, End
 from oleandershift.io.callers import CallerRequest, Headers, Responder
 from oleandershift.io.clock import now, remaining
 from oleandershift.io.decisionlog import DecisionLog
+from oleandershift.io.forwarding import (
+    answer_fields,
+    is_genuine,
+    is_own_answer,
+    request_bytes,
+    says_not_run,
+    whole_body,
+)
 from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.pool import Pool
+from oleandershift.io.reception import Reception, RefusalError, attempt_id
 from oleandershift.io.upstreamconn import (
     BrokenExchangeError,
     Cause,
@@ -23,106 +29,14 @@
 )
 from oleandershift.outliers import Outliers
 from oleandershift.placement import Choice, Placement, Ticket
-from oleandershift.platform import headers as names
-from oleandershift.prompts import Prompt
 from oleandershift.retries import RetryBudget
-from oleandershift.routing import Configuration, Limits, Route, Service, Team
+from oleandershift.routing import Limits, Service
 from oleandershift.shedding import MIN_RETRY_SECONDS, Applicant, Shedding
 from oleandershift.state import FleetState
 
-HOP_BY_HOP = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
-"""Fields that concern one connection only (RFC 9110, 7.6.1), and framing."""
-
 MAX_CONNECTS = 3
 """Upstreams that are tried for one request before it is refused."""
 
-RETURN_SECONDS = 0.1
-"""Least difference of callers' waits that tells a return from jitter."""
-
-MAX_BODY_BYTES = 1 << 22
-"""Largest plain answer that is held until it is whole."""
-
-
-class End(Enum):
-    """How one attempt at an upstream ended."""
-
-    ANSWERED = "answered"
-    NOT_SENT = "not-sent"
-    NOT_RUN = "not-run"
-    UNKNOWN = "unknown"
-    FAILED = "failed"
-
-
-@dataclass(slots=True)
-class Call:
-    """A caller's request under way.
-
-    Parameters
-    ----------
-    id : str
-        Id of the caller's attempt.
-    deadline : float
-        Instant at which its answer is of no use, or may not be waited for.
-    age_s : float
-        Seconds since the caller's first attempt.
-    last_event : int
-        Event after which a stream goes on.
-    sends : int
-        Upstreams that it was sent to.
-    may_have_run : bool
-        Whether a send's outcome is unknown.
-    failure : tuple or None
-        An upstream's own failure, returned when no other upstream answers.
-    """
-
-    id: str
-    req: CallerRequest
-    route: Route
-    service: Service
-    team: Team | None
-    deadline: float
-    prompt: Prompt | None
-    age_s: float
-    last_event: int
-    version: int
-    tried: set[UpstreamId] = field(default_factory=set)
-    first_at: float = 0.0
-    choice: Choice | None = None
-    sends: int = 0
-    connects: int = 0
-    may_have_run: bool = False
-    refusals: int = 0
-    failure: tuple[int, Headers, bytes] | None = None
-    cutter: EventCutter = field(default_factory=EventCutter)
-
-    @property
-    def repeatable(self) -> bool:
-        """Tell whether a second run does no harm."""
-        return self.route.semantics.repeatable
-
-
-class _RefusalError(Exception):
-    """A request that is answered without being sent."""
-
-    def __init__(self, status: int, detail: str) -> None:
-        super().__init__(detail)
-        self.status = status
-        self.detail = detail
-
 
 class Relay:
     """Answers callers' requests by upstreams' answers.
@@ -164,13 +78,12 @@
         self._pool = pool
         self._placement = placement
         self._shedding = shedding
-        self._longest_waits: dict[RouteId, float] = {}
+        self._reception = Reception(state)
         self._outliers = outliers
         self._budget = budget
         self._log = log
         self._metrics = metrics
         self.draining = False
-        self.stopped = False
         self.active = 0
 
     def limits(self) -> Limits:
@@ -178,6 +91,10 @@
         cfg = self._beliefs.configuration
         return Limits() if cfg is None else cfg.limits
 
+    def stop(self) -> None:
+        """Refuse requests from now on."""
+        self._reception.stopped = True
+
     def closing(self) -> bool:
         """Tell whether connections are to be closed after their answer."""
         return self.draining
@@ -188,17 +105,17 @@
         try:
             await self._handle(req, res)
         except asyncio.CancelledError:
-            self._log.info("caller.left", request=_attempt_id(req))
+            self._log.info("caller.left", request=attempt_id(req))
         except Exception:
-            self._log.exception("request.error", request=_attempt_id(req))
+            self._log.exception("request.error", request=attempt_id(req))
             res.abort() if res.started else res.send(502, [], b"internal error")
         finally:
             self.active -= 1
 
     async def _handle(self, req: CallerRequest, res: Responder) -> None:
         try:
-            call = self._admit(req)
-        except _RefusalError as exc:
+            call = self._reception.receive(req)
+        except RefusalError as exc:
             self._refuse_early(req, res, exc)
             return
         try:
@@ -207,70 +124,13 @@
         except TimeoutError:
             self._expire(call, res)
 
-    def _admit(self, req: CallerRequest) -> Call:
-        cfg = self._beliefs.configuration
-        if cfg is None or not self._beliefs.directory.loaded:
-            raise _RefusalError(503, "no configuration yet")
-        if self.stopped:
-            raise _RefusalError(503, "shutting down")
-        route = self._route(cfg, req)
-        team = self._team(cfg, route, req)
-        try:
-            read = names.read(req.headers)
-        except MalformedRequestError as exc:
-            raise _RefusalError(400, exc.message) from None
-        wait_ms = route.timeout_ms
-        age_s = 0.0
-        if read.wait_ms is not None:
-            age_s = self._age(route, read.wait_ms)
-            wait_ms = min(wait_ms, read.wait_ms)
-        if read.prompt is not None and team is not None:
-            self._state.demand.ask(now(), team.name, read.prompt.size)
-        name = route.service_for(read.attempt)
-        return Call(
-            id=read.attempt,
-            req=req,
-            route=route,
-            service=cfg.service(name) or Service(name, 0),
-            team=team,
-            deadline=req.arrived + wait_ms / 1000,
-            prompt=read.prompt,
-            age_s=age_s,
-            last_event=read.last_event,
-            version=cfg.version,
-            cutter=EventCutter(last_id=read.last_event),
-        )
-
-    def _route(self, cfg: Configuration, req: CallerRequest) -> Route:
-        host = req.header(b"host")
-        if host is None:
-            raise _RefusalError(400, "exactly one Host header is required")
-        path = req.target.partition(b"?")[0].decode("latin-1")
-        name = host.decode("latin-1").lower().partition(":")[0]
-        route = cfg.route_for(name, path)
-        if route is None:
-            raise _RefusalError(404, f"no route for host {name!r} and path {path!r}")
-        return route
-
-    def _team(
-        self, cfg: Configuration, route: Route, req: CallerRequest
-    ) -> Team | None:
-        value = req.header(b"authorization")
-        scheme, _, key = (value or b"").partition(b" ")
-        team = None
-        if scheme.lower() == b"bearer":
-            team = cfg.team_for(key.strip().decode("latin-1"))
-        if team is None and cfg.requires_keys and not route.public:
-            raise _RefusalError(401, "the key is missing or not known")
-        return team
-
     def _refuse_early(
-        self, req: CallerRequest, res: Responder, refused: _RefusalError
+        self, req: CallerRequest, res: Responder, refused: RefusalError
     ) -> None:
         cfg = self._beliefs.configuration
         self._log.info(
             "request.refused",
-            request=_attempt_id(req),
+            request=attempt_id(req),
             status=refused.status,
             reason=refused.detail,
             configuration=cfg.version if cfg else None,
@@ -327,17 +187,6 @@
         self._refuse(call, res, detail, 502, verdict.retry_after_s, choice)
         return False
 
-    def _age(self, route: Route, wait_ms: float) -> float:
-        """Return the seconds since a caller's first attempt.
-
-        A caller that comes back after a refusal waits only for what is left of the
-        time that first attempts on the route are given.
-        """
-        longest = max(wait_ms, self._longest_waits.get(route.name, 0.0))
-        self._longest_waits[route.name] = longest
-        age = (longest - wait_ms) / 1000
-        return age if age >= RETURN_SECONDS else 0.0
-
     def _choose(self, call: Call) -> Choice | None:
         self._state.refresh(now())
         usable = self._beliefs.directory.usable(call.service.name)
@@ -396,13 +245,13 @@
         conn: UpstreamConnection,
         res: Responder,
     ) -> End:
-        data = _request_bytes(call, upstream)
+        data = request_bytes(call, upstream)
         sent = now()
         may_have_run, call.may_have_run = call.may_have_run, True
-        exchange = conn.send(data, _is_own(call.id))
+        exchange = conn.send(data, is_own_answer(call.id))
         try:
             head = await exchange.head
-            if _says_not_run(head):
+            if says_not_run(head):
                 await exchange.read()
                 call.may_have_run = may_have_run
                 call.refusals += 1
@@ -446,12 +295,12 @@
         head: ResponseHead,
         res: Responder,
     ) -> End:
-        if not _is_genuine(head):
+        if not is_genuine(head):
             raise BrokenExchangeError(Cause.GARBAGE)
         if call.route.semantics.streams and head.status == 200:
             return await self._stream(call, upstream, ticket, exchange, head, res)
-        body = await _whole(exchange)
-        fields = _answer_fields(head)
+        body = await whole_body(exchange)
+        fields = answer_fields(head)
         if head.status >= 500:
             self._record(call, upstream, False)
             if call.repeatable and not res.started:
@@ -498,11 +347,11 @@
             if not call.first_at:
                 call.first_at = now()
             if not res.started:
-                res.start(head.status, _answer_fields(head))
+                res.start(head.status, answer_fields(head))
             res.write(events)
             await res.drain()
         if not res.started:
-            res.start(head.status, _answer_fields(head))
+            res.start(head.status, answer_fields(head))
         if not call.cutter.whole:
             self._cut(call, res, "its end came within an event")
             return End.ANSWERED
@@ -632,85 +481,3 @@
         "uncached": choice.uncached,
         "home": choice.is_home,
     }
-
-
-def _attempt_id(req: CallerRequest) -> str:
-    return (req.header(names.ATTEMPT_ID) or b"").decode("latin-1")
-
-
-def _is_own(attempt: str) -> Callable[[ResponseHead], bool]:
-    """Return what recognises the answer to an attempt on its connection.
-
-    A late answer to an earlier attempt carries that one's id and is skipped. Some
-    refusals carry none.
-    """
-    wanted = attempt.encode("latin-1")
-
-    def is_own(head: ResponseHead) -> bool:
-        return head.get(names.ATTEMPT_ID) in (wanted, None)
-
-    return is_own
-
-
-def _says_not_run(head: ResponseHead) -> bool:
-    return head.status == 421 or (
-        head.status >= 400 and head.get(names.NOT_RUN) is not None
-    )
-
-
-def _is_genuine(head: ResponseHead) -> bool:
-    """Tell whether an answer can be the upstream's own.
-
-    Requests ask for no content coding, and upstreams sign each success and name the
-    attempt.
-    """
-    if head.get(b"content-encoding") is not None:
-        return False
-    if head.status >= 300:
-        return True
-    return None not in (head.get(names.RECEIPT), head.get(names.ATTEMPT_ID))
-
-
-async def _whole(exchange: Exchange) -> bytes:
-    parts = []
-    size = 0
-    while data := await exchange.read():
-        parts.append(data)
-        size += len(data)
-        if size > MAX_BODY_BYTES:
-            raise MalformedRequestError(f"an answer exceeds {MAX_BODY_BYTES} bytes")
-    return b"".join(parts)
-
-
-def _answer_fields(head: ResponseHead) -> Headers:
-    return [item for item in head.headers if item[0] not in HOP_BY_HOP]
-
-
-def _request_bytes(call: Call, upstream: Upstream) -> bytes:
-    req = call.req
-    dropped = HOP_BY_HOP | names.SET_BY_SYSTEM | _named_by_connection(req)
-    parts = [b"%b %b HTTP/1.1\r\n" % (req.method, req.target)]
-    for name, value in req.headers:
-        if name not in dropped and name != names.LAST_EVENT_ID:
-            parts.append(b"%b: %b\r\n" % (name, value))
-    left = max(1, int(remaining(call.deadline) * 1000))
-    parts.append(b"%b: %d\r\n" % (names.DEADLINE, left))
-    parts.append(b"%b: %b\r\n" % (names.EXPECT_UPSTREAM, upstream.name.encode()))
-    if call.team is not None:
-        parts.append(b"%b: %b\r\n" % (names.TEAM, call.team.name.encode()))
-    if call.cutter.last_id:
-        parts.append(b"%b: %d\r\n" % (names.LAST_EVENT_ID, call.cutter.last_id))
-    if req.body or req.method not in (b"GET", b"HEAD", b"DELETE"):
-        parts.append(b"content-length: %d\r\n" % len(req.body))
-    parts.append(b"\r\n")
-    parts.append(req.body)
-    return b"".join(parts)
-
-
-def _named_by_connection(req: CallerRequest) -> frozenset[bytes]:
-    return frozenset(
-        name.strip().lower()
-        for key, value in req.headers
-        if key == b"connection"
-        for name in value.split(b",")
-    )
