--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -26,7 +26,7 @@
 MOST_FAVOUR = 2.0
 """Bounds of the patience by what a team got."""
 
-LEAST_BACKLOG = 0.5
+LEAST_BACKLOG = 0.6
 """Part of its patience that the backlog ahead of a request may always take, however
 long its own prompt is, so that the largest requests are not the ones refused."""
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -93,3 +93,13 @@
     assert not any(
         shedding.decide(applicant(team=flood), busy).admitted for _ in range(20)
     )
+
+
+def test_largest_prompts_are_served_half_as_often_at_least(shedding):
+    """Backlogs from none to the target come equally often."""
+    backlogs = [TARGET * step / 100 for step in range(100)]
+    large = [shedding.decide(applicant(50_000), choice(b, own=0.7)) for b in backlogs]
+    small = [shedding.decide(applicant(500), choice(b, own=0.02)) for b in backlogs]
+    served_large = sum(verdict.admitted for verdict in large)
+    served_small = sum(verdict.admitted for verdict in small)
+    assert served_large >= 0.55 * served_small
