--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -59,7 +59,6 @@
     sends: int = 0
     connects: int = 0
     may_have_run: bool = False
-    refusals: int = 0
     failure: tuple[int, Headers, bytes] | None = None
     cutter: EventCutter = field(default_factory=EventCutter)
 
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -254,7 +254,6 @@
             if says_not_run(head):
                 await exchange.read()
                 call.may_have_run = may_have_run
-                call.refusals += 1
                 return self._not_run(call, upstream, head)
             return await self._answer(call, upstream, ticket, exchange, head, res)
         except BrokenExchangeError as exc:
--- a/src/oleandershift/platform/entries.py
+++ b/src/oleandershift/platform/entries.py
@@ -41,8 +41,3 @@
             state=raw.state,
         )
     )
-
-
-def upstream_id(name: str) -> UpstreamId:
-    """Return the id that an object's name stands for."""
-    return UpstreamId(name)
--- a/src/oleandershift/platform/headers.py
+++ b/src/oleandershift/platform/headers.py
@@ -16,7 +16,6 @@
 _PROMPT = b"oleandershift-prompt-prefix"
 _USAGE = b"oleandershift-token-usage"
 _HINT = b"oleandershift-length-hint"
-READY_PATH = b"/v1/readyz"
 
 SET_BY_SYSTEM = frozenset(
     {
