--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -7,34 +7,17 @@
 
 from oleandershift.digests import (
     BeliefsSnapshot,
-    Digest,
-    Scope,
     decode_digest,
     decode_snapshot,
     encode,
 )
-from oleandershift.ids import Incarnation, Seq
+from oleandershift.ids import Incarnation
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
-from oleandershift.neighbours import (
-    CentreSum,
-    Peer,
-    demand_entries,
-    work_entries,
-)
+from oleandershift.neighbours import Peer
 from oleandershift.node import Address
 from oleandershift.state import FleetState
-
-SEARCH_TICKS = 10
-"""Every so many digests, a hub also tells data centres whose hub it does not know."""
-
-URGENT_TOKENS = 3000
-"""Change of unread prompt tokens that the others are told before their turn: some tens
-of milliseconds of an engine's time."""
-
-URGENT_SECONDS_PER_VM = 0.001
-"""Time in which such changes are gathered, for each VM: at ten VMs less than a way
-between regions, at a hundred the pace of the usual digests."""
+from oleandershift.telling import Teller
 
 FETCH_SECONDS = 1.0
 """Limit of reading a snapshot: some hundred kilobytes over two regions."""
@@ -75,15 +58,10 @@
         state: FleetState,
         log: DecisionLog,
     ) -> None:
-        self._own = own
         self._address = own.address
-        self._incarnation = incarnation
-        self._state = state
-        self._neighbours = state.neighbours
-        self._told = 0
+        self._teller = Teller(own, incarnation, state)
         self._soon: asyncio.TimerHandle | None = None
         self._log = log
-        self._seq = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._server: asyncio.Server | None = None
 
@@ -118,32 +96,19 @@
 
     def on_work(self) -> None:
         """Tell the others soon if the work here has changed by much."""
-        if self._soon is not None:
-            return
-        if abs(self._unread() - self._told) < URGENT_TOKENS:
+        at = now()
+        if self._soon is not None or not self._teller.is_urgent(at):
             return
         loop = asyncio.get_running_loop()
-        wait = URGENT_SECONDS_PER_VM * self._neighbours.known(now())
-        self._soon = loop.call_later(wait, self.tell)
+        self._soon = loop.call_later(self._teller.urgent_seconds(at), self.tell)
 
     def tell(self) -> None:
         """Send this VM's digest, and as a hub the data centre's."""
-        at = now()
         if self._soon is not None:
             self._soon.cancel()
             self._soon = None
-        self._told = self._unread()
-        self._seq += 1
-        work = work_entries(self._state.loads.own())
-        asked = self._state.demand.rates(at)
-        own = CentreSum(1, work, demand_entries(asked))
-        self._send(self._digest(Scope.VM, own), self._neighbours.mates(at))
-        if not self._neighbours.is_hub(at):
-            return
-        search = self._seq % SEARCH_TICKS == 0
-        total = self._neighbours.centre(at, work, asked)
-        digest = self._digest(Scope.DATA_CENTRE, total)
-        self._send(digest, self._neighbours.hubs(at, search))
+        for notice in self._teller.tell(now()):
+            self._send(encode(notice.digest), notice.peers)
 
     async def fetch(self, peer: Peer) -> BeliefsSnapshot | None:
         """Read another VM's snapshot; None when that fails."""
@@ -159,34 +124,7 @@
             return None
         return result.unwrap()
 
-    def _unread(self) -> int:
-        """Return the prompt tokens that this VM, or its data centre, waits for."""
-        own = sum(load.unread for load in self._state.loads.own().values())
-        if not self._neighbours.is_hub(now()):
-            return own
-        return own + self._neighbours.centre_unread(now())
-
-    def _digest(self, scope: Scope, total: CentreSum) -> Digest:
-        cfg = self._state.beliefs.configuration
-        return Digest(
-            vm=self._own.vm,
-            data_centre=self._own.data_centre,
-            incarnation=self._incarnation,
-            seq=Seq(self._seq),
-            scope=scope,
-            vms=total.vms,
-            configuration=cfg.version if cfg else 0,
-            revision=self._state.beliefs.directory.changed,
-            host=self._address.host,
-            port=self._address.port,
-            work=total.work,
-            demand=total.demand,
-        )
-
-    def _send(self, digest: Digest, peers: Iterable[Peer]) -> None:
-        self._send_bytes(encode(digest), peers)
-
-    def _send_bytes(self, data: bytes, peers: Iterable[Peer]) -> None:
+    def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
         if self._transport is None:
             return
         for peer in peers:
@@ -197,11 +135,9 @@
         if isinstance(result, Failure):
             self._log.warning("digest.damaged", sender=sender, why=result.failure())
             return
-        at = now()
-        is_news = self._neighbours.take(at, result.unwrap())
+        passed_on = self._teller.hear(now(), result.unwrap())
         self.on_work()
-        if is_news and self._neighbours.is_hub(at):
-            self._send_bytes(data, self._neighbours.mates(at))
+        self._send(data, passed_on)
 
 
 async def _read(address: Address) -> bytes:
--- /dev/null
+++ b/tests/test_telling.py
@@ -0,0 +1,117 @@
+"""Telling: what digests hold, whom they go to, and when they are urgent."""
+
+import pytest
+
+from oleandershift.digests import Digest, Scope
+from oleandershift.directory import Upstream, UpstreamState
+from oleandershift.fleetview import Beliefs
+from oleandershift.ids import (
+    DataCentreId,
+    Incarnation,
+    Seq,
+    ServiceId,
+    UpstreamId,
+    VmId,
+)
+from oleandershift.neighbours import Neighbours, Peer
+from oleandershift.node import Address
+from oleandershift.prompts import PrefixPart, Prompt
+from oleandershift.state import FleetState
+from oleandershift.telling import SEARCH_TICKS, URGENT_TOKENS, Teller
+
+HERE, THERE = DataCentreId("here"), DataCentreId("there")
+
+
+def make_peer(name, centre=HERE):
+    return Peer(VmId(name), centre, Address(name, 1))
+
+
+def make_teller(name, *peers):
+    own = make_peer(name)
+    state = FleetState(Neighbours(own.vm, own.data_centre), Beliefs())
+    state.neighbours.add(0.0, peers)
+    return Teller(own, Incarnation(1), state), state
+
+
+def make_upstream():
+    return Upstream(
+        name=UpstreamId("e1"),
+        incarnation=1,
+        service=ServiceId("model"),
+        host="127.0.0.1",
+        port=1,
+        data_centre=HERE,
+        slots=8,
+        state=UpstreamState.READY,
+    )
+
+
+def make_prompt(tokens):
+    return Prompt(tokens, 10, 10, (PrefixPart("own", tokens),))
+
+
+def sum_of(centre, vm, seq=1):
+    return Digest(
+        vm=VmId(vm),
+        data_centre=centre,
+        incarnation=Incarnation(1),
+        seq=Seq(seq),
+        scope=Scope.DATA_CENTRE,
+        vms=1,
+        configuration=1,
+        revision=1,
+        host=vm,
+        port=1,
+        work=(),
+        demand=(),
+    )
+
+
+@pytest.fixture
+def alone():
+    return make_teller("a", make_peer("b"), make_peer("x", THERE))
+
+
+def test_work_reaches_the_vms_of_the_data_centre(alone):
+    teller, state = alone
+    state.loads.begin(0.0, make_upstream(), make_prompt(100))
+    notice = teller.tell(0.0)[0]
+    assert [peer.vm for peer in notice.peers] == ["b"]
+    assert notice.digest.scope is Scope.VM
+    assert [(w.upstream, w.running, w.unread) for w in notice.digest.work] == [
+        ("e1", 1, 100)
+    ]
+
+
+def test_hub_tells_the_hub_of_another_data_centre(alone):
+    teller, _ = alone
+    teller.hear(0.0, sum_of(THERE, "x"))
+    notices = teller.tell(0.0)
+    assert [notice.digest.scope for notice in notices] == [Scope.VM, Scope.DATA_CENTRE]
+    assert [peer.vm for peer in notices[1].peers] == ["x"]
+
+
+def test_unknown_hub_is_searched_now_and_then(alone):
+    teller, _ = alone
+    told = [len(teller.tell(0.0)[1].peers) for _ in range(2 * SEARCH_TICKS)]
+    assert sum(told) == 2
+
+
+def test_hub_passes_on_the_sum_of_another_data_centre(alone):
+    teller, _ = alone
+    assert [peer.vm for peer in teller.hear(0.0, sum_of(THERE, "x"))] == ["b"]
+    assert teller.hear(0.0, sum_of(THERE, "x")) == []
+
+
+def test_long_prompt_is_urgent_until_it_is_told(alone):
+    teller, state = alone
+    assert not teller.is_urgent(0.0)
+    state.loads.begin(0.0, make_upstream(), make_prompt(URGENT_TOKENS))
+    assert teller.is_urgent(0.0)
+    teller.tell(0.0)
+    assert not teller.is_urgent(0.0)
+
+
+def test_digests_are_numbered(alone):
+    teller, _ = alone
+    assert [teller.tell(0.0)[0].digest.seq for _ in range(3)] == [1, 2, 3]
