--- /dev/null
+++ b/standins/sweep.py
@@ -0,0 +1,213 @@
+"""Sweeps a threshold of the gateways' decisions over emulated loads and seeds.
+
+python -m standins.sweep shedding.SHARE_PATIENCE 0.5 0.65 0.8 --picture sweep.svg
+"""
+
+import argparse
+import importlib
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import mean
+
+from standins.deployments import DEPLOYMENTS
+from standins.emulator import Emulation
+from standins.value import Value, value_of
+
+DEFAULT_LOADS = (0.55, 1.0)
+"""Calm and heavy days, as parts of the load on the deployment sheets."""
+
+DEFAULT_SEEDS = (1, 2, 3)
+DEFAULT_SECONDS = 24.0
+"""Length of a run: all surges of a calm day."""
+
+DEFAULT_JOBS = 3
+
+
+@dataclass(frozen=True)
+class Threshold:
+    """A named constant of a decision module.
+
+    Parameters
+    ----------
+    module, name : str
+        Where it stands in `oleandershift`.
+    """
+
+    module: str
+    name: str
+
+    def set(self, value: float) -> None:
+        """Set it in this process."""
+        setattr(self._found(), self.name, value)
+
+    def exists(self) -> bool:
+        """Tell whether there is such a number."""
+        try:
+            found = getattr(self._found(), self.name, None)
+        except ModuleNotFoundError:
+            return False
+        return isinstance(found, int | float)
+
+    def _found(self) -> object:
+        return importlib.import_module(f"oleandershift.{self.module}")
+
+
+@dataclass(frozen=True)
+class Trial:
+    """One run of a sweep.
+
+    Parameters
+    ----------
+    threshold : Threshold
+        What is varied.
+    value : float
+        What it is set to.
+    deployment : str
+        What is played.
+    load : float
+        Part of the sheet's load.
+    seed : int
+        Of the run.
+    seconds : float
+        Its length.
+    """
+
+    threshold: Threshold
+    value: float
+    deployment: str
+    load: float
+    seed: int
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Cell:
+    """Runs of one value on one load.
+
+    Parameters
+    ----------
+    value : float
+        Of the threshold.
+    deployment : str
+    load : float
+        What was played.
+    results : tuple of Value
+        One for each seed.
+    """
+
+    value: float
+    deployment: str
+    load: float
+    results: tuple[Value, ...]
+
+    @property
+    def index(self) -> float:
+        """Return the mean index of the runs."""
+        return mean(result.index for result in self.results)
+
+
+def play(trial: Trial) -> Value:
+    """Run one trial in a process of its own."""
+    trial.threshold.set(trial.value)
+    deployment = DEPLOYMENTS[trial.deployment].scaled(trial.load)
+    return value_of(Emulation(deployment, trial.seed, trial.seconds).run())
+
+
+def sweep(trials: Sequence[Trial], jobs: int) -> list[Cell]:
+    """Run trials and gather them by value and load."""
+    with ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
+        values = list(pool.map(play, trials))
+    gathered: dict[tuple[float, str, float], list[Value]] = {}
+    for trial, value in zip(trials, values, strict=True):
+        key = trial.value, trial.deployment, trial.load
+        gathered.setdefault(key, []).append(value)
+    return [Cell(*key, tuple(found)) for key, found in gathered.items()]
+
+
+def table(cells: Sequence[Cell]) -> str:
+    """Return the cells as lines of text."""
+    lines = ["   value  deployment  load  index  whole  teams windows   kind rereads"]
+    for cell in cells:
+        parts = [
+            mean(getattr(result, part) for result in cell.results)
+            for part in ("index", "whole", "teams", "windows", "kind", "rereads")
+        ]
+        figures = "".join(f"{part:7.3f}" for part in parts)
+        lines.append(f"{cell.value:8g}  {cell.deployment:10}  {cell.load:4g}{figures}")
+    return "\n".join(lines)
+
+
+def draw(cells: Sequence[Cell], name: str, path: Path) -> None:
+    """Draw the index over the threshold, a line for each load."""
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=(7, 4), layout="constrained")
+    axes = figure.subplots()
+    for deployment, load in sorted({(cell.deployment, cell.load) for cell in cells}):
+        mine = [c for c in cells if (c.deployment, c.load) == (deployment, load)]
+        spread = [[result.index for result in cell.results] for cell in mine]
+        axes.errorbar(
+            [cell.value for cell in mine],
+            [mean(found) for found in spread],
+            yerr=[
+                [mean(found) - min(found) for found in spread],
+                [max(found) - mean(found) for found in spread],
+            ],
+            marker="o",
+            capsize=3,
+            label=f"{deployment}, {load:g} of the load",
+        )
+    axes.set_xlabel(name)
+    axes.set_ylabel("value earned over owed, less rereads")
+    axes.set_title(f"Sweep of {name}: mean, least and most of the seeds")
+    axes.grid(alpha=0.3)
+    axes.legend()
+    figure.savefig(path)
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog="sweep",
+        description=__doc__,
+        epilog="example: python -m standins.sweep shedding.SHARE_PATIENCE 0.5 0.65 0.8",
+    )
+    parser.add_argument("threshold", help="MODULE.NAME of a constant")
+    parser.add_argument("values", nargs="+", type=float, help="values to try")
+    parser.add_argument(
+        "--deployment", nargs="+", choices=DEPLOYMENTS, default=list(DEPLOYMENTS)
+    )
+    parser.add_argument("--load", nargs="+", type=float, default=DEFAULT_LOADS)
+    parser.add_argument("--seeds", nargs="+", type=int, default=DEFAULT_SEEDS)
+    parser.add_argument("--seconds", type=float, default=DEFAULT_SECONDS)
+    parser.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
+    parser.add_argument("--picture", type=Path, help="file to draw to")
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run a sweep and print it."""
+    parser = _parser()
+    args = parser.parse_args(argv)
+    module, _, name = args.threshold.rpartition(".")
+    threshold = Threshold(module, name)
+    if not threshold.exists():
+        parser.error(f"oleandershift has no constant {args.threshold!r}")
+    trials = [
+        Trial(threshold, value, deployment, load, seed, args.seconds)
+        for value in args.values
+        for deployment in args.deployment
+        for load in args.load
+        for seed in args.seeds
+    ]
+    cells = sweep(trials, args.jobs)
+    print(table(cells))
+    if args.picture is not None:
+        draw(cells, args.threshold, args.picture)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
