Use the windows of the settings, and drop what is decoded for nothing

Cause: the reuse and share windows were decoded, yet 10 s and 1.5 s stood in the code; five other fields of settings and configuration were decoded and read by nobody; the alias of a header list was defined three times. Change: loads and demand take the windows of the settings; the unread fields and two aliases go. The test of the settings checks a window in place of the memory limit, which no longer exists as a field. No measured effect is expected: both sites' windows are near the former constants.

--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -7,9 +7,9 @@
 
 from oleandershift.ids import TeamId
 
-MEMORY_SECONDS = 1.5
-"""Time constant of demand: a third of the window over which a share is due, so that a
-flood shows within it."""
+MEMORY_SHARE = 0.375
+"""Time constant of demand, as a part of the window over which a share is due: a flood
+shows within it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -21,10 +21,16 @@
 
 
 class DemandMeter:
-    """What each team asks of this VM and is let in, as decaying averages."""
+    """What each team asks of this VM and is let in, as decaying averages.
 
-    def __init__(self, memory_seconds: float = MEMORY_SECONDS) -> None:
-        self._memory = memory_seconds
+    Parameters
+    ----------
+    window_s : float
+        Seconds over which a share is due.
+    """
+
+    def __init__(self, window_s: float) -> None:
+        self._memory = MEMORY_SHARE * window_s
         self._rates: dict[TeamId, tuple[TeamRate, float]] = {}
 
     def ask(self, now: float, team: TeamId, tokens: float) -> None:
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure
 
-from oleandershift.demand import shares_of
+from oleandershift.demand import DemandMeter, shares_of
 from oleandershift.exceptions import SettingsError
 from oleandershift.fleetview import Beliefs
 from oleandershift.ids import Incarnation, VmId
@@ -26,7 +26,7 @@
 from oleandershift.neighbours import Neighbours, Peer
 from oleandershift.node import Address, NodeSettings
 from oleandershift.outliers import Outliers
-from oleandershift.placement import Place, Placement
+from oleandershift.placement import Loads, Place, Placement
 from oleandershift.platform import settings
 from oleandershift.platform.store import StoreClient
 from oleandershift.retries import RetryBudget
@@ -136,8 +136,12 @@
         self._metrics_port = metrics_port
         self._log = log
         self._neighbours = Neighbours(node.vm, node.data_centre)
-        grace_s = GRACE_SHARE * node.bounds.drain_ms / 1000
-        self._state = FleetState(self._neighbours, Beliefs(grace_s))
+        self._state = FleetState(
+            self._neighbours,
+            Beliefs(GRACE_SHARE * node.bounds.drain_ms / 1000),
+            Loads(node.bounds.reuse_window_ms / 1000),
+            DemandMeter(node.bounds.share_window_ms / 1000),
+        )
         self._beliefs = self._state.beliefs
         self._pool = Pool()
         self._metrics = GatewayMetrics()
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -9,10 +9,9 @@
 
 import httptools
 
+from oleandershift.io.callers import Headers
 from oleandershift.io.clock import now
 
-Headers = list[tuple[bytes, bytes]]
-
 HIGH_WATER_BYTES = 256 * 1024
 """Answer bytes held for a caller before the upstream is made to wait."""
 
--- a/src/oleandershift/node.py
+++ b/src/oleandershift/node.py
@@ -23,14 +23,10 @@
         An upstream that leaves gets no new work this long after it said so.
     grace_ms : float
         Time from SIGTERM to SIGKILL.
-    config_apply_ms : float
-        A configuration is in force this long after it was accepted.
     retry_ratio : float
-        Further sends per request, over `retry_window_ms`.
+        Further sends per request.
     retry_extra : float
-        Further sends beyond the ratio in a window, by the whole fleet.
-    retry_window_ms : float
-        Length of the window.
+        Further sends beyond the ratio in a window of the platform, by the whole fleet.
     share_window_ms : float
         Window over which a team is owed its share.
     reuse_window_ms : float
@@ -39,10 +35,8 @@
 
     drain_ms: float
     grace_ms: float
-    config_apply_ms: float
     retry_ratio: float
     retry_extra: float
-    retry_window_ms: float
     share_window_ms: float
     reuse_window_ms: float
 
@@ -69,8 +63,6 @@
         Port that serves metrics.
     store : Address
         The platform's store.
-    memory_bytes, max_descriptors : int
-        Limits of the process.
     bounds : Bounds
         What the deployment asks.
     """
@@ -85,6 +77,4 @@
     peer_port: int
     metrics_port: int
     store: Address
-    memory_bytes: int
-    max_descriptors: int
     bounds: Bounds
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -108,9 +108,16 @@
 
 
 class Loads:
-    """What this VM has at each upstream, and what it believes the others have."""
+    """What this VM has at each upstream, and what it believes the others have.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    reuse_s : float
+        Seconds after its last use in which a prefix is believed to be held.
+    """
+
+    def __init__(self, reuse_s: float) -> None:
+        self._reuse_s = reuse_s
         self._own: dict[UpstreamId, Load] = {}
         self._memory: dict[UpstreamId, _Memory] = {}
         self._others: Mapping[UpstreamId, Load] = {}
@@ -171,11 +178,9 @@
         memory = self._memory.get(name)
         if memory is None:
             return prompt.tokens
-        cached = memory.cached(now, prompt.parts, self.reuse_seconds)
+        cached = memory.cached(now, prompt.parts, self._reuse_s)
         return max(0, prompt.tokens - cached)
 
-    reuse_seconds: float = 10.0
-
 
 @dataclass(frozen=True)
 class Place:
--- a/src/oleandershift/platform/configuration.py
+++ b/src/oleandershift/platform/configuration.py
@@ -42,13 +42,10 @@
 
 class _Engine(msgspec.Struct, rename="camel"):
     slots: int = 0
-    kv_capacity: int = 0
-    stride: int = 1
 
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
-    health_path: str = "/"
     max_connections: int = 0
     engine: _Engine | None = None
 
@@ -138,8 +135,5 @@
     return Service(
         name=ServiceId(raw.name),
         max_connections=raw.max_connections,
-        health_path=raw.health_path,
         batch_slots=engine.slots,
-        cache_tokens=engine.kv_capacity,
-        tokens_per_event=engine.stride,
     )
--- a/src/oleandershift/platform/headers.py
+++ b/src/oleandershift/platform/headers.py
@@ -35,8 +35,6 @@
 
 _SINGLE = frozenset({ATTEMPT_ID, DEADLINE, _PROMPT, _USAGE, LAST_EVENT_ID})
 
-Headers = list[tuple[bytes, bytes]]
-
 
 @dataclass(frozen=True, slots=True)
 class CallHeaders:
--- a/src/oleandershift/platform/settings.py
+++ b/src/oleandershift/platform/settings.py
@@ -13,7 +13,6 @@
 
 VARIABLE = "OLEANDERSHIFT_NODE_FILE"
 DEFAULT_PATH = "/etc/oleandershift/local.toml"
-MEGABYTE = 1 << 20
 MILLISECONDS = 1000.0
 
 
@@ -22,18 +21,11 @@
     readiness: str
 
 
-class _Limits(msgspec.Struct, rename="camel"):
-    memory_mb: float = 128.0
-    max_fds: int = 1024
-
-
 class _Bounds(msgspec.Struct, rename="camel"):
     drain_ms: float = 2500.0
     grace_s: float = 8.0
-    config_apply_ms: float = 2500.0
     retry_ratio: float = 0.2
     retry_extra: float = 0.0
-    retry_window_s: float = 10.0
     quota_window_s: float = 4.0
     reuse_window_s: float = 10.0
 
@@ -51,7 +43,6 @@
     listen: _Listen
     platform: _Platform
     zones: dict[str, str] = {}
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -116,8 +107,6 @@
         peer_port=first,
         metrics_port=last,
         store=address(file.platform.address),
-        memory_bytes=int(file.limits.memory_mb * MEGABYTE),
-        max_descriptors=file.limits.max_fds,
         bounds=_bounds(file.bounds),
     )
 
@@ -126,10 +115,8 @@
     return Bounds(
         drain_ms=raw.drain_ms,
         grace_ms=raw.grace_s * MILLISECONDS,
-        config_apply_ms=raw.config_apply_ms,
         retry_ratio=raw.retry_ratio,
         retry_extra=raw.retry_extra,
-        retry_window_ms=raw.retry_window_s * MILLISECONDS,
         share_window_ms=raw.quota_window_s * MILLISECONDS,
         reuse_window_ms=raw.reuse_window_s * MILLISECONDS,
     )
--- a/src/oleandershift/routing.py
+++ b/src/oleandershift/routing.py
@@ -108,22 +108,13 @@
         Unique in a configuration.
     max_connections : int
         Connections that one upstream accepts from all callers together.
-    health_path : str
-        Path of the health check.
     batch_slots : int
         Requests that a model engine runs at once; 0 for a plain service.
-    cache_tokens : int
-        Tokens that a model engine's memory holds; 0 for a plain service.
-    tokens_per_event : int
-        Tokens that an event of a stream holds.
     """
 
     name: ServiceId
     max_connections: int
-    health_path: str = "/"
     batch_slots: int = 0
-    cache_tokens: int = 0
-    tokens_per_event: int = 1
 
     @property
     def generates(self) -> bool:
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -1,7 +1,7 @@
 """What one VM knows, as one object for the parts that share it."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from oleandershift.demand import DemandMeter
 from oleandershift.fleetview import Beliefs
@@ -15,8 +15,8 @@
 
     neighbours: Neighbours
     beliefs: Beliefs
-    loads: Loads = field(default_factory=Loads)
-    demand: DemandMeter = field(default_factory=DemandMeter)
+    loads: Loads
+    demand: DemandMeter
     work_changed: Callable[[], None] = lambda: None
 
     def refresh(self, now: float) -> None:
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -55,6 +55,9 @@
 MIN_TOKENS = 8
 """Least tokens of a part of a prompt."""
 
+SHARE_SECONDS = 4.0
+"""Window in which a team is owed its share (deployment sheets)."""
+
 SETTLE_SECONDS = 0.5
 """Time in which the VMs hear of each other before the load starts."""
 
@@ -265,7 +268,10 @@
                 vm = VmId(f"vm-{region}-{index}")
                 peer = Peer(vm, _centre(region), Address(vm, 1))
                 state = FleetState(
-                    Neighbours(vm, peer.data_centre), Beliefs(), Loads(), DemandMeter()
+                    Neighbours(vm, peer.data_centre),
+                    Beliefs(),
+                    Loads(self._deployment.reuse_s),
+                    DemandMeter(SHARE_SECONDS),
                 )
                 place = Place(peer.data_centre, regions[peer.data_centre], regions)
                 shedding = Shedding(random.Random(self._rng.random()))
--- a/standins/value.py
+++ b/standins/value.py
@@ -7,10 +7,7 @@
 
 from oleandershift.demand import fair_level
 from oleandershift.ids import TeamId
-from standins.emulator import Outcome, Request
-
-SHARE_SECONDS = 4.0
-"""Window in which a team is owed its share (deployment sheets)."""
+from standins.emulator import SHARE_SECONDS, Outcome, Request
 
 WINDOW_SECONDS = 2.0
 """Window of the worst seconds (the bench's report)."""
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -33,14 +33,14 @@
 
 
 def test_meter_follows_a_steady_rate():
-    meter = DemandMeter()
+    meter = DemandMeter(window_s=4.0)
     for step in range(1000):
         meter.ask(step * 0.01, A, 50)
     assert meter.rate(10.0, A).asked == pytest.approx(5000, rel=0.02)
 
 
 def test_meter_forgets():
-    meter = DemandMeter(memory_seconds=1.0)
+    meter = DemandMeter(window_s=2.7)
     meter.ask(0.0, A, 100)
     assert meter.rate(5.0, A).asked < 1.0
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -11,7 +11,7 @@
 TARGET = 0.5
 
 NEAR, FAR = DataCentreId("near"), DataCentreId("far")
-ENGINE = Service(ServiceId("model"), 100, batch_slots=8, cache_tokens=100_000)
+ENGINE = Service(ServiceId("model"), 100, batch_slots=8)
 PLAIN = Service(ServiceId("desk"), 100)
 
 
@@ -35,7 +35,7 @@
 
 @pytest.fixture
 def loads():
-    return Loads()
+    return Loads(reuse_s=10.0)
 
 
 @pytest.fixture
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -46,7 +46,7 @@
     assert (node.callers.host, node.callers.port) == ("10.1.0.33", 8783)
     assert node.peer_port == 7400
     assert node.bounds.grace_ms == 8000
-    assert node.memory_bytes == 300 << 20
+    assert node.bounds.reuse_window_ms == 10_000
 
 
 def test_all_findings_come_together(path):
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oleandershift.demand import DemandMeter
 from oleandershift.digests import Digest, Scope
 from oleandershift.directory import Upstream, UpstreamState
 from oleandershift.fleetview import Beliefs
@@ -15,6 +16,7 @@
 )
 from oleandershift.neighbours import Neighbours, Peer
 from oleandershift.node import Address
+from oleandershift.placement import Loads
 from oleandershift.prompts import PrefixPart, Prompt
 from oleandershift.state import FleetState
 from oleandershift.telling import SEARCH_TICKS, URGENT_TOKENS, Teller
@@ -28,7 +30,8 @@
 
 def make_teller(name, *peers):
     own = make_peer(name)
-    state = FleetState(Neighbours(own.vm, own.data_centre), Beliefs())
+    neighbours = Neighbours(own.vm, own.data_centre)
+    state = FleetState(neighbours, Beliefs(), Loads(10.0), DemandMeter(4.0))
     state.neighbours.add(0.0, peers)
     return Teller(own, Incarnation(1), state), state
 
