--- /dev/null
+++ b/src/oleandershift/platform/deployment.py
@@ -0,0 +1,111 @@
+"""The deploy file: how the system is built, and where each program runs."""
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from oleandershift.exceptions import Finding
+
+NAME = "system.toml"
+HELPERS = frozenset({"env", "npx", "sh", "bash"})
+"""Commands that the platform does not run a program through, and shells."""
+
+AUDIENCES = frozenset({"edge", "control_plane"})
+MAX_PORT = 65_535
+MAX_ROLES = 2
+"""Programs on one class of VMs."""
+
+
+class _Role(msgspec.Struct, forbid_unknown_fields=True):
+    run: str
+    # A class of VMs.
+    on: str
+    share: float | None = None
+    count: int | None = None
+    # Who may call the program from outside.
+    serves: list[str] = []
+    metrics: str = ""
+    apart: bool = False
+    template: str = ""
+    env: dict[str, str] = {}
+
+
+def check(folder: Path) -> Result[tuple[str, ...], tuple[Finding, ...]]:
+    """Check a deploy folder; return the programs' names, or all findings together."""
+    path = folder / NAME
+    try:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as exc:
+        return Failure((Finding(str(path), str(exc), "a readable TOML file"),))
+    findings: list[Finding] = []
+    if not isinstance(raw.get("build"), str) or not raw["build"].strip():
+        findings.append(Finding("build", str(raw.get("build", "")), "a shell command"))
+    roles = raw.get("roles")
+    if not isinstance(roles, dict) or not roles:
+        findings.append(Finding("roles", "", "at least one program"))
+        return Failure(tuple(findings))
+    held: list[tuple[str, _Role]] = []
+    for name, fields in roles.items():
+        place = f"roles.{name}"
+        try:
+            role = msgspec.convert(fields, _Role)
+        except msgspec.ValidationError as exc:
+            findings.append(Finding(place, str(fields), str(exc)))
+            continue
+        held.append((name, role))
+        findings += _check_role(place, role, folder)
+    findings += _check_together(held)
+    if findings:
+        return Failure(tuple(findings))
+    return Success(tuple(name for name, _ in held))
+
+
+def _check_role(place: str, role: _Role, folder: Path) -> list[Finding]:
+    findings = []
+    words = role.run.split()
+    if not words or words[0] in HELPERS:
+        findings.append(Finding(f"{place}.run", role.run, "a program, without a shell"))
+    if (role.share is None) == (role.count is None):
+        given = "both" if role.share is not None else ""
+        findings.append(Finding(f"{place}.share", given, "either share or count"))
+    if role.share is not None and not 0.0 < role.share <= 1.0:
+        expected = "more than 0, at most 1"
+        findings.append(Finding(f"{place}.share", str(role.share), expected))
+    if role.count is not None and role.count < 1:
+        findings.append(Finding(f"{place}.count", str(role.count), "at least 1"))
+    findings += [
+        Finding(f"{place}.serves", word, f"one of {', '.join(sorted(AUDIENCES))}")
+        for word in role.serves
+        if word not in AUDIENCES
+    ]
+    if role.metrics and not _is_metrics(role.metrics):
+        findings.append(Finding(f"{place}.metrics", role.metrics, "PORT/PATH"))
+    if role.template and not (folder.parent / role.template).is_file():
+        findings.append(Finding(f"{place}.template", role.template, "a file"))
+    return findings
+
+
+def _check_together(roles: list[tuple[str, _Role]]) -> list[Finding]:
+    findings = []
+    callers: dict[tuple[str, str], str] = {}
+    sizes: dict[str, int] = {}
+    for name, role in roles:
+        sizes[role.on] = sizes.get(role.on, 0) + 1
+        for audience in role.serves:
+            other = callers.setdefault((role.on, audience), name)
+            if other != name:
+                expected = f"callers that {other} does not serve already"
+                findings.append(Finding(f"roles.{name}.serves", audience, expected))
+    findings += [
+        Finding(f"programs on {vms}", str(size), f"at most {MAX_ROLES}")
+        for vms, size in sizes.items()
+        if size > MAX_ROLES
+    ]
+    return findings
+
+
+def _is_metrics(text: str) -> bool:
+    port, slash, path = text.partition("/")
+    return bool(slash and path) and port.isdigit() and 0 < int(port) <= MAX_PORT
