Count why the requests of a log ended without success: oleander causes

Change: a summary over whole logs; a finished request that took more than one attempt has its line at INFO.

--- a/src/oleandershift/cli/cause.py
+++ b/src/oleandershift/cli/cause.py
@@ -1,10 +1,8 @@
 """Command `oleander cause`."""
 
 import argparse
-import sys
-from collections.abc import Iterator, Sequence
-from pathlib import Path
 
+from oleandershift.cli.logfiles import lines_of
 from oleandershift.cli.options import add_json, print_json
 from oleandershift.exceptions import OleanderError
 from oleandershift.explaining import LogEntry, cause_of, entries_of
@@ -26,18 +24,6 @@
     add_json(parser)
 
 
-def _lines(names: Sequence[str]) -> Iterator[bytes]:
-    for name in names:
-        if name == "-":
-            yield from sys.stdin.buffer
-            continue
-        try:
-            with Path(name).open("rb") as log:
-                yield from log
-        except OSError as exc:
-            raise OleanderError(f"{name}: {exc.strerror}") from exc
-
-
 def _text(entry: LogEntry) -> str:
     fields = " ".join(f"{name}={value}" for name, value in entry.fields.items())
     return f"{entry.time} {entry.vm} {entry.event}: {fields}"
@@ -45,7 +31,7 @@
 
 def run(args: argparse.Namespace) -> int:
     """Run the command."""
-    entries = entries_of(args.request, _lines(args.logs))
+    entries = entries_of(args.request, lines_of(args.logs))
     if not entries:
         raise OleanderError(
             f"no line names request {args.request}: it was answered in time, or its "
--- /dev/null
+++ b/src/oleandershift/cli/causes.py
@@ -0,0 +1,36 @@
+"""Command `oleander causes`."""
+
+import argparse
+
+from oleandershift.cli.logfiles import lines_of
+from oleandershift.cli.options import add_json, print_json
+from oleandershift.explaining import summary_of
+
+
+def add_parser(
+    subparsers: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    """Add the command's parser."""
+    parser = subparsers.add_parser(
+        "causes",
+        help="count from gateways' logs why requests ended without success",
+        description="Count the causes of all requests without success in logs.",
+    )
+    parser.add_argument(
+        "logs", nargs="+", metavar="LOG", help="a log of JSON lines, or `-`"
+    )
+    add_json(parser)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run the command."""
+    found = summary_of(lines_of(args.logs))
+    if args.json:
+        print_json({"causes": found.causes, "unexplained": found.unexplained})
+        return 0
+    for cause, number in found.causes.most_common():
+        print(f"{number:7}  {cause}")
+    for request in found.unexplained:
+        print(f"      1  {request}: no line tells how it ended")
+    print(f"explained: {found.explained} of {found.total} requests without success")
+    return 0
--- a/src/oleandershift/cli/operator.py
+++ b/src/oleandershift/cli/operator.py
@@ -8,7 +8,16 @@
 
 from returns.result import Failure
 
-from oleandershift.cli import cause, check, drain, explain, status, table, timeline
+from oleandershift.cli import (
+    cause,
+    causes,
+    check,
+    drain,
+    explain,
+    status,
+    table,
+    timeline,
+)
 from oleandershift.exceptions import OleanderError, SettingsError
 from oleandershift.settings import load, program_version
 
@@ -45,6 +54,7 @@
     status,
     explain,
     cause,
+    causes,
     check,
     timeline,
     drain,
--- a/src/oleandershift/explaining.py
+++ b/src/oleandershift/explaining.py
@@ -1,5 +1,6 @@
 """Finds in gateways' logs why a request ended as it did."""
 
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -16,8 +17,8 @@
 }
 """Events that end a request, and what they say."""
 
-FAILURES = frozenset(CAUSES) - {"request.late", "caller.left"}
-"""Events that end a request without success."""
+SUCCESSES = frozenset({"request.done", "request.late"})
+"""Events that end a request with success."""
 
 
 class _Line(msgspec.Struct):
@@ -49,6 +50,32 @@
     fields: dict[str, object]
 
 
+@dataclass(frozen=True)
+class Summary:
+    """Why requests ended without success.
+
+    Parameters
+    ----------
+    causes : Counter of str
+        Requests by cause.
+    unexplained : tuple of str
+        Ids of requests that have lines, but none that says how they ended.
+    """
+
+    causes: Counter[str]
+    unexplained: tuple[str, ...]
+
+    @property
+    def explained(self) -> int:
+        """Return the requests whose cause is known."""
+        return self.causes.total()
+
+    @property
+    def total(self) -> int:
+        """Return all requests without success."""
+        return self.explained + len(self.unexplained)
+
+
 def entries_of(request: str, lines: Iterable[bytes]) -> list[LogEntry]:
     """Return a request's lines in order; lines of other kinds are passed over.
 
@@ -79,6 +106,38 @@
     return cause
 
 
+def summary_of(lines: Iterable[bytes]) -> Summary:
+    """Return why the requests of whole logs ended without success.
+
+    Parameters
+    ----------
+    lines : iterable of bytes
+        Logs of one or more gateways, each in its order.
+    """
+    causes: dict[str, str | None] = {}
+    served: set[str] = set()
+    for line in lines:
+        entry = _entry(line)
+        if entry is None:
+            continue
+        request = entry.fields.get("request")
+        if not isinstance(request, str) or not request:
+            continue
+        if entry.event in SUCCESSES:
+            served.add(request)
+        causes[request] = cause_of([entry]) or causes.get(request)
+    for request in served:
+        causes.pop(request, None)
+    unexplained = tuple(request for request, cause in causes.items() if cause is None)
+    counts = Counter(_kind(cause) for cause in causes.values() if cause is not None)
+    return Summary(counts, unexplained)
+
+
+def _kind(cause: str) -> str:
+    """Return a cause without the names and values that are its own."""
+    return cause.partition(" '")[0]
+
+
 def _entry(line: bytes) -> LogEntry | None:
     start = line.find(b'{"time"')
     if start < 0:
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -59,6 +59,11 @@
     failure: tuple[int, Headers, bytes] | None = None
     cutter: EventCutter = field(default_factory=EventCutter)
 
+    @property
+    def had_trouble(self) -> bool:
+        """Tell whether it took more than one attempt."""
+        return self.sends + self.connects > 1
+
     @property
     def repeatable(self) -> bool:
         """Tell whether a second run does no harm."""
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -396,7 +396,8 @@
             self._log.info("request.late", **fields)
             self._count(call, "late")
         else:
-            self._log.debug("request.done", **fields)
+            write = self._log.info if call.had_trouble else self._log.debug
+            write("request.done", **fields)
             self._count(call, "in-time")
 
     def _measure(self, call: Call, first_s: float) -> None:
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from oleandershift.explaining import cause_of, entries_of
+from oleandershift.explaining import cause_of, entries_of, summary_of
 from standins.gateway_fleet import (
     Fleet,
     call_on,
@@ -102,6 +102,15 @@
     assert total_runs(fleet, "a1") == 1
 
 
+def test_success_after_trouble_has_its_line(fleet, gateway):
+    fleet.engines["e1"].conduct = Conduct.REFUSE
+    for number in range(4):
+        assert gateway.call("/read/x", f"a{number}").status == 200
+    summary = summary_of(fleet.log(gateway).encode().splitlines())
+    assert "request.retried" in fleet.log(gateway)
+    assert summary.total == 0
+
+
 @pytest.mark.parametrize("path", ["/write/x", "/read/x", "/stream/once/x"])
 def test_refusal_by_all_is_told_with_a_time(fleet, gateway, path):
     for engine in fleet.engines.values():
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -5,7 +5,7 @@
 import pytest
 
 from oleandershift.cli import operator
-from oleandershift.explaining import CAUSES, cause_of, entries_of
+from oleandershift.explaining import CAUSES, cause_of, entries_of, summary_of
 
 
 def line(event, request="a1", time="2026-12-04T00:00:01", **fields):
@@ -57,6 +57,33 @@
     assert "cause: refused: too late" in capsys.readouterr().out
 
 
+def test_summary_counts_causes_of_whole_logs(log):
+    more = [
+        line("request.refused", "a3", reason="no route for host 'x' and path '/y'"),
+        line("request.refused", "a4", reason="no route for host 'z' and path '/y'"),
+        line("request.retried", "a5"),
+        line("attempt.broken", "a6"),
+        line("request.done", "a6"),
+        line("process.started", ""),
+    ]
+    found = summary_of([text.encode() for text in [*log, *more]])
+    assert found.causes == {
+        "the stream was cut: upstream reset": 1,
+        "refused: too late": 1,
+        "refused: deadline": 1,
+        "refused: no route for host": 2,
+    }
+    assert found.unexplained == ("a5",)
+    assert (found.explained, found.total) == (5, 6)
+
+
+def test_command_counts_causes(tmp_path, capsys, log):
+    path = tmp_path / "vm1.log"
+    path.write_text("\n".join(log))
+    assert operator.main(["causes", str(path)]) == 0
+    assert "explained: 3 of 3" in capsys.readouterr().out
+
+
 def test_command_says_that_nothing_was_found(tmp_path, capsys):
     path = tmp_path / "vm1.log"
     path.write_text("")
