--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -15,7 +15,7 @@
 
 LEAST_PART = 0.1
 """Least part of a route's requests within a share, over the part of the team's tokens,
-so that none is shut out. 0.4 cost a twentieth of the value (bench)."""
+so that none is shut out (docs/PLACEMENT.md)."""
 
 MIX_DECAY = 0.99
 """What remains of a team's mix of routes with each request: about a hundred count."""
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -312,7 +312,7 @@
             return End.ANSWERED
         call.first_at = now()
         res.send(head.status, fields, body)
-        self._finished(call, upstream, head.status)
+        self._finished(call, head.status)
         return End.ANSWERED
 
     async def _stream(
@@ -356,7 +356,7 @@
             return End.ANSWERED
         res.finish()
         self._record(call, upstream, True)
-        self._finished(call, upstream, head.status)
+        self._finished(call, head.status)
         return End.ANSWERED
 
     def _record(self, call: Call, upstream: Upstream, healthy: bool) -> None:
@@ -375,14 +375,13 @@
             reason=repr(exc),
         )
 
-    def _finished(self, call: Call, upstream: Upstream, status: int) -> None:
+    def _finished(self, call: Call, status: int) -> None:
         first_s = max(0.0, call.first_at - call.req.arrived)
         late = first_s > call.route.target_ms / 1000
         self._measure(call, first_s)
         fields = {
             "request": call.id,
             "team": call.team.name if call.team else None,
-            "upstream": upstream.name,
             "status": status,
             "first_ms": round(first_s * 1000),
             "total_ms": round((now() - call.req.arrived) * 1000),
@@ -465,7 +464,7 @@
             sends=call.sends,
             left_ms=round(remaining(call.deadline) * 1000),
             retry_after_s=round(wait, 2) if status == 503 else None,
-            **_inputs(choice),
+            **_inputs(choice or call.choice),
         )
         self._count(call, "refused" if status == 503 else "unknown")
         res.send(status, fields, reason.encode())
@@ -476,6 +475,7 @@
     if choice is None:
         return {}
     return {
+        "upstream": choice.upstream.name,
         "predicted_ms": round(choice.seconds * 1000),
         "running": choice.load.running,
         "unread": choice.load.unread,
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -173,6 +173,15 @@
     assert "request.late" not in fleet.log(gateway)
 
 
+def test_silent_upstream_is_named(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.conduct = Conduct.HANG
+    deadline = {"Oleandershift-Deadline-Ms": "300"}
+    assert gateway.call("/write/x", "a1", **deadline).status == 504
+    (entry,) = entries_of("a1", fleet.log(gateway).encode().splitlines())
+    assert entry.fields["upstream"] in fleet.engines
+
+
 def test_upstream_stops_when_its_caller_leaves(fleet, gateway):
     for engine in fleet.engines.values():
         engine.conduct = Conduct.HANG
