Call the store less often from VMs that rely on a hub

Change: a VM that relies on its hub repeats failing calls after up to 1.5 s; changes are gathered for 0.5 s; a VM asks another for what it misses at a pace of 0.6 s, longer than changes are gathered for. Bounds: configuration and leaving upstreams have 2.5 s.

--- a/src/oleandershift/io/feed.py
+++ b/src/oleandershift/io/feed.py
@@ -13,9 +13,36 @@
 from oleandershift.retries import Backoff
 
 RETRY_BASE_SECONDS = 0.1
-RETRY_LIMIT_SECONDS = 0.5
-"""A returned store is noticed within this time: a fifth of the time in which a
-configuration has to be in force."""
+
+GATHER_SECONDS = 0.5
+"""Pause after changes, so that the next call brings several: a fifth of the shortest
+time in which a change has to be in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """How often a feed calls the store.
+
+    Parameters
+    ----------
+    watch_s : float
+        Wait of a watch.
+    retry_s : float
+        Longest pause between failed calls.
+    """
+
+    watch_s: float
+    retry_s: float
+
+
+LEADING = Pace(watch_s=2.5, retry_s=0.5)
+"""Of a VM on which others rely. A silent connection shows after the watch and a margin
+of 1 s: within the 4 s in which a VM may be out of touch. A returned store is noticed
+within a fifth of the time in which a configuration has to be in force."""
+
+RELYING = Pace(watch_s=15.0, retry_s=1.5)
+"""Of the others: each call to the store is paid for, and what they miss shows by what
+the leading VMs have read."""
 
 
 class Source(Protocol):
@@ -30,19 +57,6 @@
         """Wait for changes of a kind."""
 
 
-SHORT_WATCH_SECONDS = 2.5
-"""Wait of a watch on which others rely, too. A silent connection shows after this time
-and a margin of 1 s: within the 4 s in which a VM may be out of touch."""
-
-LONG_WATCH_SECONDS = 15.0
-"""Wait of a watch beside others: each call to the store is paid for, and a silent
-connection shows by what the other VMs have read."""
-
-GATHER_SECONDS = 0.25
-"""Pause after changes, so that the next call brings several: a tenth of the shortest
-time in which a change has to be in force."""
-
-
 @dataclass(frozen=True, slots=True)
 class StoreLost:
     """A call failed."""
@@ -95,11 +109,11 @@
         self._source = source
         self._kind = kind
         self._deliver = deliver
-        self._backoff = Backoff(rng, RETRY_BASE_SECONDS, RETRY_LIMIT_SECONDS)
+        self._rng = rng
         self._stopped = threading.Event()
         self._revision: int | None = None
         self._failures = 0
-        self.wait_seconds = SHORT_WATCH_SECONDS
+        self.pace = LEADING
 
     def start(self) -> None:
         """Begin to follow."""
@@ -129,7 +143,8 @@
             return
         self._failures += 1
         self._deliver(StoreLost(self._kind, failure))
-        self._stopped.wait(self._backoff.instant(RETRY_BASE_SECONDS, self._failures))
+        backoff = Backoff(self._rng, RETRY_BASE_SECONDS, self.pace.retry_s)
+        self._stopped.wait(backoff.instant(RETRY_BASE_SECONDS, self._failures))
 
     def _read(self) -> Result[FeedEvent, StoreFailure]:
         result = self._source.snapshot(self._kind)
@@ -139,7 +154,7 @@
         return result.map(lambda found: SnapshotRead(self._kind, found))
 
     def _watch(self, revision: int) -> Result[FeedEvent, StoreFailure]:
-        result = self._source.watch(self._kind, revision, self.wait_seconds)
+        result = self._source.watch(self._kind, revision, self.pace.watch_s)
         if isinstance(result, Failure):
             return Failure(result.failure())
         self._revision = result.unwrap().revision
--- a/src/oleandershift/io/following.py
+++ b/src/oleandershift/io/following.py
@@ -13,8 +13,8 @@
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.feed import (
-    LONG_WATCH_SECONDS,
-    SHORT_WATCH_SECONDS,
+    LEADING,
+    RELYING,
     ChangesRead,
     Feed,
     FeedEvent,
@@ -78,7 +78,7 @@
     def rely_on_others(self, relies: bool) -> None:
         """Say whether other VMs' reading shows what this one misses."""
         for feed in self._feeds:
-            feed.wait_seconds = LONG_WATCH_SECONDS if relies else SHORT_WATCH_SECONDS
+            feed.pace = RELYING if relies else LEADING
 
     def stop(self) -> None:
         """End all feeds."""
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -45,8 +45,9 @@
 """Time after SIGTERM in which requests are still taken: the balancer asks once a second
 and needs two misses."""
 
-CATCH_UP_SECONDS = 0.3
-"""Pace at which a VM that the store turns away asks the others."""
+CATCH_UP_SECONDS = 0.6
+"""Pace at which a VM that the store turns away asks the others: longer than changes are
+gathered for, so that only what is missed counts as missed."""
 
 STOP_MARGIN_SECONDS = 0.4
 """Time before SIGKILL at which the process ends, whatever still runs."""
