Reset the connection of a request that is given up

The event loop's abort closes in order as well. Ruled out: the process noticing late; the caller's own limit had ended the attempt, and nothing else sends on that connection. Change: a connection with a request under way is reset.

--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -1,6 +1,8 @@
 """HTTP connections to upstreams, on an event loop."""
 
 import asyncio
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,6 +19,10 @@
 
 _BODILESS = (204, 304)
 
+_RESET = struct.pack("ii", 1, 0)
+"""Linger for no time: the connection is reset. Closed otherwise, the kernel would go on
+to send a request that a link holds up, long after its caller left."""
+
 
 class Cause(Enum):
     """Why an exchange ended without a whole answer."""
@@ -175,8 +181,11 @@
         return exchange
 
     def close(self) -> None:
-        """Close at once; what is not sent yet is dropped."""
+        """Close at once; a request under way is dropped, wherever its bytes are."""
         self.reusable = False
+        if self._exchange is not None:
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
         self._transport.abort()
 
     def pause(self) -> None:
