Take the soak's ports from the range that nobody else is given

The soak took a free port, closed it and started its process later; meanwhile the other test's server was given that port by the system, and the soak's readiness question reached it. Ruled out: retries of the client library (switched off in that test); the fault counter (the log shows three runs for two calls). Change: the tests' reserved ports serve the soak as well; the module moves to the stand-ins.

--- a/tests/ports.py
+++ b/standins/ports.py
@@ -1,4 +1,4 @@
-"""Free TCP ports for processes that tests start."""
+"""Free TCP ports for processes that tests and stand-ins start."""
 
 import itertools
 import os
@@ -12,7 +12,7 @@
 _reservations: list[socket.socket] = []
 
 
-def free_port() -> int:
+def free_port(ip: str = "127.0.0.1") -> int:
     """Return a port that nothing is bound to and no other test process was given.
 
     Ports lie below the range that the system gives to outgoing connections, so that
@@ -24,9 +24,9 @@
         port = FIRST_PORT + next(_next) % PORTS
         mark = socket.socket(type=socket.SOCK_DGRAM)
         try:
-            mark.bind(("127.0.0.1", port))
+            mark.bind((ip, port))
             with socket.socket() as sock:
-                sock.bind(("127.0.0.1", port))
+                sock.bind((ip, port))
         except OSError:
             mark.close()
             continue
--- a/standins/soak_fleet.py
+++ b/standins/soak_fleet.py
@@ -3,7 +3,6 @@
 import hashlib
 import json
 import random
-import socket
 import time
 from contextlib import AbstractContextManager
 from pathlib import Path
@@ -24,6 +23,7 @@
 )
 from standins.faulty import Execution
 from standins.platform import Loss, Outage, PlatformFaults
+from standins.ports import free_port
 from standins.processes import ChildProcess, stop_all
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 
@@ -41,12 +41,6 @@
 LOSS_PROBABILITY = 0.2
 
 
-def _free_port(ip: str) -> int:
-    with socket.socket() as sock:
-        sock.bind((ip, 0))
-        return int(sock.getsockname()[1])
-
-
 def _flags(**values: object) -> list[str]:
     return [f"--{name.replace('_', '-')}={value}" for name, value in values.items()]
 
@@ -236,8 +230,8 @@
     # Processes
 
     def _start(self) -> None:
-        platform_port = _free_port(self._ip)
-        control_port = _free_port(self._ip)
+        platform_port = free_port(self._ip)
+        control_port = free_port(self._ip)
         self._platform = f"http://{self._ip}:{platform_port}"
         self._platform_control = f"http://{self._ip}:{control_port}"
         self._run_outside(
@@ -257,7 +251,7 @@
             self._wait_ready(f"{url}/readyz", router)
 
     def _start_upstream(self, number: int) -> None:
-        port, proxied, control = (_free_port(self._ip) for _ in range(3))
+        port, proxied, control = (free_port(self._ip) for _ in range(3))
         self._run_outside(
             f"upstream{number}", "standins.faulty", _flags(ip=self._ip, port=port)
         )
@@ -277,7 +271,7 @@
         self._proxy_controls.append(f"http://{self._ip}:{control}")
 
     def _start_vm(self, number: int) -> None:
-        agent_port, http_port = _free_port(self._ip), _free_port(self._ip)
+        agent_port, http_port = free_port(self._ip), free_port(self._ip)
         seeds = self._agent_addresses
         common = _flags(
             vm=f"vm{number}",
@@ -285,9 +279,9 @@
             data_centre="one-1",
             ip=self._ip,
             agent_port=agent_port,
-            query_port=_free_port(self._ip),
-            allocator_port=_free_port(self._ip),
-            router_port=_free_port(self._ip),
+            query_port=free_port(self._ip),
+            allocator_port=free_port(self._ip),
+            router_port=free_port(self._ip),
             http_port=http_port,
         )
         platform = _flags(platform_url=self._platform)
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -25,7 +25,7 @@
     Role,
 )
 from oleandershift.subscription import Subscription
-from tests.ports import free_port
+from standins.ports import free_port
 
 WAIT_SECONDS = 30.0
 ASK_SECONDS = 2.0
--- a/tests/contract/test_links.py
+++ b/tests/contract/test_links.py
@@ -18,8 +18,8 @@
 from oleandershift.io.links import Links
 from oleandershift.io.logs import EventLog, configure
 from oleandershift.messages import MAX_MESSAGE_BYTES, Envelope, encode
+from standins.ports import free_port
 from tests.integration.conftest import wait_until
-from tests.ports import free_port
 from tests.samples import BODIES, FLEET, REGION, ROUTER, envelope
 
 GOOD = msgspec.structs.replace(envelope(BODIES[0]), wall=time.time_ns())
--- a/tests/integration/conftest.py
+++ b/tests/integration/conftest.py
@@ -30,7 +30,7 @@
 )
 from oleandershift.rows import ServiceRow, TeamRow, UpstreamRow, encode_row
 from standins.faulty import FaultyUpstream
-from tests.ports import free_port
+from standins.ports import free_port
 
 KEY = "key-of-the-team"
 WAIT_SECONDS = 30.0
--- a/tests/integration/test_allocator.py
+++ b/tests/integration/test_allocator.py
@@ -37,7 +37,7 @@
     TeamLoad,
 )
 from oleandershift.rows import ServiceRow, TeamRow, UpstreamRow, encode_row
-from tests.ports import free_ports
+from standins.ports import free_ports
 
 LIMIT_SECONDS = 30.0
 REGION = RegionId("r1")
--- a/tests/integration/test_listening.py
+++ b/tests/integration/test_listening.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from standins.ports import free_ports
 from tests.integration.conftest import wait_until
-from tests.ports import free_ports
 
 IP = "127.25.0.9"
 LISTEN = "0A"
--- a/tests/integration/test_query.py
+++ b/tests/integration/test_query.py
@@ -30,7 +30,7 @@
     Role,
     encode,
 )
-from tests.ports import free_port
+from standins.ports import free_port
 from tests.samples import BODIES, envelope
 
 FLEET = FleetId("oleander")
--- a/tests/integration/test_request_path.py
+++ b/tests/integration/test_request_path.py
@@ -19,8 +19,8 @@
 from oleandershift.timeline import Filter, Timeline
 from standins.capacity.daemons import PORTS, Vm, running
 from standins.engine import Engine
+from standins.ports import free_ports
 from standins.run import UpstreamConfig
-from tests.ports import free_ports
 
 KEY = "ole_test"
 
--- a/tests/integration/test_upstreams.py
+++ b/tests/integration/test_upstreams.py
@@ -9,7 +9,7 @@
 
 from oleandershift.rows import UpstreamRow, UpstreamState
 from standins.faulty import FaultName, FaultyUpstream
-from tests.ports import free_port
+from standins.ports import free_port
 
 FROZEN_SECONDS = 2.0
 
