Keep one type for an object of the store

The record that a VM passes on had the fields of the one that the store client returns, and was copied from it at three places. One type serves both; the bytes between VMs stay the same.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -18,6 +18,7 @@
     UpstreamId,
     VmId,
 )
+from oleandershift.records import Record
 
 
 class Scope(Enum):
@@ -98,30 +99,22 @@
     demand: tuple[TeamDemand, ...]
 
 
-class StoredRecord(msgspec.Struct, array_like=True, frozen=True):
-    """One object of the store, passed on by a peer."""
-
-    name: str
-    revision: int
-    spec: object
-
-
 class BeliefsSnapshot(msgspec.Struct, array_like=True, frozen=True):
     """What a VM read from the store, for one that the store turns away.
 
     Parameters
     ----------
-    configuration : StoredRecord or None
+    configuration : Record or None
         The configuration's object.
     revision : int
         Store revision of the list of upstreams.
-    upstreams : tuple of StoredRecord
+    upstreams : tuple of Record
         Their objects.
     """
 
-    configuration: StoredRecord | None
+    configuration: Record | None
     revision: int
-    upstreams: tuple[StoredRecord, ...]
+    upstreams: tuple[Record, ...]
 
 
 Message: TypeAlias = Digest | BeliefsSnapshot
--- a/src/oleandershift/io/following.py
+++ b/src/oleandershift/io/following.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure
 
-from oleandershift.digests import BeliefsSnapshot, StoredRecord
+from oleandershift.digests import BeliefsSnapshot
 from oleandershift.directory import Upstream
 from oleandershift.fleetview import Beliefs
 from oleandershift.ids import UpstreamId
@@ -55,8 +55,8 @@
         self._metrics = metrics
         self._feeds: list[Feed] = []
         self._lost: set[str] = set()
-        self._stored: StoredRecord | None = None
-        self._entries: dict[str, StoredRecord] = {}
+        self._stored: Record | None = None
+        self._entries: dict[str, Record] = {}
 
     @property
     def away(self) -> bool:
@@ -146,21 +146,19 @@
             if record.name == configuration.NAME:
                 self._take_configuration(record)
 
-    def _take_configuration(self, record: Record | StoredRecord) -> None:
+    def _take_configuration(self, record: Record) -> None:
         result = configuration.decode(record.spec)
         if isinstance(result, Failure):
             self._log.warning("configuration.rejected", why=str(result.failure()))
             return
         cfg = result.unwrap()
         if self._beliefs.accept(cfg):
-            self._stored = StoredRecord(record.name, record.revision, record.spec)
+            self._stored = record
             self._log.info(
                 "configuration.applied", version=cfg.version, revision=record.revision
             )
 
-    def _take_list(
-        self, revision: int, records: tuple[Record, ...] | tuple[StoredRecord, ...]
-    ) -> None:
+    def _take_list(self, revision: int, records: tuple[Record, ...]) -> None:
         directory = self._beliefs.directory
         if directory.loaded and revision < directory.changed:
             return
@@ -174,10 +172,7 @@
             self._note_lifetime(entry)
             found.append((record.revision, entry))
         directory.replace(now(), revision, found)
-        self._entries = {
-            record.name: StoredRecord(record.name, record.revision, record.spec)
-            for record in records
-        }
+        self._entries = {record.name: record for record in records}
         self._log.info("upstreams.listed", revision=revision, count=len(found))
 
     def _take_changes(self, event: ChangesRead) -> None:
@@ -205,9 +200,7 @@
         self._note_lifetime(entry)
         if not self._beliefs.directory.put(record.revision, entry):
             return
-        self._entries[record.name] = StoredRecord(
-            record.name, record.revision, record.spec
-        )
+        self._entries[record.name] = record
         self._log.info(
             "upstream.changed",
             upstream=entry.name,
--- a/src/oleandershift/records.py
+++ b/src/oleandershift/records.py
@@ -2,10 +2,11 @@
 
 from dataclasses import dataclass
 
+import msgspec
 
-@dataclass(frozen=True, slots=True)
-class Record:
-    """One object.
+
+class Record(msgspec.Struct, array_like=True, frozen=True):
+    """One object, as the store or another VM tells it.
 
     Parameters
     ----------
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -8,7 +8,6 @@
     BeliefsSnapshot,
     Digest,
     Scope,
-    StoredRecord,
     TeamDemand,
     UpstreamWork,
     decode_digest,
@@ -24,6 +23,7 @@
     VmId,
 )
 from oleandershift.neighbours import MAX_DEMAND, MAX_WORK
+from oleandershift.records import Record
 
 PACKET_BYTES = 1472
 
@@ -62,8 +62,8 @@
 
 
 def test_snapshot_comes_back():
-    record = StoredRecord("main", 3, {"version": 3})
-    snapshot = BeliefsSnapshot(record, 9, (StoredRecord("u", 4, {"a": [1, None]}),))
+    record = Record("main", 3, {"version": 3})
+    snapshot = BeliefsSnapshot(record, 9, (Record("u", 4, {"a": [1, None]}),))
     assert decode_snapshot(encode(snapshot)).unwrap() == snapshot
 
 
