--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -12,6 +12,8 @@
 """Time constant of demand, as a part of the window over which a share is due: a flood
 shows within it."""
 
+SHARE_HEADROOM = 1.1
+"""Capacity to be shared over what is let in now, so that shares grow into free room."""
 
 LEAST_PART = 0.1
 """Least part of a route's requests within a share, over the part of the team's tokens,
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -10,7 +10,7 @@
 
 from returns.result import Failure
 
-from oleandershift.demand import DemandMeter, shares_of
+from oleandershift.demand import DemandMeter
 from oleandershift.exceptions import SettingsError
 from oleandershift.fleetview import Beliefs
 from oleandershift.ids import Incarnation, VmId
@@ -52,9 +52,6 @@
 STOP_MARGIN_SECONDS = 0.4
 """Time before SIGKILL at which the process ends, whatever still runs."""
 
-SHARE_HEADROOM = 1.1
-"""Capacity to be shared over what is let in now, so that shares grow into free room."""
-
 GRACE_SHARE = 0.6
 """Part of the time in which a leaving upstream serves on for which a registration that
 vanished is kept; the rest is left to the way of the news."""
@@ -274,11 +271,9 @@
             self._metrics.gauges[name].set(value)
 
     def _update_shares(self, at: float) -> None:
-        state = self._state
         cfg = self._beliefs.configuration
         declared = (cfg.limits.tokens_per_second if cfg else 0.0) or math.inf
-        rates = self._neighbours.demand(at, state.demand.rates(at))
-        self._shedding.shares = shares_of(rates, declared, SHARE_HEADROOM)
+        self._shedding.shares = self._state.shares(at, declared)
         self._budgets.share(self._neighbours.known(at))
 
     async def _catch_up(self) -> None:
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -12,7 +12,7 @@
 from itertools import count
 from typing import Any
 
-from oleandershift.demand import DemandMeter, shares_of
+from oleandershift.demand import DemandMeter
 from oleandershift.digests import Digest
 from oleandershift.directory import Upstream, UpstreamState
 from oleandershift.fleetview import Beliefs
@@ -26,7 +26,7 @@
     UpstreamId,
     VmId,
 )
-from oleandershift.io.gateway import SHARE_HEADROOM, TICK_SECONDS
+from oleandershift.io.gateway import TICK_SECONDS
 from oleandershift.neighbours import Neighbours, Peer
 from oleandershift.node import Address
 from oleandershift.placement import Loads, Place, Placement, Ticket
@@ -286,10 +286,8 @@
     def _tick(self, vm: _Vm) -> None:
         if self._now > self._end and not self._running:
             return
-        state = vm.state
-        rates = state.neighbours.demand(self._now, state.demand.rates(self._now))
         declared = self._deployment.tokens_per_s
-        vm.shedding.shares = shares_of(rates, declared, SHARE_HEADROOM)
+        vm.shedding.shares = vm.state.shares(self._now, declared)
         self._tell(vm)
         self._at(self._now + TICK_SECONDS, self._tick, vm)
 
