--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -3,10 +3,11 @@
 import random
 from dataclasses import dataclass
 
-from oleandershift.demand import ShareGate, Shares, TeamRate
+from oleandershift.demand import Shares, TeamRate
 from oleandershift.ids import RouteId, TeamId
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
+from oleandershift.sharegate import ShareGate
 
 SHARE_PATIENCE = 0.65
 """Part of the target that the predicted first byte of a request within its team's
