Drop fields of emulated kinds that are the same for all

The pause and the value of a late answer stood in each kind with one value; they are constants now, and the makers of kinds need no formatting of their own.

--- a/standins/deployments.py
+++ b/standins/deployments.py
@@ -8,6 +8,12 @@
 
 from standins.batching import EngineSpeed
 
+PAUSE_SECONDS = 0.3
+"""Longest pause between events for the full value (deployment sheets)."""
+
+LATE_PART = 0.3
+"""Value of a late answer, as a part of that of one in time (deployment sheets)."""
+
 
 @dataclass(frozen=True)
 class Size:
@@ -56,11 +62,10 @@
         Shared parts in order.
     events : Size
         Events of an answer.
-    target_s, pause_s, deadline_s : float
-        Time to the first event and longest pause for the full value; the caller's
-        patience.
-    worth, late_worth : float
-        Value of an answer in time and of a late one.
+    target_s, deadline_s : float
+        Time to the first event for the full value; the caller's patience.
+    worth : float
+        Value of an answer in time.
     """
 
     name: str
@@ -69,10 +74,8 @@
     shared: tuple[SharedPart, ...]
     events: Size
     target_s: float
-    pause_s: float
     deadline_s: float
     worth: float
-    late_worth: float
 
     @property
     def mean_tokens(self) -> float:
@@ -131,24 +134,24 @@
         SharedPart(Size(512, 0.4, 1280), 1),
         SharedPart(Size(4870, 0.7, 14_600), things),
     )
-    return Kind(
-        "long", per_s, Size(6610, 1.4, 54_600), shared, events, target_s, 0.3, 15.0,
-        worth, 0.3 * worth,
-    )  # fmt: skip
+    own = Size(6610, 1.4, 54_600)
+    return Kind("long", per_s, own, shared, events, target_s, 15.0, worth)
 
 
 def _chat(
-    per_s: float, things: int, events: Size, target_s: float, deadline_s: float,
+    per_s: float,
+    things: int,
+    events: Size,
+    target_s: float,
+    deadline_s: float,
     worth: float,
-) -> Kind:  # fmt: skip
+) -> Kind:
     shared = (
         SharedPart(Size(119, 0.4, 298), 20),
         SharedPart(Size(79.4, 0.7, 238), things),
     )
-    return Kind(
-        "chat", per_s, Size(628, 1.0, 3310), shared, events, target_s, 0.3, deadline_s,
-        worth, 0.3 * worth,
-    )  # fmt: skip
+    own = Size(628, 1.0, 3310)
+    return Kind("chat", per_s, own, shared, events, target_s, deadline_s, worth)
 
 
 def _tag(
@@ -158,10 +161,8 @@
         SharedPart(Size(341, 0.4, 851), things[0]),
         SharedPart(Size(227, 0.7, 681), things[1]),
     )
-    return Kind(
-        "tag", per_s, Size(1800, 1.3, 6870), shared, events, target_s, 0.3, 3.0, worth,
-        0.3 * worth,
-    )  # fmt: skip
+    own = Size(1800, 1.3, 6870)
+    return Kind("tag", per_s, own, shared, events, target_s, 3.0, worth)
 
 
 KYUSHU = Deployment(
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -36,7 +36,7 @@
 from oleandershift.state import FleetState
 from oleandershift.telling import Notice, Teller
 from standins.batching import BatchEngine, EngineEvent, Job
-from standins.deployments import Deployment, Kind, Size
+from standins.deployments import LATE_PART, PAUSE_SECONDS, Deployment, Kind, Size
 
 SERVICE = ServiceId("model")
 TURNS = 2
@@ -145,7 +145,7 @@
             return 0.0
         if self.first_s <= self.kind.target_s and not self.paused:
             return self.worth
-        return self.worth * self.kind.late_worth / self.kind.worth
+        return self.worth * LATE_PART
 
 
 @dataclass(eq=False)
@@ -402,7 +402,7 @@
         patience = max(
             ABANDON_SECONDS,
             ABANDON_TARGETS * kind.target_s,
-            ABANDON_PAUSES * kind.pause_s,
+            ABANDON_PAUSES * PAUSE_SECONDS,
         )
         self._at(self._now + patience, self._leave, upstream.name, job)
 
@@ -431,7 +431,7 @@
             vm.state.loads.started(ticket)
             self._work_changed(vm)
             req.first_s = self._now + self._deployment.caller_s - req.asked_at
-        elif self._now - req.last_event_at > req.kind.pause_s:
+        elif self._now - req.last_event_at > PAUSE_SECONDS:
             req.paused = True
         req.last_event_at = self._now
         if event.is_last:
