Call one piece of code where two did the same

- Ranking by rendezvous weight: placement and the own fleet's roles.
- Reading a log's lines and the argument that names logs: the time line and both commands on causes.
- Reading a TOML file with its finding: settings and deploy file.
- A log line is parsed once, not twice, before it is explained.

--- a/src/oleandershift/cli/cause.py
+++ b/src/oleandershift/cli/cause.py
@@ -2,7 +2,7 @@
 
 import argparse
 
-from oleandershift.cli.logfiles import lines_of
+from oleandershift.cli.logfiles import add_logs, lines_of
 from oleandershift.cli.options import add_json, print_json
 from oleandershift.exceptions import OleanderError
 from oleandershift.explaining import LogEntry, cause_of, entries_of
@@ -18,9 +18,7 @@
         description="Read the logs of gateways for one request.",
     )
     parser.add_argument("request", help="id of the caller's attempt")
-    parser.add_argument(
-        "logs", nargs="+", metavar="LOG", help="a log of JSON lines, or `-`"
-    )
+    add_logs(parser)
     add_json(parser)
 
 
--- a/src/oleandershift/cli/causes.py
+++ b/src/oleandershift/cli/causes.py
@@ -2,7 +2,7 @@
 
 import argparse
 
-from oleandershift.cli.logfiles import lines_of
+from oleandershift.cli.logfiles import add_logs, lines_of
 from oleandershift.cli.options import add_json, print_json
 from oleandershift.explaining import summary_of
 
@@ -16,9 +16,7 @@
         help="count from gateways' logs why requests ended without success",
         description="Count the causes of all requests without success in logs.",
     )
-    parser.add_argument(
-        "logs", nargs="+", metavar="LOG", help="a log of JSON lines, or `-`"
-    )
+    add_logs(parser)
     add_json(parser)
 
 
--- a/src/oleandershift/cli/logfiles.py
+++ b/src/oleandershift/cli/logfiles.py
@@ -1,10 +1,35 @@
-"""Lines of log files that a command names."""
+"""Logs that a command names."""
 
+import argparse
 import sys
 from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from oleandershift.exceptions import OleanderError
+from oleandershift.timeline import MAX_LINE_BYTES
+
+
+def add_logs(parser: argparse.ArgumentParser) -> None:
+    """Add the argument that names logs for `lines_of`."""
+    parser.add_argument(
+        "logs", nargs="+", metavar="LOG", help="a log of JSON lines, or `-`"
+    )
+
+
+def read_lines(path: Path) -> Iterator[bytes]:
+    """Yield the lines of a file; longer ones than `MAX_LINE_BYTES` in pieces.
+
+    Raises
+    ------
+    OleanderError
+        When the file can't be read.
+    """
+    try:
+        with path.open("rb") as log:
+            while line := log.readline(MAX_LINE_BYTES + 1):
+                yield line
+    except OSError as exc:
+        raise OleanderError(f"{path}: {exc.strerror}") from exc
 
 
 def lines_of(names: Sequence[str]) -> Iterator[bytes]:
@@ -18,9 +43,5 @@
     for name in names:
         if name == "-":
             yield from sys.stdin.buffer
-            continue
-        try:
-            with Path(name).open("rb") as log:
-                yield from log
-        except OSError as exc:
-            raise OleanderError(f"{name}: {exc.strerror}") from exc
+        else:
+            yield from read_lines(Path(name))
--- a/src/oleandershift/cli/timeline.py
+++ b/src/oleandershift/cli/timeline.py
@@ -5,10 +5,11 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+from oleandershift.cli.logfiles import read_lines
 from oleandershift.cli.options import add_json, print_json
 from oleandershift.exceptions import OleanderError
 from oleandershift.rendering import as_html, as_text, faults_text
-from oleandershift.timeline import MAX_LINE_BYTES, Filter, Timeline
+from oleandershift.timeline import Filter, Timeline
 
 
 def add_parser(
@@ -42,19 +43,10 @@
             yield path
 
 
-def _lines(path: Path) -> Iterator[bytes]:
-    with path.open("rb") as log:
-        while line := log.readline(MAX_LINE_BYTES + 1):
-            yield line
-
-
 def _read(names: list[str]) -> Timeline:
     timeline = Timeline()
     for path in _log_files(names):
-        try:
-            timeline.add_lines(_lines(path))
-        except OSError as exc:
-            raise OleanderError(f"{path}: {exc.strerror}") from exc
+        timeline.add_lines(read_lines(path))
     return timeline
 
 
--- a/src/oleandershift/explaining.py
+++ b/src/oleandershift/explaining.py
@@ -143,8 +143,8 @@
     if start < 0:
         return None
     try:
-        head = msgspec.json.decode(line[start:], type=_Line)
         fields = msgspec.json.decode(line[start:], type=dict[str, object])
+        head = msgspec.convert(fields, type=_Line)
     except msgspec.DecodeError:
         return None
     rest = {k: v for k, v in fields.items() if k not in ("time", "vm", "event")}
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from oleandershift.directory import Upstream
-from oleandershift.hashing import weight_of
+from oleandershift.hashing import ranked
 from oleandershift.ids import DataCentreId, RegionId, UpstreamId
 from oleandershift.prompts import PrefixPart, Prompt
 from oleandershift.routing import Service
@@ -331,4 +331,4 @@
     """Return the candidates in the order in which all VMs prefer them for a prefix."""
     shared = prompt.parts[:-1]
     key = shared[-1].name if shared else prompt.parts[-1].name if prompt.parts else ""
-    return sorted(candidates, key=lambda item: weight_of(key, item.name), reverse=True)
+    return ranked(key, candidates, lambda item: item.name)
--- a/src/oleandershift/platform/deployment.py
+++ b/src/oleandershift/platform/deployment.py
@@ -1,12 +1,12 @@
 """The deploy file: how the system is built, and where each program runs."""
 
-import tomllib
 from pathlib import Path
 
 import msgspec
 from returns.result import Failure, Result, Success
 
 from oleandershift.exceptions import Finding
+from oleandershift.platform.settings import read_toml
 
 NAME = "system.toml"
 HELPERS = frozenset({"env", "npx", "sh", "bash"})
@@ -34,14 +34,16 @@
 
 def check(folder: Path) -> Result[tuple[str, ...], tuple[Finding, ...]]:
     """Check a deploy folder; return the programs' names, or all findings together."""
-    path = folder / NAME
-    try:
-        raw = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as exc:
-        return Failure((Finding(str(path), str(exc), "a readable TOML file"),))
+    return read_toml(folder / NAME).bind(lambda raw: _check(raw, folder))
+
+
+def _check(
+    raw: dict[str, object], folder: Path
+) -> Result[tuple[str, ...], tuple[Finding, ...]]:
     findings: list[Finding] = []
-    if not isinstance(raw.get("build"), str) or not raw["build"].strip():
-        findings.append(Finding("build", str(raw.get("build", "")), "a shell command"))
+    build = raw.get("build", "")
+    if not isinstance(build, str) or not build.strip():
+        findings.append(Finding("build", str(build), "a shell command"))
     roles = raw.get("roles")
     if not isinstance(roles, dict) or not roles:
         findings.append(Finding("roles", "", "at least one program"))
--- a/src/oleandershift/platform/settings.py
+++ b/src/oleandershift/platform/settings.py
@@ -46,13 +46,17 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
-def read(path: Path) -> Result[NodeSettings, tuple[Finding, ...]]:
-    """Read and check a settings file."""
+def read_toml(path: Path) -> Result[dict[str, object], tuple[Finding, ...]]:
+    """Read a TOML file."""
     try:
-        raw = tomllib.loads(path.read_text())
+        return Success(tomllib.loads(path.read_text()))
     except (OSError, ValueError) as exc:
         return Failure((Finding(str(path), str(exc), "a readable TOML file"),))
-    return decode(raw)
+
+
+def read(path: Path) -> Result[NodeSettings, tuple[Finding, ...]]:
+    """Read and check a settings file."""
+    return read_toml(path).bind(decode)
 
 
 def decode(raw: dict[str, object]) -> Result[NodeSettings, tuple[Finding, ...]]:
--- a/src/oleandershift/rendezvous.py
+++ b/src/oleandershift/rendezvous.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Container, Iterable
 
-from oleandershift.hashing import weight_of
+from oleandershift import hashing
 from oleandershift.ids import RegionId, ServiceId, VmId
 from oleandershift.messages import Member, MemberState
 
 
 def ranked(key: str, members: Iterable[Member]) -> list[Member]:
     """Return members from the first choice for `key` to the last."""
-    return sorted(members, key=lambda member: weight_of(key, member.vm), reverse=True)
+    return hashing.ranked(key, members, lambda member: member.vm)
 
 
 def allocator_for(
