Log the shares, and the inputs of each admission decision

Each second a gateway logs the level, the shared capacity and the five teams that request the most, with their rates over the fleet and, here, what was admitted and what started at this VM. Lines that end a generation carry the inputs of its admission.

Placement, admission and messages between VMs are unchanged.

--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -1,6 +1,7 @@
 """Demand of the teams, and the fair share of each."""
 
 import math
+from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -24,6 +25,33 @@
     admitted: float = 0.0
 
 
+_NO_RATE = TeamRate()
+
+
+class DecayingRate:
+    """A rate as a sum of amounts that decay exponentially.
+
+    Parameters
+    ----------
+    time_constant_s : float
+        Seconds in which an amount decays to 1/e.
+    """
+
+    def __init__(self, time_constant_s: float) -> None:
+        self._time_constant_s = time_constant_s
+        self._rate = 0.0
+        self._updated_at = 0.0
+
+    def add(self, now: float, amount: float) -> None:
+        """Add an amount; a negative one takes back what was added before."""
+        self._rate = self.at(now) + amount / self._time_constant_s
+        self._updated_at = now
+
+    def at(self, now: float) -> float:
+        """Return the rate per second."""
+        return self._rate * math.exp((self._updated_at - now) / self._time_constant_s)
+
+
 class DemandMeter:
     """Measures each team's rates at this VM as decaying averages.
 
@@ -35,29 +63,42 @@
 
     def __init__(self, window_s: float) -> None:
         self._time_constant_s = TIME_CONSTANT_FRACTION * window_s
-        self._rates: dict[TeamId, tuple[TeamRate, float]] = {}
+        self._requested: defaultdict[TeamId, DecayingRate]
+        self._requested = defaultdict(self._new_rate)
+        self._admitted: defaultdict[TeamId, DecayingRate]
+        self._admitted = defaultdict(self._new_rate)
+        self._started: defaultdict[TeamId, DecayingRate]
+        self._started = defaultdict(self._new_rate)
 
     def record_request(self, now: float, team: TeamId, tokens: float) -> None:
         """Add a request to the requested rate of its team."""
-        rate = self.rate(now, team)
-        requested = rate.requested + tokens / self._time_constant_s
-        self._rates[team] = (TeamRate(requested, rate.admitted), now)
+        self._requested[team].add(now, tokens)
 
     def record_admission(self, now: float, team: TeamId, tokens: float) -> None:
         """Add an admitted request to the admitted rate of its team."""
-        rate = self.rate(now, team)
-        admitted = rate.admitted + tokens / self._time_constant_s
-        self._rates[team] = (TeamRate(rate.requested, admitted), now)
+        self._admitted[team].add(now, tokens)
+
+    def record_start(self, now: float, team: TeamId, tokens: float) -> None:
+        """Add a request whose first event has arrived to the started rate."""
+        self._started[team].add(now, tokens)
 
     def rate(self, now: float, team: TeamId) -> TeamRate:
-        """Return a team's rates."""
-        rate, updated_at = self._rates.get(team, (TeamRate(), now))
-        decay = math.exp((updated_at - now) / self._time_constant_s)
-        return TeamRate(rate.requested * decay, rate.admitted * decay)
+        """Return a team's requested and admitted rate."""
+        return TeamRate(
+            self._requested[team].at(now) if team in self._requested else 0.0,
+            self._admitted[team].at(now) if team in self._admitted else 0.0,
+        )
 
     def rates(self, now: float) -> dict[TeamId, TeamRate]:
-        """Return all teams' rates."""
-        return {team: self.rate(now, team) for team in self._rates}
+        """Return all teams' requested and admitted rates."""
+        return {team: self.rate(now, team) for team in self._requested}
+
+    def started_rate(self, now: float, team: TeamId) -> float:
+        """Return the rate of a team's requests that have started."""
+        return self._started[team].at(now) if team in self._started else 0.0
+
+    def _new_rate(self) -> DecayingRate:
+        return DecayingRate(self._time_constant_s)
 
 
 @dataclass(frozen=True)
@@ -67,18 +108,34 @@
     Parameters
     ----------
     rates : mapping
-        Requested and admitted rate of each team over the fleet.
+        Rates of each team over the fleet.
     level : float
         Largest rate that any team is entitled to, in tokens per second; infinite while
         the capacity covers all demand.
+    capacity : float
+        Rate that is shared, in tokens per second.
     """
 
     rates: Mapping[TeamId, TeamRate] = field(default_factory=dict)
     level: float = math.inf
+    capacity: float = math.inf
+
+    def rate(self, team: TeamId | None) -> TeamRate:
+        """Return the rates of a team; zeros for an unknown team and for no team."""
+        return _NO_RATE if team is None else self.rates.get(team, _NO_RATE)
+
+    @property
+    def total(self) -> TeamRate:
+        """Sum of the rates of all teams."""
+        rates = self.rates.values()
+        return TeamRate(
+            sum(rate.requested for rate in rates),
+            sum(rate.admitted for rate in rates),
+        )
 
     def entitlement(self, team: TeamId) -> float:
         """Return the rate that a team is entitled to, in tokens per second."""
-        return min(self.rates.get(team, TeamRate()).requested, self.level)
+        return min(self.rate(team).requested, self.level)
 
     def shortfall(self, team: TeamId) -> float:
         """Return how far the admitted part of a team's entitlement is below the mean.
@@ -94,7 +151,7 @@
     @cached_property
     def _mean_fraction(self) -> float:
         total = sum(self.entitlement(team) for team in self.rates)
-        return sum(r.admitted for r in self.rates.values()) / total if total else 0.0
+        return self.total.admitted / total if total else 0.0
 
 
 def max_min_shares(
@@ -105,7 +162,7 @@
     Parameters
     ----------
     rates : mapping
-        Requested and admitted rate of each team over the fleet.
+        Rates of each team over the fleet.
     declared : float
         Capacity that the configuration declares, in tokens per second.
     headroom : float
@@ -113,7 +170,8 @@
     """
     admitted = sum(rate.admitted for rate in rates.values())
     demands = {team: rate.requested for team, rate in rates.items()}
-    return Shares(rates, fair_level(demands, min(declared, admitted * headroom)))
+    capacity = min(declared, admitted * headroom)
+    return Shares(rates, fair_level(demands, capacity), capacity)
 
 
 def fair_level(demands: Mapping[TeamId, float], capacity: float) -> float:
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -9,6 +9,7 @@
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
 from oleandershift.routing import Route, Service, Team
+from oleandershift.shedding import AdmissionDecision
 
 
 class AttemptOutcome(Enum):
@@ -48,6 +49,8 @@
         timeout, no longer waited for.
     last_event_id : int
         Id of the event after which a stream resumes.
+    admission : AdmissionDecision or None
+        Decision of the load shedder; None before it, and for plain services.
     send_count : int
         Number of times the request was sent to an upstream.
     may_have_run : bool
@@ -69,6 +72,7 @@
     tried_upstreams: set[UpstreamId] = field(default_factory=set)
     first_byte_at: float = 0.0
     choice: Choice | None = None
+    admission: AdmissionDecision | None = None
     send_count: int = 0
     failed_connects: int = 0
     may_have_run: bool = False
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -27,6 +27,7 @@
 from oleandershift.io.pool import ConnectionPool
 from oleandershift.io.registry import VmRegistry
 from oleandershift.io.relay import Relay
+from oleandershift.io.sharelog import ShareLog
 from oleandershift.io.storesync import StoreSync
 from oleandershift.neighbours import Peer, PeerTable
 from oleandershift.outliers import OutlierDetector
@@ -159,6 +160,7 @@
         self._metrics = GatewayMetrics()
         self._outliers = OutlierDetector()
         self._load_shedder = LoadShedder(random.Random())
+        self._share_log = ShareLog(log, self._state.demand)
         self._this_vm = Peer(
             vm_settings.vm,
             vm_settings.data_centre,
@@ -296,7 +298,9 @@
     def _update_shares(self, instant: float) -> None:
         cfg = self._view.configuration
         declared = (cfg.limits.tokens_per_second if cfg else 0.0) or math.inf
-        self._load_shedder.shares = self._state.shares(instant, declared)
+        shares = self._state.shares(instant, declared)
+        self._load_shedder.shares = shares
+        self._share_log.on_update(instant, shares)
         self._retry_budgets.divide_among(self._peers.known_count(instant))
 
     async def _catch_up(self) -> None:
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -20,6 +20,7 @@
 from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.pool import ConnectionPool
 from oleandershift.io.requestresolver import RefusalError, RequestResolver, attempt_id
+from oleandershift.io.sharelog import level_field, rate_fields
 from oleandershift.io.upstreamconn import (
     BrokenExchangeError,
     Exchange,
@@ -31,7 +32,12 @@
 from oleandershift.placement import Choice, InFlightRequest, Placement
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
-from oleandershift.shedding import MIN_RETRY_AFTER_SECONDS, LoadShedder, PendingRequest
+from oleandershift.shedding import (
+    MIN_RETRY_AFTER_SECONDS,
+    AdmissionDecision,
+    LoadShedder,
+    PendingRequest,
+)
 from oleandershift.state import FleetState
 
 MAX_CONNECT_ATTEMPTS = 3
@@ -178,6 +184,7 @@
             remaining_s=remaining(call.deadline),
         )
         decision = self._load_shedder.decide(pending, choice)
+        call.admission = decision
         if decision.admitted:
             if pending.team is not None:
                 size = call.prompt.weighted_tokens
@@ -357,6 +364,7 @@
             if in_flight.prefill_tokens:
                 self._loads.on_first_event(in_flight)
                 self._state.on_load_change()
+                self._record_start(call)
             if not call.first_byte_at:
                 call.first_byte_at = now()
             if not res.started:
@@ -373,6 +381,11 @@
         self._record_completion(call, head.status)
         return AttemptOutcome.ANSWERED
 
+    def _record_start(self, call: Call) -> None:
+        if call.team is not None and call.prompt is not None:
+            size = call.prompt.weighted_tokens
+            self._state.demand.record_start(now(), call.team.name, size)
+
     def _record_health(self, call: Call, upstream: Upstream, healthy: bool) -> None:
         upstream_count = len(self._view.directory.usable(call.service.name))
         self._outliers.record(
@@ -406,6 +419,7 @@
             "events": call.event_stream.event_count,
             "sends": call.send_count,
             **_placement_fields(call.choice),
+            **_admission_fields(call.admission),
         }
         if status >= 400:
             self._log.info("request.failed", **fields, reason="its own answer")
@@ -487,6 +501,7 @@
             left_ms=round(remaining(call.deadline) * 1000),
             retry_after_s=round(retry_after_s, 2) if status == 503 else None,
             **_placement_fields(choice or call.choice),
+            **_admission_fields(call.admission),
         )
         self._count_request(call, "refused" if status == 503 else "unknown")
         res.send(status, fields, reason.encode())
@@ -505,3 +520,15 @@
         "uncached": choice.uncached_tokens,
         "home": choice.is_home,
     }
+
+
+def _admission_fields(decision: AdmissionDecision | None) -> dict[str, object]:
+    """Return the log fields for the inputs of an admission decision."""
+    if decision is None:
+        return {}
+    return {
+        "within_share": decision.within_share,
+        "max_delay_ms": round(decision.max_delay_s * 1000),
+        **rate_fields(decision.rate),
+        "level": level_field(decision.level),
+    }
--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -74,6 +74,10 @@
         Whether the request is within its team's share.
     max_delay_s : float
         Largest predicted time to the first byte at which the request is admitted.
+    rate : TeamRate
+        Rates of the team over the fleet on which the decision is based.
+    level : float
+        Largest rate that any team is entitled to, in tokens per second.
     retry_after_s : float
         Seconds after which a rejected caller may retry.
     """
@@ -81,6 +85,8 @@
     admitted: bool
     within_share: bool
     max_delay_s: float
+    rate: TeamRate
+    level: float
     retry_after_s: float = 0.0
 
 
@@ -105,25 +111,28 @@
 
     def decide(self, req: PendingRequest, choice: Choice) -> AdmissionDecision:
         """Decide on a request by the predicted first byte of its best upstream."""
-        within_share = self._within_share(req)
+        rate = self.shares.rate(req.team)
+        level = self.shares.level
+        within_share = self._within_share(req, rate)
         max_delay_s = self._max_delay_s(req, within_share)
         max_backlog_s = max(
             MIN_BACKLOG_FRACTION * max_delay_s, max_delay_s - choice.request_s
         )
         if choice.backlog_s <= max_backlog_s:
-            return AdmissionDecision(True, within_share, max_delay_s)
+            return AdmissionDecision(True, within_share, max_delay_s, rate, level)
         retry_after_s = max(MIN_RETRY_AFTER_SECONDS, choice.backlog_s - max_backlog_s)
         retry_after_s *= self._rng.uniform(1.0, 1.5)
         retry_after_s = min(retry_after_s, req.remaining_s * MAX_RETRY_AFTER_FRACTION)
-        return AdmissionDecision(False, within_share, max_delay_s, retry_after_s)
+        return AdmissionDecision(
+            False, within_share, max_delay_s, rate, level, retry_after_s
+        )
 
-    def _within_share(self, req: PendingRequest) -> bool:
+    def _within_share(self, req: PendingRequest, rate: TeamRate) -> bool:
         if req.team is None:
             return True
-        requested = self.shares.rates.get(req.team, TeamRate()).requested
         tokens = req.prompt.weighted_tokens
         level = self.shares.level
-        return self._limiter.admit(req.team, req.route, tokens, requested, level)
+        return self._limiter.admit(req.team, req.route, tokens, rate.requested, level)
 
     def _max_delay_s(self, req: PendingRequest, within_share: bool) -> float:
         target_s = req.target_s
