--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -122,8 +122,8 @@
         Number of events of the response.
     max_wait_s : float
         Maximum wait of the caller in seconds from the first attempt.
-    attempts : int
-        Number of attempts so far.
+    attempted_at : list of float
+        Times of the attempts so far.
     first_event_s : float or None
         Seconds from the first attempt to the first event.
     predicted_first_event_s : float or None
@@ -146,7 +146,7 @@
     prompt: Prompt
     output_events: int
     max_wait_s: float
-    attempts: int = 0
+    attempted_at: list[float] = field(default_factory=list)
     first_event_s: float | None = None
     predicted_first_event_s: float | None = None
     last_event_at: float = 0.0
@@ -154,6 +154,11 @@
     finished: bool = False
     abandoned: bool = False
 
+    @property
+    def attempts(self) -> int:
+        """Number of attempts so far."""
+        return len(self.attempted_at)
+
     @property
     def full_value(self) -> float:
         """Value of a response in time.
@@ -420,7 +425,7 @@
 
     def _attempt(self, req: Request) -> None:
         """Submit a request or refuse it, as decided by a random VM of its region."""
-        req.attempts += 1
+        req.attempted_at.append(self._now)
         local_vms = [vm for vm in self._vms if vm.region == req.region]
         vm = self._rng.choice(local_vms)
         state = vm.state
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from oleandershift.demand import Shares, TeamRate, max_min_shares
+from oleandershift.demand import (
+    SHARE_HEADROOM,
+    DemandMeter,
+    Shares,
+    TeamRate,
+    max_min_shares,
+)
 from oleandershift.directory import Upstream, UpstreamState
 from oleandershift.ids import DataCentreId, RouteId, ServiceId, TeamId, UpstreamId
 from oleandershift.placement import Choice, Load
@@ -123,3 +129,31 @@
     served_large = sum(decision.admitted for decision in large)
     served_small = sum(decision.admitted for decision in small)
     assert served_large >= 0.55 * served_small
+
+
+def test_spare_capacity_does_not_go_to_the_team_that_requests_most():
+    """Engines serve twice the declared capacity; both teams request more than that."""
+    declared, served, step_s = 2_000.0, 4_000.0, 0.001
+    flood, other = TeamId("flood"), TeamId("other")
+    requested = {flood: 80_000.0, other: 8_000.0}
+    rng = random.Random(1)
+    shedder, meter = LoadShedder(rng), DemandMeter(window_s=4.0)
+    received = dict.fromkeys(requested, 0)
+    queued = 0.0
+    for step in range(30_000):
+        now = step * step_s
+        queued = max(0.0, queued - served * step_s)
+        if step % 100 == 0:
+            shedder.shares = max_min_shares(meter.rates(now), declared, SHARE_HEADROOM)
+        for team, rate in requested.items():
+            req = make_request(tokens=50, team=team)
+            size = req.prompt.weighted_tokens
+            if rng.random() >= rate * step_s / size:
+                continue
+            meter.record_request(now, team, size)
+            if shedder.decide(req, make_choice(queued / served)).admitted:
+                meter.record_admission(now, team, size)
+                queued += size
+                received[team] += size
+    assert sum(received.values()) > 0.9 * served * 30
+    assert received[other] >= 0.5 * received[flood]
