Show what the address of an engine that is gone does to shares

An engine that crashed looks idle and is preferred until its registration lapses and the grace period ends. A 421 ejects nothing, each VM finds out by itself, and the retries use up the retry budget, so that callers get 503.

--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -1,8 +1,10 @@
 """A gateway process between callers, upstreams and the store."""
 
 import http.client
+import json
 import signal
 import time
+import zlib
 from collections.abc import Iterator
 
 import pytest
@@ -388,3 +390,76 @@
         return (find_cause(entries) or "").startswith(cause)
 
     wait_until(is_explained, cause)
+
+
+RETRY_INTERVAL_SECONDS = 2.0
+"""Shortest time after which a VM may try an upstream again that wasn't there."""
+
+
+@pytest.fixture
+def generating_fleet(tmp_path) -> Iterator[GatewayFleet]:
+    """Return two gateways before upstreams that generate for one team."""
+    with running_fleet(tmp_path, gateways=2, engines=3) as running:
+        cfg = configuration(2, route("/stream/long/", "streaming", service="llm"))
+        llm = {"name": "llm", "maxConnections": 100, "engine": {"slots": 8}}
+        running.store.put("config", "main", {**cfg, "services": [llm]})
+        for name, engine in running.engines.items():
+            running.store.put("servers", name, engine.entry("llm", "one"))
+        for gateway in running.gateways:
+            wait_until(
+                lambda gateway=gateway: (
+                    generate(gateway, f"warm-{gateway.name}").status == 200
+                ),
+                "the route",
+            )
+        time.sleep(0.5)
+        yield running
+
+
+def generate(gateway, attempt):
+    """Send a generation whose preferred upstream depends on the attempt."""
+    prefix = f"{zlib.crc32(attempt.encode()):08x}:1000"
+    headers = {"Token-Usage": "1000,100", "Prompt-Prefix": prefix}
+    fields = {f"Oleandershift-{name}": value for name, value in headers.items()}
+    return gateway.call("/stream/long/x", attempt, **fields)
+
+
+def log_entries(fleet, gateway, event):
+    lines = fleet.log(gateway).splitlines()
+    entries = [json.loads(line) for line in lines if line.startswith("{")]
+    return [entry for entry in entries if entry["event"] == event]
+
+
+def test_address_taken_by_another_upstream_attracts_no_requests(generating_fleet):
+    fleet = generating_fleet
+    fleet.engines["e1"].name = "e9"
+    started = time.monotonic()
+    statuses = [
+        generate(gateway, f"a{number}-{gateway.name}").status
+        for number in range(30)
+        for gateway in fleet.gateways
+    ]
+    retries_per_vm = 1 + int((time.monotonic() - started) / RETRY_INTERVAL_SECONDS)
+    misaddressed = [
+        entry
+        for gateway in fleet.gateways
+        for entry in log_entries(fleet, gateway, "attempt.not-run")
+    ]
+    assert statuses == [200] * 60
+    assert 1 <= len(misaddressed) <= retries_per_vm * len(fleet.gateways)
+
+
+def test_failed_connects_do_not_count_as_admissions(generating_fleet):
+    fleet = generating_fleet
+    fleet.engines["e1"].stop()
+    fleet.engines["e2"].stop()
+    gateway = fleet.gateways[0]
+    started = time.monotonic()
+    number = 0
+    while time.monotonic() < started + 3.0:
+        assert generate(gateway, f"a{number}").status == 200
+        number += 1
+    assert log_entries(fleet, gateway, "upstream.unreachable")
+    shares = log_entries(fleet, gateway, "shares.updated")
+    assert shares
+    assert all(entry["admitted"] <= entry["requested"] for entry in shares)
