Share spare capacity in equal parts

Cause: the level of the shares covers the declared capacity only. What the engines serve beyond it was given to any request that met an engine with little work, so teams got it in proportion to their requests.

Requests beyond the share are now of two classes. The level is computed a second time from three times the admitted rate; up to it a request may wait 0.2 of its target, past it 0.05, which only an idle engine meets. All teams are thus offered the same part of the spare capacity.

--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -17,6 +17,11 @@
 grow into free capacity."""
 
 
+SPARE_HEADROOM = 3.0
+"""The same ratio for the capacity beyond the declared one. Many of the requests in that
+part are refused for the load of the engines, and the others have to fill it."""
+
+
 @dataclass(frozen=True, slots=True)
 class TeamRate:
     """Rates of a team in tokens per second: requested, and admitted."""
@@ -112,12 +117,16 @@
     level : float
         Largest rate that any team is entitled to, in tokens per second; infinite while
         the capacity covers all demand.
+    spare_level : float
+        The same level if all that engines serve is shared, also beyond the declared
+        capacity; at least `level`.
     capacity : float
-        Rate that is shared, in tokens per second.
+        Rate that is shared at `level`, in tokens per second.
     """
 
     rates: Mapping[TeamId, TeamRate] = field(default_factory=dict)
     level: float = math.inf
+    spare_level: float = math.inf
     capacity: float = math.inf
 
     def rate(self, team: TeamId | None) -> TeamRate:
@@ -171,7 +180,12 @@
     admitted = sum(rate.admitted for rate in rates.values())
     demands = {team: rate.requested for team, rate in rates.items()}
     capacity = min(declared, admitted * headroom)
-    return Shares(rates, fair_level(demands, capacity), capacity)
+    return Shares(
+        rates,
+        level=fair_level(demands, capacity),
+        spare_level=fair_level(demands, admitted * max(headroom, SPARE_HEADROOM)),
+        capacity=capacity,
+    )
 
 
 def fair_level(demands: Mapping[TeamId, float], capacity: float) -> float:
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -37,6 +37,7 @@
     AdmissionDecision,
     LoadShedder,
     PendingRequest,
+    ShareClass,
 )
 from oleandershift.state import FleetState
 
@@ -190,7 +191,8 @@
                 size = call.prompt.weighted_tokens
                 self._state.demand.record_admission(now(), pending.team, size)
             return True
-        detail = "beyond the team's share" if not decision.within_share else "too late"
+        within_share = decision.share is ShareClass.WITHIN
+        detail = "too late" if within_share else "beyond the team's share"
         self._send_error(call, res, detail, 502, decision.retry_after_s, choice)
         return False
 
@@ -527,7 +529,7 @@
     if decision is None:
         return {}
     return {
-        "within_share": decision.within_share,
+        "share": decision.share.value,
         "max_delay_ms": round(decision.max_delay_s * 1000),
         **rate_fields(decision.rate),
         "level": level_field(decision.level),
--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass
+from enum import Enum
 
 from oleandershift.demand import Shares, TeamRate
 from oleandershift.ids import RouteId, TeamId
@@ -13,9 +14,13 @@
 """Fraction of the target that the predicted first byte of a request within its team's
 share may take; the remainder covers prediction errors."""
 
-BEYOND_PATIENCE = 0.15
-"""The same fraction for a request beyond the share, which is therefore admitted only
-while engines are almost idle."""
+SPARE_PATIENCE = 0.2
+"""The same fraction for a request within its team's part of the spare capacity, which
+is therefore admitted only while engines have little work."""
+
+BEYOND_PATIENCE = 0.05
+"""The same fraction for all other requests: they are admitted only to idle engines, as
+they would otherwise get the spare capacity in proportion to their number."""
 
 SHORTFALL_GAIN = 2.0
 """Increase of the maximum delay per unit of shortfall: a team that receives half of its
@@ -37,6 +42,24 @@
 than that (platform contract)."""
 
 
+class ShareClass(Enum):
+    """What a request is counted towards when it is admitted.
+
+    Attributes
+    ----------
+    WITHIN
+        Its team's share of the declared capacity.
+    SPARE
+        Its team's share of what engines serve beyond the declared capacity.
+    BEYOND
+        Neither.
+    """
+
+    WITHIN = "within"
+    SPARE = "spare"
+    BEYOND = "beyond"
+
+
 @dataclass(frozen=True, slots=True)
 class PendingRequest:
     """A request that awaits the admission decision.
@@ -70,8 +93,8 @@
     ----------
     admitted : bool
         Whether to send the request to its upstream.
-    within_share : bool
-        Whether the request is within its team's share.
+    share : ShareClass
+        Share towards which the request counts.
     max_delay_s : float
         Largest predicted time to the first byte at which the request is admitted.
     rate : TeamRate
@@ -83,7 +106,7 @@
     """
 
     admitted: bool
-    within_share: bool
+    share: ShareClass
     max_delay_s: float
     rate: TeamRate
     level: float
@@ -95,8 +118,8 @@
 
     A request is rejected when its first byte would be too late, which bounds the
     backlog when engines receive more requests than they can start in time. Requests
-    beyond a team's share are admitted only while the engines are almost idle, which
-    bounds the effect of one team that floods the fleet.
+    beyond a team's share are admitted only while the engines have little work, in equal
+    parts for all teams, which bounds the effect of one team that floods the fleet.
 
     Parameters
     ----------
@@ -106,6 +129,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._limiter = ShareLimiter(rng)
+        self._spare_limiter = ShareLimiter(rng)
         self._rng = rng
         self.shares = Shares()
 
@@ -113,32 +137,39 @@
         """Decide on a request by the predicted first byte of its best upstream."""
         rate = self.shares.rate(req.team)
         level = self.shares.level
-        within_share = self._within_share(req, rate)
-        max_delay_s = self._max_delay_s(req, within_share)
+        share = self._share_class(req, rate)
+        max_delay_s = self._max_delay_s(req, share)
         max_backlog_s = max(
             MIN_BACKLOG_FRACTION * max_delay_s, max_delay_s - choice.request_s
         )
         if choice.backlog_s <= max_backlog_s:
-            return AdmissionDecision(True, within_share, max_delay_s, rate, level)
+            return AdmissionDecision(True, share, max_delay_s, rate, level)
         retry_after_s = max(MIN_RETRY_AFTER_SECONDS, choice.backlog_s - max_backlog_s)
         retry_after_s *= self._rng.uniform(1.0, 1.5)
         retry_after_s = min(retry_after_s, req.remaining_s * MAX_RETRY_AFTER_FRACTION)
-        return AdmissionDecision(
-            False, within_share, max_delay_s, rate, level, retry_after_s
-        )
+        return AdmissionDecision(False, share, max_delay_s, rate, level, retry_after_s)
 
-    def _within_share(self, req: PendingRequest, rate: TeamRate) -> bool:
+    def _share_class(self, req: PendingRequest, rate: TeamRate) -> ShareClass:
         if req.team is None:
-            return True
+            return ShareClass.WITHIN
         tokens = req.prompt.weighted_tokens
         level = self.shares.level
-        return self._limiter.admit(req.team, req.route, tokens, rate.requested, level)
-
-    def _max_delay_s(self, req: PendingRequest, within_share: bool) -> float:
-        target_s = req.target_s
-        if not within_share:
-            return BEYOND_PATIENCE * target_s
-        return SHARE_PATIENCE * target_s * self._shortfall_factor(req)
+        if self._limiter.admit(req.team, req.route, tokens, rate.requested, level):
+            return ShareClass.WITHIN
+        spare_level = self.shares.spare_level - level
+        excess = rate.requested - level
+        if self._spare_limiter.admit(req.team, req.route, tokens, excess, spare_level):
+            return ShareClass.SPARE
+        return ShareClass.BEYOND
+
+    def _max_delay_s(self, req: PendingRequest, share: ShareClass) -> float:
+        match share:
+            case ShareClass.WITHIN:
+                return SHARE_PATIENCE * req.target_s * self._shortfall_factor(req)
+            case ShareClass.SPARE:
+                return SPARE_PATIENCE * req.target_s
+            case ShareClass.BEYOND:
+                return BEYOND_PATIENCE * req.target_s
 
     def _shortfall_factor(self, req: PendingRequest) -> float:
         """Return the factor by which its team's shortfall scales the maximum delay."""
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -9,8 +9,8 @@
 from standins.emulator import Emulation, Surge
 from standins.fairness import MIN_FRACTION, received_tokens, unfair_windows
 
-SECONDS = 14.0
-STEADY = range(5, 14)
+SECONDS = 30.0
+STEADY = range(8, 30)
 """Seconds in which the same teams request more than their shares."""
 
 SURGES = (
@@ -24,7 +24,7 @@
 @pytest.fixture(params=range(1, 4), ids=lambda seed: f"seed{seed}")
 def overload(request):
     """Return a run in which engines serve more than the declared capacity."""
-    deployment = replace(KYUSHU, capacity_tokens_per_s=150_000).scaled(2.2)
+    deployment = replace(KYUSHU, capacity_tokens_per_s=80_000).scaled(2.2)
     return Emulation(deployment, request.param, SECONDS, SURGES).run()
 
 
--- a/tests/test_shedding.py
+++ b/tests/test_shedding.py
@@ -15,7 +15,12 @@
 from oleandershift.ids import DataCentreId, RouteId, ServiceId, TeamId, UpstreamId
 from oleandershift.placement import Choice, Load
 from oleandershift.prompts import Prompt
-from oleandershift.shedding import MAX_RETRY_AFTER_FRACTION, LoadShedder, PendingRequest
+from oleandershift.shedding import (
+    MAX_RETRY_AFTER_FRACTION,
+    LoadShedder,
+    PendingRequest,
+    ShareClass,
+)
 
 TEAM = TeamId("team")
 ROUTE = RouteId("route")
@@ -90,7 +95,7 @@
 
 def test_all_requests_are_within_the_share_without_a_level(shedder):
     shedder.shares = Shares({TEAM: TeamRate(4000.0, 4000.0)})
-    assert shedder.decide(make_request(), make_choice(0.3)).within_share
+    assert shedder.decide(make_request(), make_choice(0.3)).share is ShareClass.WITHIN
 
 
 @pytest.mark.parametrize("remaining_s", [15.0, 12.5, 9.0])
