--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -174,7 +174,11 @@
                 return
 
     def _admit(self, call: Call, choice: Choice, res: Responder) -> bool:
-        """Apply load shedding; return whether the request may be sent."""
+        """Apply load shedding; return whether the request may be sent.
+
+        A request whose connect failed is checked again for its next upstream, but is
+        counted as admitted only once.
+        """
         if call.prompt is None or not call.service.generates:
             return True
         pending = PendingRequest(
@@ -184,12 +188,15 @@
             target_s=call.route.target_ms / 1000,
             remaining_s=remaining(call.deadline),
         )
-        decision = self._load_shedder.decide(pending, choice)
-        call.admission = decision
-        if decision.admitted:
-            if pending.team is not None:
+        if call.admission is None:
+            decision = self._load_shedder.decide(pending, choice)
+            if decision.admitted and pending.team is not None:
                 size = call.prompt.weighted_tokens
                 self._state.demand.record_admission(now(), pending.team, size)
+        else:
+            decision = self._load_shedder.recheck(call.admission, pending, choice)
+        call.admission = decision
+        if decision.admitted:
             return True
         within_share = decision.share is ShareClass.WITHIN
         detail = "too late" if within_share else "beyond the team's share"
--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -135,10 +135,34 @@
 
     def decide(self, req: PendingRequest, choice: Choice) -> AdmissionDecision:
         """Decide on a request by the predicted first byte of its best upstream."""
-        rate = self.shares.rate(req.team)
-        level = self.shares.level
-        share = self._share_class(req, rate)
+        share = self._share_class(req)
         max_delay_s = self._max_delay_s(req, share)
+        return self._check_backlog(req, choice, share, max_delay_s)
+
+    def recheck(
+        self, previous: AdmissionDecision, req: PendingRequest, choice: Choice
+    ) -> AdmissionDecision:
+        """Decide on an admitted request again, for another upstream.
+
+        Parameters
+        ----------
+        previous : AdmissionDecision
+            Decision that admitted the request; it counts towards the same share.
+        req : PendingRequest
+            The request.
+        choice : Choice
+            Best of the upstreams to which it was not sent yet.
+        """
+        return self._check_backlog(req, choice, previous.share, previous.max_delay_s)
+
+    def _check_backlog(
+        self,
+        req: PendingRequest,
+        choice: Choice,
+        share: ShareClass,
+        max_delay_s: float,
+    ) -> AdmissionDecision:
+        rate, level = self.shares.rate(req.team), self.shares.level
         max_backlog_s = max(
             MIN_BACKLOG_FRACTION * max_delay_s, max_delay_s - choice.request_s
         )
@@ -149,15 +173,15 @@
         retry_after_s = min(retry_after_s, req.remaining_s * MAX_RETRY_AFTER_FRACTION)
         return AdmissionDecision(False, share, max_delay_s, rate, level, retry_after_s)
 
-    def _share_class(self, req: PendingRequest, rate: TeamRate) -> ShareClass:
+    def _share_class(self, req: PendingRequest) -> ShareClass:
         if req.team is None:
             return ShareClass.WITHIN
         tokens = req.prompt.weighted_tokens
-        level = self.shares.level
-        if self._limiter.admit(req.team, req.route, tokens, rate.requested, level):
+        requested, level = self.shares.rate(req.team).requested, self.shares.level
+        if self._limiter.admit(req.team, req.route, tokens, requested, level):
             return ShareClass.WITHIN
         spare_level = self.shares.spare_level - level
-        excess = rate.requested - level
+        excess = requested - level
         if self._spare_limiter.admit(req.team, req.route, tokens, excess, spare_level):
             return ShareClass.SPARE
         return ShareClass.BEYOND
