Tell all VMs at once that an upstream is gone

Cause: a registration outlives its upstream by its lease and a grace period, 5 s here. Meanwhile the address refuses connections or belongs to another upstream, which answers 421 at once, so the upstream looks idle and placement prefers it. A 421 ejected nothing, each of 59 VMs found out by itself, again and again, and the retries used up the retry budget.

A refused connect and a 421 prove that this run of the upstream isn't there. The VM that sees one sends the upstream no requests for 2 s or 10 s, and names it in its digest; hubs pass it on, and all VMs leave it out. A later run (another start time) is not affected. Timeouts and resets prove nothing about other VMs' paths and stay local.

Digests of the earlier version are read, and it ignores the new field; both are tested. Absences take the place of work entries, so a digest still fits into one packet.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -10,6 +10,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from oleandershift.directory import UpstreamRun
 from oleandershift.ids import (
     DataCentreId,
     Incarnation,
@@ -83,6 +84,9 @@
         Address at which the sender accepts datagrams and connections.
     work, demand : tuple
         Largest entries first.
+    absent : tuple of UpstreamRun
+        Upstreams that are not at their address any more. VMs of an earlier version do
+        not send it.
     """
 
     vm: VmId
@@ -97,6 +101,7 @@
     port: int
     work: tuple[UpstreamWork, ...]
     demand: tuple[TeamDemand, ...]
+    absent: tuple[UpstreamRun, ...] = ()
 
 
 class StoreSnapshot(msgspec.Struct, array_like=True, frozen=True):
--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
 
@@ -18,6 +19,13 @@
     DRAINING = "draining"
 
 
+class UpstreamRun(NamedTuple):
+    """Identity of one run of an upstream, which differs after a restart."""
+
+    upstream: UpstreamId
+    incarnation: int
+
+
 @dataclass(frozen=True, slots=True)
 class Upstream:
     """Registration of one run of an upstream, from its start to its end.
@@ -52,9 +60,9 @@
     state: UpstreamState
 
     @property
-    def lifetime(self) -> tuple[UpstreamId, int]:
-        """Id of this run of the upstream, which differs after a restart."""
-        return self.name, self.incarnation
+    def run(self) -> UpstreamRun:
+        """Identity of this run of the upstream."""
+        return UpstreamRun(self.name, self.incarnation)
 
 
 class Directory:
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+from http import HTTPStatus
 
+from oleandershift.absences import AbsenceProof
 from oleandershift.directory import Upstream
 from oleandershift.eventframes import EventOrderError
 from oleandershift.io.call import AttemptOutcome, Call
@@ -207,12 +209,14 @@
         self._state.refresh_loads(now())
         usable = self._view.directory.usable(call.service.name)
         ejected = self._outliers.ejected()
+        absent = self._state.absent(now())
         untried = [item for item in usable if item.name not in call.tried_upstreams]
-        healthy = [item for item in untried if item.name not in ejected]
+        present = [item for item in untried if item.run not in absent]
+        healthy = [item for item in present if item.name not in ejected]
         return self._placement.choose(
             now(),
             call.service,
-            healthy or untried,
+            healthy or present or untried,
             call.prompt,
             call.route.target_ms / 1000,
         )
@@ -311,6 +315,8 @@
             status=head.status,
             load=self._loads.total(upstream.name).running,
         )
+        if head.status == HTTPStatus.MISDIRECTED_REQUEST:
+            self._record_absence(upstream, AbsenceProof.ADDRESS_REUSED)
         return AttemptOutcome.NOT_RUN
 
     async def _forward_response(
@@ -414,6 +420,13 @@
             upstream=upstream.name,
             reason=repr(exc),
         )
+        if isinstance(exc, ConnectionRefusedError):
+            self._record_absence(upstream, AbsenceProof.CONNECTION_REFUSED)
+
+    def _record_absence(self, upstream: Upstream, proof: AbsenceProof) -> None:
+        self._log.info("upstream.absent", upstream=upstream.name, proof=proof.value)
+        self._state.absences.record(now(), upstream, proof)
+        self._state.on_load_change()
 
     def _record_completion(self, call: Call, status: int) -> None:
         first_byte_s = max(0.0, call.first_byte_at - call.req.arrived_at)
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -213,5 +213,5 @@
 
     def _detect_restart(self, entry: Upstream) -> None:
         previous = self._view.directory.get(entry.name)
-        if previous is not None and previous.lifetime != entry.lifetime:
+        if previous is not None and previous.run != entry.run:
             self._on_restart(entry.name)
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -2,10 +2,11 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from oleandershift.demand import TeamRate
 from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
+from oleandershift.directory import UpstreamRun
 from oleandershift.hashing import weight_of
 from oleandershift.ids import DataCentreId, TeamId, UpstreamId, VmId
 from oleandershift.placement import Load
@@ -17,9 +18,13 @@
 PEER_TTL_SECONDS = 60.0
 """Time without a digest after which nothing is sent to a VM any more."""
 
-MAX_WORK_ENTRIES = 33
+MAX_UPSTREAM_ENTRIES = 33
 MAX_DEMAND_ENTRIES = 30
-"""Limits of the entries in a digest, so that it fits into one packet of 1500 bytes."""
+"""Limits of the entries in a digest, so that it fits into one packet of 1500 bytes.
+Work and absences share the first; an absent upstream has no work."""
+
+MAX_ABSENT_ENTRIES = 16
+"""Limit of the absences in a digest, which leaves room for the work."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,11 +46,14 @@
         Number of VMs.
     work, demand : tuple
         Largest entries first.
+    absent : tuple of UpstreamRun
+        Upstreams that are not at their address any more.
     """
 
     vms: int
     work: tuple[UpstreamWork, ...]
     demand: tuple[TeamDemand, ...]
+    absent: tuple[UpstreamRun, ...]
 
 
 @dataclass(slots=True)
@@ -159,31 +167,45 @@
         """Return the tokens awaiting prefill for the other VMs of the data centre."""
         return sum(
             entry.prefill_tokens
-            for digest in self._live_vm_digests(now)
-            if digest.data_centre == self._data_centre
+            for digest in self._data_centre_vm_digests(now)
             for entry in digest.work
         )
 
+    def absent(self, now: float) -> frozenset[UpstreamRun]:
+        """Return the upstreams that other VMs found absent."""
+        return _union(digest.absent for digest in self._live_digests(now))
+
+    def data_centre_absent(
+        self, now: float, own: frozenset[UpstreamRun]
+    ) -> frozenset[UpstreamRun]:
+        """Return the upstreams that VMs of this data centre found absent.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        own : frozenset of UpstreamRun
+            Those that this VM found absent.
+        """
+        digests = self._data_centre_vm_digests(now)
+        return own | _union(digest.absent for digest in digests)
+
     def data_centre_summary(
         self,
         now: float,
-        own_work: Iterable[UpstreamWork],
+        own_loads: Mapping[UpstreamId, Load],
         own_rates: Mapping[TeamId, TeamRate],
+        own_absent: frozenset[UpstreamRun],
     ) -> DataCentreSummary:
         """Return the sum over the VMs of this data centre, this one included."""
-        loads: dict[UpstreamId, Load] = {}
-        _add_work(loads, own_work)
+        loads = {name: replace(load) for name, load in own_loads.items()}
         totals = _RateTotals(own_rates)
-        digests = [
-            digest
-            for digest in self._live_vm_digests(now)
-            if digest.data_centre == self._data_centre
-        ]
+        digests = self._data_centre_vm_digests(now)
         for digest in digests:
             _add_work(loads, digest.work)
             totals.add(digest.demand)
-        demand = demand_entries(totals.rates())
-        return DataCentreSummary(len(digests) + 1, work_entries(loads), demand)
+        absent = self.data_centre_absent(now, own_absent)
+        return summarise(len(digests) + 1, loads, totals.rates(), absent)
 
     def team_rates(
         self, now: float, own_rates: Mapping[TeamId, TeamRate]
@@ -267,7 +289,10 @@
             for entry in self._data_centre_digests.values()
             if entry.received_at > now - DIGEST_TTL_SECONDS
         ]
-        return summaries + [
+        return summaries + self._data_centre_vm_digests(now)
+
+    def _data_centre_vm_digests(self, now: float) -> list[Digest]:
+        return [
             digest
             for digest in self._live_vm_digests(now)
             if digest.data_centre == self._data_centre
@@ -288,13 +313,37 @@
         return peers
 
 
-def work_entries(loads: Mapping[UpstreamId, Load]) -> tuple[UpstreamWork, ...]:
+def summarise(
+    vms: int,
+    loads: Mapping[UpstreamId, Load],
+    rates: Mapping[TeamId, TeamRate],
+    absent: frozenset[UpstreamRun],
+) -> DataCentreSummary:
+    """Return what a digest contains, within its limits.
+
+    Parameters
+    ----------
+    vms : int
+        Number of VMs that the digest covers.
+    loads, rates : mapping
+        Load on each upstream and rates of each team.
+    absent : frozenset of UpstreamRun
+        Upstreams that are not at their address any more.
+    """
+    absent_entries = tuple(sorted(absent)[:MAX_ABSENT_ENTRIES])
+    work = work_entries(loads, MAX_UPSTREAM_ENTRIES - len(absent_entries))
+    return DataCentreSummary(vms, work, demand_entries(rates), absent_entries)
+
+
+def work_entries(
+    loads: Mapping[UpstreamId, Load], limit: int
+) -> tuple[UpstreamWork, ...]:
     """Return the largest loads as digest entries, largest first."""
     busy = [item for item in loads.items() if item[1].running]
     busy.sort(key=lambda item: (item[1].prefill_tokens, item[1].running), reverse=True)
     return tuple(
         UpstreamWork(name, load.running, load.prefill_tokens, load.kv_tokens)
-        for name, load in busy[:MAX_WORK_ENTRIES]
+        for name, load in busy[:limit]
     )
 
 
@@ -308,6 +357,10 @@
     )
 
 
+def _union(groups: Iterable[Iterable[UpstreamRun]]) -> frozenset[UpstreamRun]:
+    return frozenset(run for group in groups for run in group)
+
+
 def _version(digest: Digest) -> tuple[int, int]:
     return digest.incarnation, digest.seq
 
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -1,9 +1,11 @@
 """State of one VM's view of the fleet, shared by the components of a gateway."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from oleandershift.absences import AbsenceTracker
 from oleandershift.demand import SHARE_HEADROOM, DemandMeter, Shares, max_min_shares
+from oleandershift.directory import UpstreamRun
 from oleandershift.fleetview import FleetView
 from oleandershift.neighbours import PeerTable
 from oleandershift.placement import LoadTracker
@@ -24,7 +26,9 @@
     demand : DemandMeter
         Demand of the teams at this VM.
     on_load_change : callable
-        Called after the load of an upstream has changed.
+        Called after the load of an upstream has changed, or its absence was found.
+    absences : AbsenceTracker
+        Upstreams that this VM found absent.
     """
 
     peers: PeerTable
@@ -32,6 +36,7 @@
     loads: LoadTracker
     demand: DemandMeter
     on_load_change: Callable[[], None] = lambda: None
+    absences: AbsenceTracker = field(default_factory=AbsenceTracker)
 
     def shares(self, now: float, declared: float) -> Shares:
         """Return the teams' fair shares of the fleet's capacity.
@@ -46,6 +51,10 @@
         rates = self.peers.team_rates(now, self.demand.rates(now))
         return max_min_shares(rates, declared, SHARE_HEADROOM)
 
+    def absent(self, now: float) -> frozenset[UpstreamRun]:
+        """Return the upstreams that any VM found absent from their address."""
+        return self.absences.absent(now) | self.peers.absent(now)
+
     def refresh_loads(self, now: float) -> None:
         """Update the load that other VMs cause, from their digests."""
         self.loads.set_remote(self.peers.remote_loads(now))
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -3,13 +3,9 @@
 from dataclasses import dataclass
 
 from oleandershift.digests import Digest, Scope
+from oleandershift.directory import UpstreamRun
 from oleandershift.ids import Incarnation, Seq
-from oleandershift.neighbours import (
-    DataCentreSummary,
-    Peer,
-    demand_entries,
-    work_entries,
-)
+from oleandershift.neighbours import DataCentreSummary, Peer, summarise
 from oleandershift.state import FleetState
 
 HUB_DISCOVERY_INTERVAL_DIGESTS = 10
@@ -39,7 +35,7 @@
 
     The caller sends digests at regular intervals, which suffices for steady work. Long
     prompts are announced immediately, because several VMs would otherwise send theirs
-    to the same engine.
+    to the same engine, and so are upstreams that were found absent.
 
     Parameters
     ----------
@@ -59,13 +55,14 @@
         self._state = state
         self._peers = state.peers
         self._sent_prefill_tokens = 0
+        self._sent_absent: frozenset[UpstreamRun] = frozenset()
         self._seq = 0
 
     def is_urgent(self, now: float) -> bool:
-        """Return whether the work changed enough since the last digest to send one."""
-        return (
-            abs(self._prefill_tokens(now) - self._sent_prefill_tokens)
-            >= URGENT_CHANGE_TOKENS
+        """Return whether enough changed since the last digest to send one."""
+        change = abs(self._prefill_tokens(now) - self._sent_prefill_tokens)
+        return change >= URGENT_CHANGE_TOKENS or not (
+            self._absent(now) <= self._sent_absent
         )
 
     def urgent_delay_seconds(self, now: float) -> float:
@@ -75,10 +72,12 @@
     def next_digests(self, now: float) -> list[AddressedDigest]:
         """Return this VM's digest, and on a hub also that of its data centre."""
         self._sent_prefill_tokens = self._prefill_tokens(now)
+        self._sent_absent = self._absent(now)
         self._seq += 1
-        work = work_entries(self._state.loads.local())
+        loads = self._state.loads.local()
         rates = self._state.demand.rates(now)
-        own_summary = DataCentreSummary(1, work, demand_entries(rates))
+        absent = self._state.absences.absent(now)
+        own_summary = summarise(1, loads, rates, absent)
         addressed = [
             AddressedDigest(
                 self._digest(Scope.VM, own_summary), self._peers.local_peers(now)
@@ -86,7 +85,7 @@
         ]
         if self._peers.is_hub(now):
             discover_hubs = self._seq % HUB_DISCOVERY_INTERVAL_DIGESTS == 0
-            summary = self._peers.data_centre_summary(now, work, rates)
+            summary = self._peers.data_centre_summary(now, loads, rates, absent)
             hubs = self._peers.remote_hubs(now, discover_hubs)
             addressed.append(
                 AddressedDigest(self._digest(Scope.DATA_CENTRE, summary), hubs)
@@ -109,6 +108,13 @@
             return own_tokens
         return own_tokens + self._peers.data_centre_prefill_tokens(now)
 
+    def _absent(self, now: float) -> frozenset[UpstreamRun]:
+        """Return the absences that this VM announces, on a hub its data centre's."""
+        own = self._state.absences.absent(now)
+        if not self._peers.is_hub(now):
+            return own
+        return self._peers.data_centre_absent(now, own)
+
     def _digest(self, scope: Scope, summary: DataCentreSummary) -> Digest:
         cfg = self._state.view.configuration
         return Digest(
@@ -124,4 +130,5 @@
             port=self._this_vm.address.port,
             work=summary.work,
             demand=summary.demand,
+            absent=summary.absent,
         )
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -1,9 +1,11 @@
 """Tests of the messages between VMs: round trip, size limit, and damaged data."""
 
+import msgspec
 import pytest
 from hypothesis import given, strategies as st
 from returns.result import Failure
 
+from oleandershift.demand import TeamRate
 from oleandershift.digests import (
     Digest,
     Scope,
@@ -14,6 +16,7 @@
     decode_snapshot,
     encode,
 )
+from oleandershift.directory import UpstreamRun
 from oleandershift.ids import (
     DataCentreId,
     Incarnation,
@@ -22,7 +25,13 @@
     UpstreamId,
     VmId,
 )
-from oleandershift.neighbours import MAX_DEMAND_ENTRIES, MAX_WORK_ENTRIES
+from oleandershift.neighbours import (
+    MAX_ABSENT_ENTRIES,
+    MAX_DEMAND_ENTRIES,
+    MAX_UPSTREAM_ENTRIES,
+    summarise,
+)
+from oleandershift.placement import Load
 from oleandershift.records import Record
 
 PACKET_BYTES = 1472
@@ -32,7 +41,7 @@
 def digest():
     work = tuple(
         UpstreamWork(UpstreamId(f"i-{n:010x}"), 60, 99_999, 500_000)
-        for n in range(MAX_WORK_ENTRIES)
+        for n in range(MAX_UPSTREAM_ENTRIES)
     )
     demand = tuple(
         TeamDemand(TeamId(f"team{n:03}"), 99_000, 99_000)
@@ -62,6 +71,38 @@
     assert len(encode(digest)) <= PACKET_BYTES
 
 
+def test_largest_digest_with_absences_fits_into_a_packet(digest):
+    loads = {entry.upstream: Load(60, 99_999, 500_000) for entry in digest.work}
+    rates = {entry.team: TeamRate(99_000, 99_000) for entry in digest.demand}
+    absent = frozenset(
+        UpstreamRun(UpstreamId(f"i-{n:010x}"), 1_785_951_685_287) for n in range(50)
+    )
+    summary = summarise(1, loads, rates, absent)
+    assert len(summary.absent) == MAX_ABSENT_ENTRIES
+    assert len(summary.work) == MAX_UPSTREAM_ENTRIES - MAX_ABSENT_ENTRIES
+    full = msgspec.structs.replace(
+        digest, work=summary.work, demand=summary.demand, absent=summary.absent
+    )
+    assert len(encode(full)) <= PACKET_BYTES
+
+
+def test_digest_of_an_earlier_version_has_no_absences(digest):
+    fields = msgspec.msgpack.decode(encode(digest))[:-1]
+    assert decode_digest(msgspec.msgpack.encode(fields)).unwrap() == digest
+
+
+def test_earlier_version_reads_a_digest_with_absences(digest):
+    earlier = msgspec.defstruct(
+        "Digest",
+        list(Digest.__annotations__.items())[:-1],
+        array_like=True,
+        namespace={"__module__": Digest.__module__},
+    )
+    absent = (UpstreamRun(UpstreamId("u"), 1),)
+    data = encode(msgspec.structs.replace(digest, absent=absent))
+    assert msgspec.msgpack.decode(data, type=earlier).demand == digest.demand
+
+
 def test_snapshot_round_trip():
     record = Record("main", 3, {"version": 3})
     snapshot = StoreSnapshot(record, 9, (Record("u", 4, {"a": [1, None]}),))
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -4,6 +4,7 @@
 
 from oleandershift.demand import TeamRate
 from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
+from oleandershift.directory import UpstreamRun
 from oleandershift.ids import (
     DataCentreId,
     Incarnation,
@@ -126,9 +127,19 @@
     table.merge(0.0, make_digest("a"))
     own_rates = {TeamId("t"): TeamRate(25.0, 5.0)}
     assert table.team_rates(0.1, own_rates) == {"t": TeamRate(75.0, 45.0)}
-    assert table.data_centre_summary(0.1, (), own_rates).demand == (
-        TeamDemand(TeamId("t"), 75, 45),
+    summary = table.data_centre_summary(0.1, {}, own_rates, frozenset())
+    assert summary.demand == (TeamDemand(TeamId("t"), 75, 45),)
+
+
+def test_absent_upstreams_of_all_vms_are_known(table):
+    local, remote = UpstreamRun(UpstreamId("u"), 1), UpstreamRun(UpstreamId("v"), 2)
+    table.merge(0.0, make_digest("a", absent=(local,)))
+    table.merge(
+        0.0, make_digest("x", REMOTE, scope=Scope.DATA_CENTRE, absent=(remote,))
     )
+    assert table.absent(0.1) == {local, remote}
+    assert table.data_centre_absent(0.1, frozenset()) == {local}
+    assert table.absent(DIGEST_TTL_SECONDS + 0.1) == frozenset()
 
 
 def test_live_count_includes_vms_of_data_centre_digests(table):
--- a/tests/test_platform_upstreams.py
+++ b/tests/test_platform_upstreams.py
@@ -23,7 +23,7 @@
     upstream = upstreams.decode("i-7f", SPEC).unwrap()
     assert (upstream.host, upstream.port) == ("10.128.0.9", 8080)
     assert upstream.state is UpstreamState.READY
-    assert upstream.lifetime == ("i-7f", 1785951685287)
+    assert upstream.run == ("i-7f", 1785951685287)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from oleandershift.absences import AbsenceProof
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import Digest, Scope
 from oleandershift.directory import Upstream, UpstreamState
@@ -127,6 +128,28 @@
     assert not exchange.is_urgent(0.0)
 
 
+def test_absent_upstream_is_urgent_until_it_is_sent(exchange_with_state):
+    exchange, state = exchange_with_state
+    upstream = make_upstream()
+    state.absences.record(0.0, upstream, AbsenceProof.CONNECTION_REFUSED)
+    assert exchange.is_urgent(0.0)
+    own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
+    assert own.absent == summary.absent == (upstream.run,)
+    assert not exchange.is_urgent(0.0)
+
+
+def test_hub_announces_the_absences_that_its_data_centre_found(exchange_with_state):
+    exchange, state = exchange_with_state
+    other, other_state = make_exchange("b", make_peer("a"))
+    other_state.absences.record(0.0, make_upstream(), AbsenceProof.CONNECTION_REFUSED)
+    exchange.receive(0.0, other.next_digests(0.0)[0].digest)
+    assert exchange.is_urgent(0.0)
+    own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
+    assert own.absent == ()
+    assert summary.absent == (make_upstream().run,)
+    assert not exchange.is_urgent(0.0)
+
+
 def test_digests_have_consecutive_sequence_numbers(exchange_with_state):
     exchange, _ = exchange_with_state
     assert [exchange.next_digests(0.0)[0].digest.seq for _ in range(3)] == [1, 2, 3]
