Count only requests that start as admitted

Shares were computed from what was admitted, also when it ended before its first event: refused by the upstream, not sent, or left by its caller.

A request that ends before its first event is taken back from the admitted rate, with what is left of it by then.

--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -33,6 +33,25 @@
 _NO_RATE = TeamRate()
 
 
+@dataclass(frozen=True, slots=True)
+class AdmittedRequest:
+    """A request as it is counted in the admitted rate of its team.
+
+    Parameters
+    ----------
+    team : TeamId
+        Team of the caller.
+    tokens : float
+        Size of the request.
+    admitted_at : float
+        Time of the admission, seconds.
+    """
+
+    team: TeamId
+    tokens: float
+    admitted_at: float
+
+
 class DecayingRate:
     """A rate as a sum of amounts that decay exponentially.
 
@@ -79,9 +98,17 @@
         """Add a request to the requested rate of its team."""
         self._requested[team].add(now, tokens)
 
-    def record_admission(self, now: float, team: TeamId, tokens: float) -> None:
+    def record_admission(
+        self, now: float, team: TeamId, tokens: float
+    ) -> AdmittedRequest:
         """Add an admitted request to the admitted rate of its team."""
         self._admitted[team].add(now, tokens)
+        return AdmittedRequest(team, tokens, now)
+
+    def withdraw_admission(self, now: float, req: AdmittedRequest) -> None:
+        """Remove an admitted request that did not start from the admitted rate."""
+        decay = math.exp((req.admitted_at - now) / self._time_constant_s)
+        self._admitted[req.team].add(now, -req.tokens * decay)
 
     def record_start(self, now: float, team: TeamId, tokens: float) -> None:
         """Add a request whose first event has arrived to the started rate."""
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from oleandershift.demand import AdmittedRequest
 from oleandershift.eventframes import EventFramer
 from oleandershift.ids import UpstreamId
 from oleandershift.io.callers import CallerRequest, Headers
@@ -51,6 +52,8 @@
         Id of the event after which a stream resumes.
     admission : AdmissionDecision or None
         Decision of the load shedder; None before it, and for plain services.
+    admitted : AdmittedRequest or None
+        What is counted in the admitted rate of its team.
     send_count : int
         Number of times the request was sent to an upstream.
     may_have_run : bool
@@ -73,6 +76,7 @@
     first_byte_at: float = 0.0
     choice: Choice | None = None
     admission: AdmissionDecision | None = None
+    admitted: AdmittedRequest | None = None
     send_count: int = 0
     failed_connects: int = 0
     may_have_run: bool = False
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -132,6 +132,8 @@
                 await self._run_attempts(call, res)
         except TimeoutError:
             self._on_deadline(call, res)
+        finally:
+            self._withdraw_unstarted(call)
 
     def _reject(
         self, req: CallerRequest, res: Responder, rejection: RefusalError
@@ -194,7 +196,9 @@
             decision = self._load_shedder.decide(pending, choice)
             if decision.admitted and pending.team is not None:
                 size = call.prompt.weighted_tokens
-                self._state.demand.record_admission(now(), pending.team, size)
+                call.admitted = self._state.demand.record_admission(
+                    now(), pending.team, size
+                )
         else:
             decision = self._load_shedder.recheck(call.admission, pending, choice)
         call.admission = decision
@@ -205,6 +209,11 @@
         self._send_error(call, res, detail, 502, decision.retry_after_s, choice)
         return False
 
+    def _withdraw_unstarted(self, call: Call) -> None:
+        """Stop counting a request as admitted that ended before its first event."""
+        if call.admitted is not None and not call.first_byte_at:
+            self._state.demand.withdraw_admission(now(), call.admitted)
+
     def _choose(self, call: Call) -> Choice | None:
         self._state.refresh_loads(now())
         usable = self._view.directory.usable(call.service.name)
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -464,3 +464,19 @@
     assert shares
     # An admission decays from some milliseconds later than its request.
     assert all(entry["admitted"] <= 1.01 * entry["requested"] for entry in shares)
+
+
+def test_requests_that_did_not_run_do_not_count_as_admitted(generating_fleet):
+    fleet = generating_fleet
+    gateway = fleet.gateways[0]
+    for engine in fleet.engines.values():
+        engine.behaviour = Behaviour.REFUSE
+    started = time.monotonic()
+    number = 0
+    while time.monotonic() < started + 2.5:
+        assert generate(gateway, f"a{number}").status == 503
+        number += 1
+        time.sleep(0.02)  # Keeps the log below its limit of lines per second.
+    shares = log_entries(fleet, gateway, "shares.updated")
+    assert shares[-1]["requested"] > 10_000
+    assert shares[-1]["admitted"] < 0.5 * shares[-1]["requested"]
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -61,3 +61,12 @@
 def test_no_shortfall_while_all_teams_are_served():
     rates = {A: TeamRate(50.0, 50.0), B: TeamRate(200.0, 200.0)}
     assert max_min_shares(rates, math.inf, 1.1).shortfall(A) == pytest.approx(0.0)
+
+
+def test_withdrawn_admission_leaves_the_rate_of_the_others():
+    meter, other = DemandMeter(window_s=4.0), DemandMeter(window_s=4.0)
+    admitted = [meter.record_admission(now, A, 300) for now in (0.0, 0.5, 1.0)]
+    for now in (0.0, 1.0):
+        other.record_admission(now, A, 300)
+    meter.withdraw_admission(2.0, admitted[1])
+    assert meter.rate(3.0, A).admitted == pytest.approx(other.rate(3.0, A).admitted)
