Give spare capacity to the teams that have got less of it

The first form of the spare class offered each team the same rate, three times what could be served.

A request beyond the share is now spare as long as its team's admitted rate is below the max-min level of all that is served, and has the shortest maximum delay otherwise. That needs no second limiter, and no headroom of its own.

--- a/src/oleandershift/demand.py
+++ b/src/oleandershift/demand.py
@@ -17,11 +17,6 @@
 grow into free capacity."""
 
 
-SPARE_HEADROOM = 3.0
-"""The same ratio for the capacity beyond the declared one. Many of the requests in that
-part are refused for the load of the engines, and the others have to fill it."""
-
-
 @dataclass(frozen=True, slots=True)
 class TeamRate:
     """Rates of a team in tokens per second: requested, and admitted."""
@@ -146,7 +141,7 @@
         the capacity covers all demand.
     spare_level : float
         The same level if all that engines serve is shared, also beyond the declared
-        capacity; at least `level`.
+        capacity; never less than `level`.
     capacity : float
         Rate that is shared at `level`, in tokens per second.
     """
@@ -210,7 +205,7 @@
     return Shares(
         rates,
         level=fair_level(demands, capacity),
-        spare_level=fair_level(demands, admitted * max(headroom, SPARE_HEADROOM)),
+        spare_level=fair_level(demands, admitted * headroom),
         capacity=capacity,
     )
 
--- a/src/oleandershift/shedding.py
+++ b/src/oleandershift/shedding.py
@@ -14,13 +14,13 @@
 """Fraction of the target that the predicted first byte of a request within its team's
 share may take; the remainder covers prediction errors."""
 
-SPARE_PATIENCE = 0.2
-"""The same fraction for a request within its team's part of the spare capacity, which
-is therefore admitted only while engines have little work."""
+SPARE_PATIENCE = 0.15
+"""The same fraction for a request beyond the share, which is therefore admitted only
+while engines have little work."""
 
 BEYOND_PATIENCE = 0.05
-"""The same fraction for all other requests: they are admitted only to idle engines, as
-they would otherwise get the spare capacity in proportion to their number."""
+"""The same fraction if the team also has its part of the spare capacity. Only an idle
+engine meets it, so that requests in large numbers do not take the other teams' part."""
 
 SHORTFALL_GAIN = 2.0
 """Increase of the maximum delay per unit of shortfall: a team that receives half of its
@@ -50,7 +50,7 @@
     WITHIN
         Its team's share of the declared capacity.
     SPARE
-        Its team's share of what engines serve beyond the declared capacity.
+        Its team's part of what engines serve beyond the declared capacity.
     BEYOND
         Neither.
     """
@@ -129,7 +129,6 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._limiter = ShareLimiter(rng)
-        self._spare_limiter = ShareLimiter(rng)
         self._rng = rng
         self.shares = Shares()
 
@@ -177,12 +176,10 @@
         if req.team is None:
             return ShareClass.WITHIN
         tokens = req.prompt.weighted_tokens
-        requested, level = self.shares.rate(req.team).requested, self.shares.level
-        if self._limiter.admit(req.team, req.route, tokens, requested, level):
+        rate, level = self.shares.rate(req.team), self.shares.level
+        if self._limiter.admit(req.team, req.route, tokens, rate.requested, level):
             return ShareClass.WITHIN
-        spare_level = self.shares.spare_level - level
-        excess = requested - level
-        if self._spare_limiter.admit(req.team, req.route, tokens, excess, spare_level):
+        if rate.admitted < self.shares.spare_level:
             return ShareClass.SPARE
         return ShareClass.BEYOND
 
