Reuse a connection only after the end of its response

A caller could get bytes of another's response. After a response of 6 MiB that is no stream the connection went back to the pool with the rest unread, and the next exchange on it read those bytes; the first caller got 502.

Cause: the pool kept each connection that was not closed, and closing was left to the error paths. MalformedRequestError, for a body over 4 MiB, was not one of them; neither is any other exception in between.

The pool takes an IdleConnection only, which UpstreamConnection.settle makes when no exchange is open; otherwise the connection is closed. A response to HEAD ends with its head: before, the gateway waited for the announced body until the deadline (504).

--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -92,3 +92,13 @@
     def repeatable(self) -> bool:
         """Return whether the request may safely be executed twice."""
         return self.route.semantics.repeatable
+
+    @property
+    def resumable(self) -> bool:
+        """Return whether another upstream may continue a response that has begun."""
+        return self.repeatable and self.route.semantics.is_stream
+
+    @property
+    def expects_body(self) -> bool:
+        """Return whether the response may have a body."""
+        return self.req.method != b"HEAD"
--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -85,20 +85,36 @@
         self._conn.write(self._head(status, fields) + body)
         self._finish()
 
-    def start(self, status: int, headers: Headers) -> None:
-        """Write the head of a chunked response."""
-        self._chunked = True
-        fields = [*headers, (b"transfer-encoding", b"chunked")]
-        self._conn.write(self._head(status, fields))
+    def start(self, status: int, headers: Headers, length: int | None = None) -> None:
+        """Write the head of a response whose body follows in parts.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status.
+        headers : list of tuple
+            Header fields without framing.
+        length : int or None
+            Length of the body in bytes; a body of unknown length is sent in chunks.
+        """
+        self._chunked = length is None
+        framing = (
+            (b"transfer-encoding", b"chunked")
+            if length is None
+            else (b"content-length", b"%d" % length)
+        )
+        self._conn.write(self._head(status, [*headers, framing]))
 
     def write(self, data: bytes) -> None:
-        """Write a chunk of the body."""
+        """Write a part of the body."""
         if data:
-            self._conn.write(b"%x\r\n%b\r\n" % (len(data), data))
+            chunk = b"%x\r\n%b\r\n" % (len(data), data)
+            self._conn.write(chunk if self._chunked else data)
 
     def finish(self) -> None:
-        """Write the last chunk, which marks the body as complete."""
-        self._conn.write(b"0\r\n\r\n")
+        """Mark the body as complete."""
+        if self._chunked:
+            self._conn.write(b"0\r\n\r\n")
         self._finish()
 
     def abort(self) -> None:
--- a/src/oleandershift/io/forwarding.py
+++ b/src/oleandershift/io/forwarding.py
@@ -1,9 +1,9 @@
 """Translates messages between callers and upstreams."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from oleandershift.directory import Upstream
-from oleandershift.exceptions import MalformedRequestError
 from oleandershift.io.call import Call
 from oleandershift.io.callers import CallerRequest, Headers
 from oleandershift.io.clock import remaining
@@ -27,8 +27,9 @@
 )
 """Header fields that apply to one connection only (RFC 9110, 7.6.1), and framing."""
 
-MAX_RESPONSE_BODY_BYTES = 1 << 22
-"""Largest response body that is buffered, when the response is not a stream."""
+MAX_BUFFERED_BODY_BYTES = 1 << 20
+"""Part of a response that is buffered before it is passed on. A response that breaks
+within it can still be replaced by that of another upstream."""
 
 
 def response_matcher(attempt_id: str) -> Callable[[ResponseHead], bool]:
@@ -65,26 +66,47 @@
     return None not in (head.get(headers.RESPONSE_SEAL), head.get(headers.ATTEMPT_ID))
 
 
-async def read_body(exchange: Exchange) -> bytes:
-    """Read a response body to its end.
+@dataclass(frozen=True, slots=True)
+class BodyStart:
+    """Start of a response body.
+
+    Parameters
+    ----------
+    data : bytes
+        The first bytes.
+    is_whole : bool
+        Whether they are the whole body.
+    """
+
+    data: bytes
+    is_whole: bool
+
+
+async def read_body_start(exchange: Exchange) -> BodyStart:
+    """Read a response body up to its end or a little over the buffer limit.
 
     Raises
     ------
     BrokenExchangeError
-        When the connection fails before the end of the body.
-    MalformedRequestError
-        When the body exceeds `MAX_RESPONSE_BODY_BYTES`.
+        When the connection fails before that.
     """
-    parts = []
+    parts: list[bytes] = []
     size = 0
-    while data := await exchange.read():
+    while size <= MAX_BUFFERED_BODY_BYTES:
+        data = await exchange.read()
+        if not data:
+            return BodyStart(b"".join(parts), is_whole=True)
         parts.append(data)
         size += len(data)
-        if size > MAX_RESPONSE_BODY_BYTES:
-            raise MalformedRequestError(
-                f"an answer exceeds {MAX_RESPONSE_BODY_BYTES} bytes"
-            )
-    return b"".join(parts)
+    return BodyStart(b"".join(parts), is_whole=False)
+
+
+def declared_length(head: ResponseHead) -> int | None:
+    """Return the length of a response body in bytes; None if it is not declared."""
+    value = head.get(b"content-length")
+    if value is None or head.get(b"transfer-encoding") is not None:
+        return None
+    return int(value)
 
 
 def response_headers(head: ResponseHead) -> Headers:
--- a/src/oleandershift/io/pool.py
+++ b/src/oleandershift/io/pool.py
@@ -5,7 +5,7 @@
 
 from oleandershift.directory import Upstream
 from oleandershift.io.clock import now
-from oleandershift.io.upstreamconn import UpstreamConnection
+from oleandershift.io.upstreamconn import IdleConnection, UpstreamConnection
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 """TCP retransmits a lost SYN only after a second; another upstream answers sooner."""
@@ -58,16 +58,17 @@
         return conn
 
     def release(self, upstream: Upstream, conn: UpstreamConnection) -> None:
-        """Return a connection to the pool, or close it when it can't be reused."""
-        idle = self._idle[upstream.host, upstream.port]
-        if (
-            not conn.reusable
-            or conn.closed
-            or len(idle) >= MAX_IDLE_CONNECTIONS_PER_UPSTREAM
-        ):
-            conn.close()
-            return
-        idle.append(conn)
+        """End the use of a connection: keep it if its exchange is complete."""
+        idle_conn = conn.settle()
+        if idle_conn is not None:
+            self._keep(upstream, idle_conn)
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for conn in idle:
+                conn.close()
+        self._idle.clear()
 
     def close_expired(self) -> None:
         """Close connections whose idle timeout has passed."""
@@ -79,6 +80,13 @@
             if not idle:
                 del self._idle[key]
 
+    def _keep(self, upstream: Upstream, idle_conn: IdleConnection) -> None:
+        idle = self._idle[upstream.host, upstream.port]
+        if len(idle) < MAX_IDLE_CONNECTIONS_PER_UPSTREAM:
+            idle.append(idle_conn.conn)
+        else:
+            idle_conn.conn.close()
+
     def _reuse(self, upstream: Upstream, repeatable: bool) -> UpstreamConnection | None:
         idle = self._idle.get((upstream.host, upstream.port))
         while idle:
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from http import HTTPStatus
 
 from oleandershift.absences import AbsenceProof
@@ -12,10 +13,12 @@
 from oleandershift.io.clock import now, remaining
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.forwarding import (
+    BodyStart,
+    declared_length,
     encode_request,
     is_upstream_response,
     proves_not_run,
-    read_body,
+    read_body_start,
     response_headers,
     response_matcher,
 )
@@ -285,18 +288,18 @@
         data = encode_request(call, upstream)
         sent_at = now()
         ran_before, call.may_have_run = call.may_have_run, True
-        exchange = conn.send(data, response_matcher(call.id))
+        exchange = conn.send(data, response_matcher(call.id), call.expects_body)
         try:
             head = await exchange.head
             if proves_not_run(head):
-                await exchange.read()
                 call.may_have_run = ran_before
+                with suppress(BrokenExchangeError):
+                    await read_body_start(exchange)
                 return self._log_not_run(call, upstream, head)
             return await self._forward_response(
                 call, upstream, in_flight, exchange, head, res
             )
         except BrokenExchangeError as exc:
-            conn.close()
             self._record_health(call, upstream, False)
             self._log.warning(
                 "attempt.broken",
@@ -306,13 +309,10 @@
                 after_ms=round((now() - sent_at) * 1000),
                 events=call.event_stream.event_count,
             )
-            if res.started and not call.repeatable:
+            if res.started and not call.resumable:
                 self._abort_stream(call, res, f"upstream {exc.cause.value}")
                 return AttemptOutcome.ANSWERED
             return AttemptOutcome.UNKNOWN
-        except asyncio.CancelledError:
-            conn.close()
-            raise
 
     def _log_not_run(
         self, call: Call, upstream: Upstream, head: ResponseHead
@@ -339,16 +339,16 @@
     ) -> AttemptOutcome:
         if not is_upstream_response(head):
             raise BrokenExchangeError(FailureCause.MALFORMED)
-        if call.route.semantics.is_stream and head.status == 200:
+        if call.route.semantics.is_stream and head.status == 200 and call.expects_body:
             return await self._forward_stream(
                 call, upstream, in_flight, exchange, head, res
             )
-        body = await read_body(exchange)
+        start = await read_body_start(exchange)
         fields = response_headers(head)
         if head.status >= 500:
             self._record_health(call, upstream, False)
-            if call.repeatable and not res.started:
-                call.failed_response = (head.status, fields, body)
+            if call.repeatable and not res.started and start.is_whole:
+                call.failed_response = (head.status, fields, start.data)
                 return AttemptOutcome.FAILED
         else:
             self._record_health(call, upstream, True)
@@ -356,10 +356,27 @@
             self._abort_stream(call, res, f"resumed with status {head.status}")
             return AttemptOutcome.ANSWERED
         call.first_byte_at = now()
-        res.send(head.status, fields, body)
+        if start.is_whole and call.expects_body:
+            res.send(head.status, fields, start.data)
+        else:
+            await self._forward_parts(exchange, head, start, res)
         self._record_completion(call, head.status)
         return AttemptOutcome.ANSWERED
 
+    async def _forward_parts(
+        self, exchange: Exchange, head: ResponseHead, start: BodyStart, res: Responder
+    ) -> None:
+        """Forward a body that is not buffered as a whole, or the head of one."""
+        length = declared_length(head)
+        if not start.data:
+            length = length or 0
+        res.start(head.status, response_headers(head), length)
+        res.write(start.data)
+        while not start.is_whole and (data := await exchange.read()):
+            res.write(data)
+            await res.drain()
+        res.finish()
+
     async def _forward_stream(
         self,
         call: Call,
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -145,6 +145,21 @@
             self._waiter.set_result(None)
 
 
+@dataclass(frozen=True, slots=True)
+class IdleConnection:
+    """Proof that a connection carries no exchange, so that it may be used again.
+
+    Only `UpstreamConnection.settle` creates it.
+
+    Parameters
+    ----------
+    conn : UpstreamConnection
+        The connection.
+    """
+
+    conn: "UpstreamConnection"
+
+
 class UpstreamConnection(asyncio.Protocol):
     """Connection to an upstream; it carries one exchange at a time.
 
@@ -159,8 +174,8 @@
         self._has_framing = False
         self._skipping = False
         self._in_body = False
+        self._expects_body = True
         self._paused = False
-        self.exchange_count = 0
         self.idle_since = now()
         self.idle_timeout_s: float | None = None
         self.reusable = True
@@ -170,7 +185,12 @@
         """Store the transport."""
         self._transport = cast(asyncio.Transport, transport)
 
-    def send(self, data: bytes, matches: Callable[[ResponseHead], bool]) -> Exchange:
+    def send(
+        self,
+        data: bytes,
+        matches: Callable[[ResponseHead], bool],
+        expects_body: bool = True,
+    ) -> Exchange:
         """Send a complete request.
 
         Parameters
@@ -179,8 +199,10 @@
             Head and body of the request.
         matches : callable
             Returns whether a response belongs to this request.
+        expects_body : bool
+            Whether the response may have a body; False for a HEAD request.
         """
-        self.exchange_count += 1
+        self._expects_body = expects_body
         exchange = Exchange(self, matches)
         if self.closed:
             exchange.on_error(BrokenExchangeError(FailureCause.CLOSED))
@@ -189,6 +211,20 @@
         self._transport.write(data)
         return exchange
 
+    def settle(self) -> IdleConnection | None:
+        """End the use of the connection for an exchange.
+
+        Returns
+        -------
+        IdleConnection or None
+            None if the connection can't be used again. It is closed then: the end of
+            the response was not read, or the upstream announced that it closes.
+        """
+        if self._exchange is None and self.reusable and not self.closed:
+            return IdleConnection(self)
+        self.close()
+        return None
+
     def close(self) -> None:
         """Close immediately; during an exchange, reset to discard unsent bytes."""
         self.reusable = False
@@ -257,6 +293,10 @@
         self._in_body = head.status not in _BODILESS_STATUSES
         self._read_keep_alive(head)
         self._exchange.on_head(head)
+        if not self._expects_body:
+            # The parser can't know that the announced body does not follow.
+            self.reusable = False
+            self._complete()
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -16,9 +16,10 @@
 class Behaviour(Enum):
     """Response of an upstream to a request.
 
-    `REFUSE` and `CUT_BEFORE` do not execute the request. `CUT_BEFORE`, `CUT_AFTER` and
-    `CUT_MIDWAY` reset the connection before the execution, after it and within the
-    response. `LEFTOVER` sends another response first; `UNFRAMED` sends no length.
+    `REFUSE` and `CUT_BEFORE` do not execute the request. `CUT_BEFORE`, `CUT_AFTER`,
+    `CUT_MIDWAY` and `CUT_LATE` reset the connection before the execution, after it,
+    within the response and before its last byte. `LEFTOVER` sends another response
+    first; `UNFRAMED` sends no length.
     """
 
     ANSWER = "answer"
@@ -27,6 +28,7 @@
     CUT_BEFORE = "cut-before"
     CUT_AFTER = "cut-after"
     CUT_MIDWAY = "cut-midway"
+    CUT_LATE = "cut-late"
     GARBAGE = "garbage"
     LEFTOVER = "leftover"
     UNFRAMED = "unframed"
@@ -80,6 +82,8 @@
         Response to requests for which none is queued.
     queued_behaviours : list of Behaviour
         Responses to the next requests.
+    padding : bytes
+        Appended to the body of a plain response.
     """
 
     def __init__(
@@ -98,6 +102,7 @@
         self.stop = self._server.stop
         self.behaviour = Behaviour.ANSWER
         self.queued_behaviours: list[Behaviour] = []
+        self.padding = b""
         self._event_count = events
         self._pause_seconds = pause_seconds
         self._lock = threading.Lock()
@@ -184,7 +189,7 @@
         behaviour: Behaviour,
     ) -> None:
         time.sleep(self._pause_seconds)
-        body = f"{self.name} ran {attempt_id}".encode()
+        body = f"{self.name} ran {attempt_id}".encode() + self.padding
         if behaviour is Behaviour.ENCODED:
             headers = {**headers, "Content-Encoding": "gzip"}
         if behaviour is Behaviour.LEFTOVER:
@@ -196,11 +201,12 @@
             exchange.write(body)
             return
         exchange.send_head(200, {"Content-Length": str(len(body)), **headers})
-        if behaviour is Behaviour.CUT_MIDWAY:
-            exchange.write(body[:5])
+        if behaviour in (Behaviour.CUT_MIDWAY, Behaviour.CUT_LATE):
+            exchange.write(body[:5] if behaviour is Behaviour.CUT_MIDWAY else body[:-1])
             exchange.abort()
             return
-        exchange.write(body)
+        if exchange.method != "HEAD":
+            exchange.write(body)
 
     def _send_stream(
         self,
--- a/standins/server.py
+++ b/standins/server.py
@@ -145,7 +145,7 @@
         except (BrokenPipeError, ConnectionError):
             self.close_connection = True
 
-    do_GET = do_PUT = do_POST = do_DELETE = do_PATCH = _handle  # noqa: N815
+    do_GET = do_HEAD = do_PUT = do_POST = do_DELETE = do_PATCH = _handle  # noqa: N815
 
     def log_message(self, *_: Any) -> None:
         """Log nothing, to keep standard error free of requests."""
--- /dev/null
+++ b/tests/contract/test_upstream_pool.py
@@ -0,0 +1,175 @@
+"""Reuse of connections to upstreams: no byte of one response in another."""
+
+import asyncio
+from dataclasses import dataclass
+
+import pytest
+import uvloop
+from hypothesis import HealthCheck, example, given, settings, strategies as st
+
+from oleandershift.directory import Upstream, UpstreamState
+from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
+from oleandershift.io.forwarding import is_upstream_response, response_matcher
+from oleandershift.io.pool import ConnectionPool
+from oleandershift.io.upstreamconn import BrokenExchangeError
+
+FIRST_BODY = b"first"
+SECOND_BODY = b"second"
+SECOND_ID = "a2"
+TIMEOUT_SECONDS = 0.3
+
+
+def make_response(attempt, body, status=b"200 OK", framing=b""):
+    framing = framing or b"content-length: %d\r\n" % len(body)
+    head = b"HTTP/1.1 %b\r\noleandershift-attempt-id: %b\r\n" % (status, attempt)
+    seal = b"oleandershift-response-seal: s.%b\r\n" % attempt
+    return head + seal + framing + b"\r\n" + body
+
+
+def make_chunked(attempt, *chunks):
+    body = b"".join(b"%x\r\n%b\r\n" % (len(chunk), chunk) for chunk in chunks)
+    return make_response(attempt, body, framing=b"transfer-encoding: chunked\r\n")
+
+
+WHOLE = make_response(b"a1", FIRST_BODY)
+RESPONSES = [
+    WHOLE,
+    make_chunked(b"a1", b"fi", b"rst", b""),
+    make_chunked(b"a1", b"fi", b"rst"),
+    make_response(b"a1", FIRST_BODY, framing=b"connection: close\r\n"),
+    make_response(b"a1", b"", status=b"204 No Content", framing=b"x: y\r\n"),
+    make_response(b"a1", FIRST_BODY, status=b"204 No Content"),
+    make_response(b"a1", b"", status=b"304 Not Modified"),
+    make_response(b"a1", FIRST_BODY, status=b"500 Failed"),
+    b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE,
+    b"HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n" + WHOLE,
+    make_response(b"a1", b"", status=b"101 Switching Protocols"),
+    make_response(b"a0", b"other") + WHOLE,
+    WHOLE + WHOLE,
+    WHOLE + FIRST_BODY,
+    make_response(b"a1", b"x" * 400_000),
+]
+"""Responses to the first request: proper ones, and each kind of fault."""
+
+
+@dataclass
+class Script:
+    """What the upstream sends in response to the first request on a connection.
+
+    Parameters
+    ----------
+    data : bytes
+        Bytes to send.
+    split : int
+        Position at which they are split into two parts.
+    closes : bool
+        Whether the upstream then closes the connection.
+    """
+
+    data: bytes
+    split: int
+    closes: bool
+
+
+async def serve(reader, writer, script):
+    try:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            if SECOND_ID.encode() in head:
+                writer.write(make_response(SECOND_ID.encode(), SECOND_BODY))
+                continue
+            writer.write(script.data[: script.split])
+            await asyncio.sleep(0.001)
+            writer.write(script.data[script.split :])
+            if script.closes:
+                writer.close()
+                return
+    except (asyncio.IncompleteReadError, ConnectionError):
+        writer.close()
+
+
+async def exchange(pool, upstream, attempt, parts_to_read):
+    """Send a request; return its status and body, or None if the exchange breaks.
+
+    The exchange is given up after some parts of the body, as by a caller that leaves.
+    """
+    conn = await pool.acquire(upstream, repeatable=True)
+    request = f"GET / HTTP/1.1\r\nhost: u\r\nid: {attempt}\r\n\r\n".encode()
+    try:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            pending = conn.send(request, response_matcher(attempt))
+            head = await pending.head
+            if not is_upstream_response(head):
+                return None
+            body = b""
+            while parts_to_read and (part := await pending.read()):
+                parts_to_read -= 1
+                body += part
+            return head.status, body
+    except (BrokenExchangeError, TimeoutError):
+        return None
+    finally:
+        pool.release(upstream, conn)
+
+
+async def run_two_exchanges(script, parts_to_read):
+    server = await asyncio.start_server(
+        lambda reader, writer: serve(reader, writer, script), "127.0.0.1", 0
+    )
+    port = server.sockets[0].getsockname()[1]
+    upstream = Upstream(
+        name=UpstreamId("u"),
+        incarnation=1,
+        service=ServiceId("s"),
+        host="127.0.0.1",
+        port=port,
+        data_centre=DataCentreId("d"),
+        slots=1,
+        state=UpstreamState.READY,
+    )
+    pool = ConnectionPool()
+    try:
+        first = await exchange(pool, upstream, "a1", parts_to_read)
+        second = await exchange(pool, upstream, SECOND_ID, 1000)
+    finally:
+        pool.close()
+        server.close()
+    return first, second
+
+
+@pytest.mark.parametrize("response", RESPONSES, ids=range(len(RESPONSES)))
+def test_first_response_is_its_own_or_broken(response):
+    first, _ = uvloop.run(run_two_exchanges(Script(response, 0, closes=False), 1000))
+    assert first is None or first[1] in (FIRST_BODY, b"", b"x" * 400_000)
+
+
+@settings(
+    max_examples=150,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(
+    response=st.sampled_from(RESPONSES),
+    cut=st.floats(0.0, 1.0),
+    split=st.floats(0.0, 1.0),
+    closes=st.booleans(),
+    parts_to_read=st.sampled_from([0, 1, 1000]),
+)
+@example(response=RESPONSES[-1], cut=1.0, split=0.5, closes=False, parts_to_read=1)
+def test_second_response_has_no_byte_of_the_first(
+    response, cut, split, closes, parts_to_read
+):
+    data = response[: round(cut * len(response))]
+    script = Script(data, round(split * len(data)), closes)
+    _, second = uvloop.run(run_two_exchanges(script, parts_to_read))
+    assert second is None or second == (200, SECOND_BODY)
+
+
+@pytest.mark.parametrize("position", range(len(WHOLE) + 1))
+def test_response_split_at_any_byte_is_read_whole(position):
+    first, second = uvloop.run(
+        run_two_exchanges(Script(WHOLE, position, closes=False), 1000)
+    )
+    assert first == (200, FIRST_BODY)
+    assert second == (200, SECOND_BODY)
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -154,6 +154,47 @@
     assert b"ran a1" in answer.body
 
 
+LARGE_PADDING = b"x" * (6 << 20)
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/write/x"])
+@pytest.mark.parametrize("conduct", [Behaviour.ANSWER, Behaviour.UNFRAMED])
+def test_large_response_reaches_only_its_own_caller(fleet, gateway, path, conduct):
+    for engine in fleet.engines.values():
+        engine.padding = LARGE_PADDING
+        engine.behaviour = conduct
+    large = gateway.call(path, "a1")
+    for engine in fleet.engines.values():
+        engine.padding = b""
+        engine.behaviour = Behaviour.ANSWER
+    answers = [gateway.call(path, f"b{number}") for number in range(4)]
+    assert (large.status, large.whole) == (200, True)
+    assert large.body.endswith(b" ran a1" + LARGE_PADDING)
+    for number, answer in enumerate(answers):
+        assert answer.body.endswith(f" ran b{number}".encode())
+
+
+def test_large_response_that_breaks_off_looks_incomplete(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.padding = LARGE_PADDING
+        engine.behaviour = Behaviour.CUT_LATE
+    answer = gateway.call("/read/x", "a1")
+    assert not answer.whole
+    assert execution_count(fleet, "a1") == 1
+
+
+def test_response_to_head_has_no_body(fleet, gateway):
+    conn = http.client.HTTPConnection(gateway.ip, gateway.frontend_port, timeout=5)
+    fields = {"Host": "caller.example", "Authorization": "Bearer key-of-the-team"}
+    for attempt in ("a1", "a2"):
+        fields["Oleandershift-Attempt-Id"] = attempt
+        conn.request("HEAD", "/read/x", headers=fields)
+        res = conn.getresponse()
+        assert (res.status, res.read()) == (200, b"")
+        assert res.headers["Oleandershift-Attempt-Id"] == attempt
+    conn.close()
+
+
 def test_resumable_stream_resumes_at_another_upstream(fleet, gateway):
     for engine in fleet.engines.values():
         engine.queued_behaviours = [Behaviour.CUT_MIDWAY]
