Wait for the line of a request's end in its test

test_success_after_trouble_has_its_line read the log as soon as it had the response, but the gateway writes the line after the response's end.

--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -115,13 +115,16 @@
     assert execution_count(fleet, "a1") == 1
 
 
+def cause_summary(fleet, gateway):
+    return summarise_causes(fleet.log(gateway).encode().splitlines())
+
+
 def test_success_after_trouble_has_its_line(fleet, gateway):
     fleet.engines["e1"].behaviour = Behaviour.REFUSE
     for number in range(4):
         assert gateway.call("/read/x", f"a{number}").status == 200
-    summary = summarise_causes(fleet.log(gateway).encode().splitlines())
     assert "request.retried" in fleet.log(gateway)
-    assert summary.total == 0
+    wait_until(lambda: cause_summary(fleet, gateway).total == 0, "the last line")
 
 
 @pytest.mark.parametrize("path", ["/write/x", "/read/x", "/stream/once/x"])
