Keep events apart whose line end is split between two reads

A stream of the own fleet ended as malformed when a read ended between the CR and the LF of a line end: each part was normalised by itself, so the blank line between two events was lost and they were joined.

The reader normalises what it has together. The test splits two events at each byte; 4 of 45 positions failed before.

--- a/src/oleandershift/eventstream.py
+++ b/src/oleandershift/eventstream.py
@@ -73,8 +73,9 @@
         StreamError
             If an event is missing, malformed or too large.
         """
-        self._buffer += data.replace(b"\r\n", b"\n")
-        *events, self._buffer = self._buffer.split(SEPARATOR)
+        # A line end may be split between two parts.
+        unread = (self._buffer + data).replace(b"\r\n", b"\n")
+        *events, self._buffer = unread.split(SEPARATOR)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise StreamError(StreamFault.TOO_LARGE)
         return b"".join(event + SEPARATOR for event in events if self._accept(event))
