--- a/src/oleandershift/roles.py
+++ b/src/oleandershift/roles.py
@@ -31,10 +31,14 @@
 
 @dataclass
 class _TakeoverRequests:
-    """First and last instant of a series of router snapshots for one role."""
+    """First and last instant of a series of router snapshots for one role.
+
+    Once the role has been taken over, it is kept until the takeover expires.
+    """
 
     first_at: float
     last_at: float
+    taken_over: bool = False
 
     def record(self, now: float) -> None:
         """Record a snapshot; a gap of `TAKEOVER_DELAY_SECONDS` starts a new series."""
@@ -44,7 +48,9 @@
 
     def is_sustained(self) -> bool:
         """Return whether the series spans at least `TAKEOVER_DELAY_SECONDS`."""
-        return self.last_at >= self.first_at + TAKEOVER_DELAY_SECONDS
+        return self.taken_over or (
+            self.last_at >= self.first_at + TAKEOVER_DELAY_SECONDS
+        )
 
 
 class AllocatorRoles:
@@ -90,6 +96,8 @@
             actions.append(RecordEvent(EventName.ROLE_RELEASED, service=service))
         for service in sorted(wanted - self._allocators.keys()):
             self._allocators[service] = self._create_allocator(now, service)
+            if not self._is_elected(service, members):
+                self._requests[service].taken_over = True
             actions.append(RecordEvent(EventName.ROLE_ACQUIRED, service=service))
         for allocator in self._allocators.values():
             actions += allocator.configure(now, table, members, leaving)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -6,6 +6,7 @@
 from oleandershift.ids import Incarnation, Seq, VmId
 from oleandershift.messages import ProcessId, Role, Snapshot
 from oleandershift.rendezvous import allocator_for
+from oleandershift.roles import TAKEOVER_EXPIRY_SECONDS
 
 REGIONS = {r: [f"{r}1", f"{r}2"] for r in "ab"}
 SLOTS = {"a-1": ("a", 4), "b-1": ("b", 4)}
@@ -62,3 +63,14 @@
         fleet.now + snapshot_times[-1], fleet.table, fleet.members, frozenset()
     )
     assert bool(roles.upstream_statuses()) is taken_over
+
+
+def test_gap_between_snapshots_does_not_end_a_takeover(fleet) -> None:
+    _, other = elected_and_other(fleet, "b")
+    roles = fleet.roles[other]
+    for at in (0.0, 0.5, 1.0, 1.6, 4.0):
+        roles._on_router_snapshot(fleet.now + at, SERVICE)
+    roles.configure(fleet.now + 4.0, fleet.table, fleet.members, frozenset())
+    assert roles.upstream_statuses()
+    roles.on_tick(fleet.now + 4.0 + TAKEOVER_EXPIRY_SECONDS)
+    assert not roles.upstream_statuses()
