Send nothing past a deadline after a pause of the process

A gateway that had stood still for 1.2 s sent requests to upstreams whose callers' deadline of 0.4 s had passed meanwhile (SIGSTOP and SIGCONT; read, write and stream), and some whose callers had left.

Cause: a request's age was counted from when it was read. What waited in the sockets during the pause looked new, and its caller's disconnect was read after it had been sent. Nothing looked at the clock before sending.

Requests that are read just after a pause count as received at its start, and wait 10 ms, so that disconnects behind them are read. The deadline is checked after the connection is acquired, with no wait before the first byte. A request that is refused so gets 503, as it was not sent.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -10,6 +10,7 @@
 
 from returns.result import Failure
 
+from oleandershift.arrivals import ArrivalClock
 from oleandershift.demand import DemandMeter
 from oleandershift.exceptions import SettingsError
 from oleandershift.fleetview import FleetView
@@ -186,8 +187,10 @@
             RETRY_BUDGET_FRACTION * bounds.retry_ratio,
             RETRY_BUDGET_FRACTION * bounds.retry_extra,
         )
+        self._arrivals = ArrivalClock(now())
         self._relay = Relay(
             self._state,
+            self._arrivals,
             self._pool,
             Placement(self._state.loads, location),
             self._load_shedder,
@@ -266,6 +269,7 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
             instant = now()
+            self._arrivals.tick(instant)
             self._outliers.on_tick(instant)
             self._update_shares(instant)
             self._peer_transport.send_digests()
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from oleandershift.absences import AbsenceProof
+from oleandershift.arrivals import ArrivalClock
 from oleandershift.directory import Upstream
 from oleandershift.eventframes import EventOrderError
 from oleandershift.io.call import AttemptOutcome, Call
@@ -46,6 +47,9 @@
 )
 from oleandershift.state import FleetState
 
+CATCH_UP_PAUSE_SECONDS = 0.01
+"""Delay of requests that are read just after a pause of the process."""
+
 MAX_CONNECT_ATTEMPTS = 3
 """Failed connects after which a request is rejected."""
 
@@ -57,6 +61,8 @@
     ----------
     state : FleetState
         Fleet view, upstream loads and team demand of this VM.
+    arrivals : ArrivalClock
+        Detects pauses of the process.
     pool : ConnectionPool
         Connections to upstreams.
     placement : Placement
@@ -76,6 +82,7 @@
     def __init__(
         self,
         state: FleetState,
+        arrivals: ArrivalClock,
         pool: ConnectionPool,
         placement: Placement,
         load_shedder: LoadShedder,
@@ -90,7 +97,8 @@
         self._pool = pool
         self._placement = placement
         self._load_shedder = load_shedder
-        self._resolver = RequestResolver(state)
+        self._arrivals = arrivals
+        self._resolver = RequestResolver(state, arrivals)
         self._outliers = outliers
         self._budget_for = budget_for
         self._log = log
@@ -115,6 +123,9 @@
         """Process one request until its response is complete or aborted."""
         self.active_requests += 1
         try:
+            if self._arrivals.is_catching_up(now()):
+                # Lets disconnects be read that arrived behind their requests.
+                await asyncio.sleep(CATCH_UP_PAUSE_SECONDS)
             await self._handle(req, res)
         except asyncio.CancelledError:
             self._log.info("caller.left", request=attempt_id(req))
@@ -270,7 +281,6 @@
                 call.failed_connects += 1
                 self._record_unreachable(call, upstream, exc)
                 return AttemptOutcome.NOT_SENT
-            call.send_count += 1
             return await self._exchange_once(call, upstream, in_flight, conn, res)
         finally:
             self._loads.end(in_flight)
@@ -285,6 +295,9 @@
         conn: UpstreamConnection,
         res: Responder,
     ) -> AttemptOutcome:
+        if remaining(call.deadline) <= 0:
+            raise TimeoutError
+        call.send_count += 1
         data = encode_request(call, upstream)
         sent_at = now()
         ran_before, call.may_have_run = call.may_have_run, True
--- a/src/oleandershift/io/requestresolver.py
+++ b/src/oleandershift/io/requestresolver.py
@@ -1,5 +1,6 @@
 """Resolves the route, team and deadline of a caller's request."""
 
+from oleandershift.arrivals import ArrivalClock
 from oleandershift.eventframes import EventFramer
 from oleandershift.exceptions import MalformedRequestError
 from oleandershift.io.call import Call
@@ -34,10 +35,13 @@
     ----------
     state : FleetState
         Fleet view, and the demand meter that records what teams request.
+    arrivals : ArrivalClock
+        Estimates when a request arrived, from which its deadline counts.
     """
 
-    def __init__(self, state: FleetState) -> None:
+    def __init__(self, state: FleetState, arrivals: ArrivalClock) -> None:
         self._state = state
+        self._arrivals = arrivals
         self._view = state.view
         self.shutting_down = False
 
@@ -74,7 +78,8 @@
             route=route,
             service=cfg.service(service_name) or Service(service_name, 0),
             team=team,
-            deadline=req.arrived_at + timeout_ms / 1000,
+            deadline=self._arrivals.earliest_arrival(req.arrived_at)
+            + timeout_ms / 1000,
             prompt=parsed.prompt,
             last_event_id=parsed.last_event_id,
             configuration_version=cfg.version,
--- /dev/null
+++ b/tests/integration/test_gateway_pauses.py
@@ -0,0 +1,96 @@
+"""A gateway process that stands still, and upstreams that accept late."""
+
+import http.client
+import signal
+import socket
+import time
+from collections.abc import Iterator
+from contextlib import closing
+
+import pytest
+
+from standins.gateway_fleet import HOST, KEY, Gateway, GatewayFleet, running_fleet
+
+DEADLINE_SECONDS = 0.4
+PAUSE_SECONDS = 1.2
+
+
+@pytest.fixture
+def fleet(tmp_path) -> Iterator[GatewayFleet]:
+    with running_fleet(tmp_path) as running:
+        yield running
+
+
+@pytest.fixture
+def gateway(fleet) -> Gateway:
+    return fleet.gateways[0]
+
+
+def start_call(gateway, path, attempt):
+    """Send a request without waiting for its response."""
+    conn = http.client.HTTPConnection(gateway.ip, gateway.frontend_port, timeout=5)
+    fields = {
+        "Host": HOST,
+        "Authorization": f"Bearer {KEY}",
+        "Oleandershift-Attempt-Id": attempt,
+        "Oleandershift-Deadline-Ms": str(round(DEADLINE_SECONDS * 1000)),
+    }
+    conn.request("POST", path, body=b"x", headers=fields)
+    return conn
+
+
+def executed(fleet):
+    return [run.attempt_id for e in fleet.engines.values() for run in e.ledger()]
+
+
+@pytest.mark.parametrize("leaves", [False, True], ids=["waits", "leaves"])
+@pytest.mark.parametrize("path", ["/read/x", "/write/x", "/stream/once/x"])
+def test_paused_gateway_sends_no_request_past_its_deadline(
+    fleet, gateway, path, leaves
+):
+    assert gateway.call(path, "warm").status == 200
+    gateway.process.signal(signal.SIGSTOP)
+    conn = start_call(gateway, path, "late")
+    time.sleep(DEADLINE_SECONDS)
+    if leaves:
+        conn.close()
+    time.sleep(PAUSE_SECONDS - DEADLINE_SECONDS)
+    gateway.process.signal(signal.SIGCONT)
+    if not leaves:
+        assert conn.getresponse().status in (503, 504)
+    conn.close()
+    time.sleep(0.5)
+    assert executed(fleet) == ["warm"]
+    assert gateway.call(path, "next").status == 200
+
+
+def test_upstream_that_accepts_late_gets_no_request_past_its_deadline(fleet, gateway):
+    for name in fleet.engines:
+        fleet.store.delete("servers", name)
+    with closing(socket.create_server(("127.0.0.1", 0), backlog=0)) as listener:
+        address = listener.getsockname()
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(address)
+        entry = fleet.engines["e1"].entry("model", "one")
+        entry["address"] = f"127.0.0.1:{address[1]}"
+        fleet.store.put("servers", "slow", entry)
+        time.sleep(2.5)
+        conn = start_call(gateway, "/read/x", "late")
+        status = conn.getresponse().status
+        conn.close()
+        for filler in fillers:
+            filler.close()
+        listener.settimeout(1.0)
+        received = b""
+        try:
+            while True:
+                accepted, _ = listener.accept()
+                accepted.settimeout(0.2)
+                with closing(accepted):
+                    received += accepted.recv(65536)
+        except (TimeoutError, ConnectionResetError):
+            pass
+    assert status in (502, 503, 504)
+    assert b"late" not in received
