Reuse no connection whose reading is paused

Found by reading the diff. A response that ends while its reader is behind leaves the connection paused, and one that is released then without being read would carry the next request and never read its response. No path does so today; the check in settle keeps a new one from it.

--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -220,7 +220,8 @@
             None if the connection can't be used again. It is closed then: the end of
             the response was not read, or the upstream announced that it closes.
         """
-        if self._exchange is None and self.reusable and not self.closed:
+        is_idle = self._exchange is None and not self._paused
+        if is_idle and self.reusable and not self.closed:
             return IdleConnection(self)
         self.close()
         return None
