--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -591,5 +591,5 @@
         "share": decision.share.value,
         "max_delay_ms": round(decision.max_delay_s * 1000),
         **rate_fields(decision.rate),
-        "level": level_field(decision.level),
+        "share_level": level_field(decision.level),
     }
--- a/src/oleandershift/io/sharelog.py
+++ b/src/oleandershift/io/sharelog.py
@@ -47,7 +47,7 @@
         )
         self._log.info(
             "shares.updated",
-            level=level_field(shares.level),
+            share_level=level_field(shares.level),
             capacity=round(shares.capacity) if math.isfinite(shares.capacity) else None,
             **rate_fields(shares.total),
             teams={
--- a/tests/test_sharelog.py
+++ b/tests/test_sharelog.py
@@ -41,7 +41,8 @@
     ShareLog(log, demand).on_update(5.0, max_min_shares(rates, 250.0, 1.1))
     [(event, fields)] = log.lines
     assert event == "shares.updated"
-    assert (fields["level"], fields["capacity"]) == (200, 250)
+    assert not fields.keys() & {"time", "level", "event", "vm"}
+    assert (fields["share_level"], fields["capacity"]) == (200, 250)
     assert (fields["requested"], fields["admitted"]) == (950, 350)
     assert fields["teams"][LARGE] == {
         "requested": 900,
