Count each generation as started at its first event

A generation whose prompt was expected to be in the cache as a whole was never counted as started in shares.updated, since the count stood behind the change of the prefill backlog.

--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -418,9 +418,9 @@
             if in_flight.prefill_tokens:
                 self._loads.on_first_event(in_flight)
                 self._state.on_load_change()
-                self._record_start(call)
             if not call.first_byte_at:
                 call.first_byte_at = now()
+                self._record_start(call)
             if not res.started:
                 res.start(head.status, response_headers(head))
             res.write(events)
