Send no request whose caller's disconnect waits to be read

Cause, shown by a test: what a caller sent and its disconnect wait in the socket together. The gateway reads the request and sends it on; the disconnect is read in the next pass of the loop.

Before the first byte goes to an upstream the gateway now peeks at the caller's socket, also where the request waited for a connection.

--- a/src/oleandershift/exceptions.py
+++ b/src/oleandershift/exceptions.py
@@ -121,3 +121,7 @@
     """A caller's request is malformed; the response has status 400."""
 
     exit_code = 8
+
+
+class CallerLeftError(Exception):
+    """A caller disconnected before its request was sent to an upstream."""
--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server protocol for callers' connections."""
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -117,6 +118,10 @@
             self._conn.write(b"0\r\n\r\n")
         self._finish()
 
+    def caller_has_left(self) -> bool:
+        """Return whether nobody waits for the response any more."""
+        return self._conn.has_left()
+
     def abort(self) -> None:
         """Close the connection so that the response looks incomplete."""
         self.finished = True
@@ -203,6 +208,22 @@
             self._task.cancel()
         self._queue.clear()
 
+    def has_left(self) -> bool:
+        """Return whether the caller has disconnected, even if that is not read yet."""
+        if self.closed or self._transport.is_closing():
+            return True
+        fileno = self._transport.get_extra_info("socket").fileno()
+        # The transport's own socket object does not allow reading.
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fileno)
+        try:
+            return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except ConnectionError:
+            return True
+        finally:
+            sock.detach()
+
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the caller."""
         return False
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -9,6 +9,7 @@
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.directory import Upstream
 from oleandershift.eventframes import EventOrderError
+from oleandershift.exceptions import CallerLeftError
 from oleandershift.io.call import AttemptOutcome, Call
 from oleandershift.io.callers import CallerRequest, Headers, Responder
 from oleandershift.io.clock import now, remaining
@@ -127,7 +128,7 @@
                 # Lets disconnects be read that arrived behind their requests.
                 await asyncio.sleep(CATCH_UP_PAUSE_SECONDS)
             await self._handle(req, res)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, CallerLeftError):
             self._log.info("caller.left", request=attempt_id(req))
         except Exception:
             self._log.exception("request.error", request=attempt_id(req))
@@ -297,6 +298,8 @@
     ) -> AttemptOutcome:
         if remaining(call.deadline) <= 0:
             raise TimeoutError
+        if res.caller_has_left():
+            raise CallerLeftError
         call.send_count += 1
         data = encode_request(call, upstream)
         sent_at = now()
--- a/tests/integration/test_gateway_pauses.py
+++ b/tests/integration/test_gateway_pauses.py
@@ -64,6 +64,18 @@
     assert gateway.call(path, "next").status == 200
 
 
+@pytest.mark.parametrize("path", ["/read/x", "/write/x", "/stream/once/x"])
+def test_request_whose_caller_left_before_it_was_read_is_not_sent(fleet, gateway, path):
+    for number in range(10):
+        assert gateway.call(path, f"warm{number}").status == 200
+        gateway.process.signal(signal.SIGSTOP)
+        start_call(gateway, path, f"left{number}").close()
+        time.sleep(0.05)
+        gateway.process.signal(signal.SIGCONT)
+    time.sleep(0.5)
+    assert [name for name in executed(fleet) if name.startswith("left")] == []
+
+
 def test_upstream_that_accepts_late_gets_no_request_past_its_deadline(fleet, gateway):
     for name in fleet.engines:
         fleet.store.delete("servers", name)
