Keep descriptors free on a VM that one team floods

One team's clients are all sent to that VM, over 400 requests a second. From 10 s on its attempts at upstreams fail with "Too many open files" (618 lines of upstream.unreachable), and callers' connections wait unaccepted until their callers leave; what they had sent is read later.

Cause: callers that were refused kept their connections, for 15 s of idle time, and 32 idle connections to each of 66 upstreams were kept as well; nothing counted descriptors.

Above half of the sockets that the settings allow, responses close their caller's connection; idle connections to all upstreams together take a quarter at most. The gauge oleander_caller_connections shows the first. The test of callers failed before: 60 of 60 connections were kept, with 60 sockets in all; the limit of idle connections is new.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -68,6 +68,13 @@
 coordination: their saved-up retries may fall into one window, and some VMs may have a
 stale VM count."""
 
+CALLER_SOCKETS_FRACTION = 0.5
+"""Fraction of the sockets above which responses close their caller's connection. The
+rest is for upstreams, and for callers that are connected all the same."""
+
+IDLE_UPSTREAM_SOCKETS_FRACTION = 0.25
+"""Fraction of the sockets that idle connections to upstreams may take."""
+
 MIN_BUDGET_VMS = 10
 """Smallest divisor of the retry budget, until the VMs have been counted."""
 
@@ -157,7 +164,9 @@
             DemandMeter(vm_settings.bounds.share_window_ms / 1000),
         )
         self._view = self._state.view
-        self._pool = ConnectionPool()
+        self._pool = ConnectionPool(
+            int(IDLE_UPSTREAM_SOCKETS_FRACTION * vm_settings.max_sockets)
+        )
         self._metrics = GatewayMetrics()
         self._outliers = OutlierDetector()
         self._load_shedder = LoadShedder(random.Random())
@@ -188,9 +197,14 @@
             RETRY_BUDGET_FRACTION * bounds.retry_extra,
         )
         self._arrivals = ArrivalClock(now())
+        self._caller_connections: set[CallerConnection] = set()
+        self._max_caller_connections = int(
+            CALLER_SOCKETS_FRACTION * vm_settings.max_sockets
+        )
         self._relay = Relay(
             self._state,
             self._arrivals,
+            self._is_crowded,
             self._pool,
             Placement(self._state.loads, location),
             self._load_shedder,
@@ -203,7 +217,6 @@
         self._registry = VmRegistry(
             StoreClient(vm_settings.store_address), self._this_vm, self._peers, log
         )
-        self._caller_connections: set[CallerConnection] = set()
         self._probe_connections: set[CallerConnection] = set()
         self._stopping = asyncio.Event()
 
@@ -216,6 +229,10 @@
             and not self._relay.draining
         )
 
+    def _is_crowded(self) -> bool:
+        """Return whether callers hold so many connections that few sockets remain."""
+        return len(self._caller_connections) > self._max_caller_connections
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain and stop."""
         loop = asyncio.get_running_loop()
@@ -293,6 +310,7 @@
             "vms": self._peers.live_count(instant),
             "active_requests": self._relay.active_requests,
             "connections_opened": self._pool.opened_count,
+            "caller_connections": len(self._caller_connections),
             "retry_budget": self._retry_budgets.lowest_remaining(),
             "log_lines_dropped": self._log.writer.dropped,
         }
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -77,6 +77,7 @@
                 ("vms", "Live VMs, this one included."),
                 ("active_requests", "Requests under way."),
                 ("connections_opened", "Connections opened to upstreams."),
+                ("caller_connections", "Open connections of callers."),
                 ("retry_budget", "Retries left of the tightest service."),
                 ("log_lines_dropped", "Log lines dropped for a slow reader."),
             )
--- a/src/oleandershift/io/pool.py
+++ b/src/oleandershift/io/pool.py
@@ -24,9 +24,17 @@
 
 
 class ConnectionPool:
-    """Opens connections to upstreams and keeps idle ones for reuse."""
+    """Opens connections to upstreams and keeps idle ones for reuse.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    max_idle : int
+        Maximum number of idle connections to all upstreams together.
+    """
+
+    def __init__(self, max_idle: int) -> None:
+        self._max_idle = max_idle
+        self._idle_count = 0
         self._idle: defaultdict[tuple[str, int], deque[UpstreamConnection]]
         self._idle = defaultdict(deque)
         self.opened_count = 0
@@ -69,6 +77,7 @@
             for conn in idle:
                 conn.close()
         self._idle.clear()
+        self._idle_count = 0
 
     def close_expired(self) -> None:
         """Close connections whose idle timeout has passed."""
@@ -77,13 +86,18 @@
                 not idle[0].reusable or _idle_seconds(idle[0]) > _idle_timeout(idle[0])
             ):
                 idle.popleft().close()
+                self._idle_count -= 1
             if not idle:
                 del self._idle[key]
 
     def _keep(self, upstream: Upstream, idle_conn: IdleConnection) -> None:
         idle = self._idle[upstream.host, upstream.port]
-        if len(idle) < MAX_IDLE_CONNECTIONS_PER_UPSTREAM:
+        if (
+            len(idle) < MAX_IDLE_CONNECTIONS_PER_UPSTREAM
+            and self._idle_count < self._max_idle
+        ):
             idle.append(idle_conn.conn)
+            self._idle_count += 1
         else:
             idle_conn.conn.close()
 
@@ -91,6 +105,7 @@
         idle = self._idle.get((upstream.host, upstream.port))
         while idle:
             conn = idle.pop()
+            self._idle_count -= 1
             idle_timeout_s = _idle_timeout(conn)
             if (
                 conn.reusable
@@ -100,6 +115,7 @@
                 if repeatable or _idle_seconds(conn) <= UNREPEATABLE_IDLE_SECONDS:
                     return conn
                 idle.append(conn)
+                self._idle_count += 1
                 return None
             conn.close()
         return None
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -64,6 +64,8 @@
         Fleet view, upstream loads and team demand of this VM.
     arrivals : ArrivalClock
         Detects pauses of the process.
+    is_crowded : callable
+        Returns whether callers hold too many connections.
     pool : ConnectionPool
         Connections to upstreams.
     placement : Placement
@@ -84,6 +86,7 @@
         self,
         state: FleetState,
         arrivals: ArrivalClock,
+        is_crowded: Callable[[], bool],
         pool: ConnectionPool,
         placement: Placement,
         load_shedder: LoadShedder,
@@ -99,6 +102,7 @@
         self._placement = placement
         self._load_shedder = load_shedder
         self._arrivals = arrivals
+        self._is_crowded = is_crowded
         self._resolver = RequestResolver(state, arrivals)
         self._outliers = outliers
         self._budget_for = budget_for
@@ -118,7 +122,7 @@
 
     def should_close(self) -> bool:
         """Return whether connections are closed after the current response."""
-        return self.draining
+        return self.draining or self._is_crowded()
 
     async def handle(self, req: CallerRequest, res: Responder) -> None:
         """Process one request until its response is complete or aborted."""
--- a/src/oleandershift/platform/settings.py
+++ b/src/oleandershift/platform/settings.py
@@ -15,6 +15,9 @@
 DEFAULT_PATH = "/etc/oleandershift/local.toml"
 MILLISECONDS_PER_SECOND = 1000.0
 
+DESCRIPTORS_FOR_FILES = 200
+"""Descriptors of a process that sockets can't use (platform contract)."""
+
 
 class _Listen(msgspec.Struct, rename="camel"):
     frontend: str
@@ -30,6 +33,10 @@
     reuse_window_s: float = 10.0
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    max_fds: int = 1024
+
+
 class _Platform(msgspec.Struct, rename="camel"):
     address: str
 
@@ -44,6 +51,7 @@
     platform: _Platform
     zones: dict[str, str] = {}
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 def read_toml(path: Path) -> Result[dict[str, object], tuple[Finding, ...]]:
@@ -80,6 +88,11 @@
         return Failure((Finding("listen, platform", str(exc), "ip:port"),))
 
 
+def _to_max_sockets(limits: _Limits) -> int:
+    """Return the descriptors that are left for sockets (platform contract)."""
+    return max(0, limits.max_fds - DESCRIPTORS_FOR_FILES)
+
+
 def _file_fields() -> dict[str, msgspec.structs.FieldInfo]:
     return {info.encode_name: info for info in msgspec.structs.fields(_File)}
 
@@ -112,6 +125,7 @@
         metrics_port=highest_port,
         store_address=parse_address(file.platform.address),
         bounds=_to_bounds(file.bounds),
+        max_sockets=_to_max_sockets(file.limits),
     )
 
 
--- a/src/oleandershift/vmsettings.py
+++ b/src/oleandershift/vmsettings.py
@@ -68,6 +68,8 @@
         Address of the platform's store.
     bounds : DeploymentBounds
         Limits required by the deployment.
+    max_sockets : int
+        Sockets that the process may have open.
     """
 
     vm: VmId
@@ -81,3 +83,4 @@
     metrics_port: int
     store_address: Address
     bounds: DeploymentBounds
+    max_sockets: int
--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -33,7 +33,7 @@
 readiness = "{ip}:7302"
 [limits]
 memoryMb = 300
-maxFds = 4096
+maxFds = {max_fds}
 [bounds]
 drainMs = 2500
 graceS = 8
@@ -169,6 +169,7 @@
     store: MetaStore
     engines: dict[str, ModelEngine] = field(default_factory=dict)
     gateways: list[Gateway] = field(default_factory=list)
+    max_fds: int = 4096
 
     def add_engine(
         self, name: str, service: str = "model", pause_seconds: float = 0.01
@@ -189,7 +190,10 @@
         proxy = Proxy("127.0.0.1", self.store.port)
         proxy.start()
         store = f"127.0.0.1:{proxy.port}"
-        path.write_text(SETTINGS.format(name=name, ip=ip, zone=zone, store=store))
+        settings = SETTINGS.format(
+            name=name, ip=ip, zone=zone, store=store, max_fds=self.max_fds
+        )
+        path.write_text(settings)
         process = ChildProcess(
             name,
             "oleandershift.cli.gateway",
@@ -218,12 +222,12 @@
 
 @contextmanager
 def running_fleet(
-    folder: Path, gateways: int = 1, engines: int = 2
+    folder: Path, gateways: int = 1, engines: int = 2, max_fds: int = 4096
 ) -> Iterator[GatewayFleet]:
     """Run a fleet and yield it when all its gateways are ready."""
     store = MetaStore()
     store.start()
-    fleet = GatewayFleet(folder, store)
+    fleet = GatewayFleet(folder, store, max_fds=max_fds)
     try:
         store.put("config", "main", configuration(1))
         for number in range(engines):
--- a/tests/contract/test_upstream_pool.py
+++ b/tests/contract/test_upstream_pool.py
@@ -71,6 +71,19 @@
     closes: bool
 
 
+def make_upstream(port):
+    return Upstream(
+        name=UpstreamId("u"),
+        incarnation=1,
+        service=ServiceId("s"),
+        host="127.0.0.1",
+        port=port,
+        data_centre=DataCentreId("d"),
+        slots=1,
+        state=UpstreamState.READY,
+    )
+
+
 async def serve(reader, writer, script):
     try:
         while True:
@@ -117,17 +130,8 @@
         lambda reader, writer: serve(reader, writer, script), "127.0.0.1", 0
     )
     port = server.sockets[0].getsockname()[1]
-    upstream = Upstream(
-        name=UpstreamId("u"),
-        incarnation=1,
-        service=ServiceId("s"),
-        host="127.0.0.1",
-        port=port,
-        data_centre=DataCentreId("d"),
-        slots=1,
-        state=UpstreamState.READY,
-    )
-    pool = ConnectionPool()
+    upstream = make_upstream(port)
+    pool = ConnectionPool(max_idle=8)
     try:
         first = await exchange(pool, upstream, "a1", parts_to_read)
         second = await exchange(pool, upstream, SECOND_ID, 1000)
@@ -173,3 +177,30 @@
     )
     assert first == (200, FIRST_BODY)
     assert second == (200, SECOND_BODY)
+
+
+async def idle_counts(pool_size, connections):
+    """Return how many connections are kept of some that were used at once."""
+    server = await asyncio.start_server(
+        lambda reader, writer: serve(reader, writer, Script(WHOLE, 0, closes=False)),
+        "127.0.0.1",
+        0,
+    )
+    upstreams = [
+        make_upstream(server.sockets[0].getsockname()[1])
+        for number in range(connections)
+    ]
+    pool = ConnectionPool(pool_size)
+    conns = [await pool.acquire(upstream, repeatable=True) for upstream in upstreams]
+    for conn, upstream in zip(conns, upstreams, strict=True):
+        pool.release(upstream, conn)
+    await asyncio.sleep(0.05)
+    kept = sum(not conn.closed for conn in conns)
+    reused = [await pool.acquire(upstream, repeatable=True) for upstream in upstreams]
+    pool.close()
+    server.close()
+    return kept, sum(conn in conns for conn in reused)
+
+
+def test_idle_connections_are_limited_in_total():
+    assert uvloop.run(idle_counts(pool_size=3, connections=5)) == (3, 3)
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -524,3 +524,24 @@
     shares = log_entries(fleet, gateway, "shares.updated")
     assert shares[-1]["requested"] > 10_000
     assert shares[-1]["admitted"] < 0.5 * shares[-1]["requested"]
+
+
+def test_callers_that_keep_connections_do_not_exhaust_the_descriptors(tmp_path):
+    with running_fleet(tmp_path, max_fds=260) as fleet:
+        (gateway,) = fleet.gateways
+        conns = [
+            http.client.HTTPConnection(gateway.ip, gateway.frontend_port, timeout=5)
+            for _ in range(60)
+        ]
+        kept = 0
+        for number, conn in enumerate(conns):
+            answer = call_on(conn, "/read/x", f"a{number}")
+            assert answer.status == 200
+            kept += answer.headers.get("connection") != "close"
+        for conn in conns:
+            conn.close()
+        wait_until(
+            lambda: gateway.call("/read/x", "next").headers.get("connection") is None,
+            "connections are kept again",
+        )
+    assert 0 < kept <= 30
