Share the upstream of tests, and split the fairness check

Found by reading the diff: three test modules built the same registration, and unfair_windows did the work of three functions. No check changes.

--- a/standins/fairness.py
+++ b/standins/fairness.py
@@ -7,7 +7,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from oleandershift.ids import TeamId
@@ -80,28 +80,34 @@
 def unfair_windows(result: EmulationResult) -> list[UnfairWindow]:
     """Return all windows in which a team received too little."""
     ledger = _Ledger(result.requests)
-    teams = sorted(ledger.largest)
-    windows = []
-    for start in range(1, int(result.seconds) - WINDOW_SECONDS + 1):
-        seconds = range(start, start + WINDOW_SECONDS)
-        received = {
-            team: sum(ledger.received[team, second] for second in seconds)
-            for team in teams
-        }
-        best = max(teams, key=lambda team: received[team])
-        for team in teams:
-            if not all((team, second) in ledger.waited for second in seconds):
-                continue
-            due = MIN_FRACTION * sum(
-                min(ledger.requested[team, second], ledger.received[best, second])
-                for second in seconds
-            )
-            due -= LARGEST_REQUESTS_ALLOWED * ledger.largest[team]
-            if received[team] < due:
-                requested = sum(ledger.requested[team, second] for second in seconds)
-                windows.append(
-                    UnfairWindow(
-                        start, team, best, requested, received[team], received[best]
-                    )
-                )
-    return windows
+    last_start = int(result.seconds) - WINDOW_SECONDS
+    return [
+        window
+        for start in range(1, last_start + 1)
+        for window in _unfair_teams(ledger, start)
+    ]
+
+
+def _unfair_teams(ledger: _Ledger, start: int) -> Iterator[UnfairWindow]:
+    """Yield a window once for each team that received too little in it."""
+    seconds = range(start, start + WINDOW_SECONDS)
+    received = {
+        team: sum(ledger.received[team, second] for second in seconds)
+        for team in sorted(ledger.largest)
+    }
+    best = max(received, key=received.__getitem__)
+    for team, tokens in received.items():
+        waited = all((team, second) in ledger.waited for second in seconds)
+        if not waited or tokens >= _due(ledger, team, best, seconds):
+            continue
+        requested = sum(ledger.requested[team, second] for second in seconds)
+        yield UnfairWindow(start, team, best, requested, tokens, received[best])
+
+
+def _due(ledger: _Ledger, team: TeamId, best: TeamId, seconds: range) -> float:
+    """Return the tokens that a team must receive at least."""
+    comparable = sum(
+        min(ledger.requested[team, second], ledger.received[best, second])
+        for second in seconds
+    )
+    return MIN_FRACTION * comparable - (LARGEST_REQUESTS_ALLOWED * ledger.largest[team])
--- a/tests/contract/test_upstream_pool.py
+++ b/tests/contract/test_upstream_pool.py
@@ -6,9 +6,8 @@
 import pytest
 import uvloop
 from hypothesis import HealthCheck, example, given, settings, strategies as st
+from upstreams import make_upstream
 
-from oleandershift.directory import Upstream, UpstreamState
-from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
 from oleandershift.io.forwarding import is_upstream_response, response_matcher
 from oleandershift.io.pool import ConnectionPool
 from oleandershift.io.upstreamconn import BrokenExchangeError
@@ -71,19 +70,6 @@
     closes: bool
 
 
-def make_upstream(port):
-    return Upstream(
-        name=UpstreamId("u"),
-        incarnation=1,
-        service=ServiceId("s"),
-        host="127.0.0.1",
-        port=port,
-        data_centre=DataCentreId("d"),
-        slots=1,
-        state=UpstreamState.READY,
-    )
-
-
 async def serve(reader, writer, script):
     try:
         while True:
@@ -130,7 +116,7 @@
         lambda reader, writer: serve(reader, writer, script), "127.0.0.1", 0
     )
     port = server.sockets[0].getsockname()[1]
-    upstream = make_upstream(port)
+    upstream = make_upstream(port=port)
     pool = ConnectionPool(max_idle=8)
     try:
         first = await exchange(pool, upstream, "a1", parts_to_read)
@@ -187,7 +173,7 @@
         0,
     )
     upstreams = [
-        make_upstream(server.sockets[0].getsockname()[1])
+        make_upstream(port=server.sockets[0].getsockname()[1])
         for number in range(connections)
     ]
     pool = ConnectionPool(pool_size)
--- a/tests/test_absences.py
+++ b/tests/test_absences.py
@@ -3,24 +3,14 @@
 from dataclasses import replace
 
 import pytest
+from upstreams import make_upstream
 
 from oleandershift.absences import AbsenceProof, AbsenceTracker
-from oleandershift.directory import Upstream, UpstreamState
-from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
 
 
 @pytest.fixture
 def upstream():
-    return Upstream(
-        name=UpstreamId("e1"),
-        incarnation=1,
-        service=ServiceId("model"),
-        host="127.0.0.1",
-        port=1,
-        data_centre=DataCentreId("here"),
-        slots=8,
-        state=UpstreamState.READY,
-    )
+    return make_upstream()
 
 
 @pytest.mark.parametrize("proof", AbsenceProof)
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -1,18 +1,16 @@
 """Tests of the digest exchange: content, recipients and urgency of digests."""
 
 import pytest
+from upstreams import make_upstream
 
 from oleandershift.absences import AbsenceProof
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import Digest, Scope
-from oleandershift.directory import Upstream, UpstreamState
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import (
     DataCentreId,
     Incarnation,
     Seq,
-    ServiceId,
-    UpstreamId,
     VmId,
 )
 from oleandershift.neighbours import Peer, PeerTable
@@ -41,19 +39,6 @@
     return DigestExchange(local_peer, Incarnation(1), state), state
 
 
-def make_upstream():
-    return Upstream(
-        name=UpstreamId("e1"),
-        incarnation=1,
-        service=ServiceId("model"),
-        host="127.0.0.1",
-        port=1,
-        data_centre=LOCAL,
-        slots=8,
-        state=UpstreamState.READY,
-    )
-
-
 def make_prompt(tokens):
     return Prompt(tokens, 10, 10, (PrefixPart("own", tokens),))
 
