Count accepted connections and report the delay of the event loop

The metrics of a gateway could not tell why a ready VM takes no connections: a queue that is emptied too slowly, no free descriptors, or a loop that stands still.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -228,6 +228,12 @@
             log,
             self._metrics,
         )
+        self._caller_listener = Listener(
+            vm_settings.caller_address,
+            protocol_factory(self._relay, self._caller_connections),
+            log,
+            CALLER_BACKLOG,
+        )
         self._settings_stamp = _file_stamp(path)
         self._registry = VmRegistry(
             StoreClient(vm_settings.store_address), self._this_vm, self._peers, log
@@ -260,13 +266,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._follow_store()
         await self._peer_transport.open(self._store_sync.snapshot)
-        caller_listener = Listener(
-            self._settings.caller_address,
-            protocol_factory(self._relay, self._caller_connections),
-            self._log,
-            CALLER_BACKLOG,
-        )
-        caller_listener.open()
+        self._caller_listener.open()
         metrics_server = await loop.create_server(
             protocol_factory(MetricsHandler(self._metrics), self._probe_connections),
             self._settings.ip,
@@ -290,7 +290,7 @@
             )
         ]
         await self._stopping.wait()
-        await self._drain(caller_listener)
+        await self._drain()
         for task in tasks:
             task.cancel()
         readiness_server.close()
@@ -337,6 +337,8 @@
             "active_requests": self._relay.active_requests,
             "connections_opened": self._pool.opened_count,
             "caller_connections": len(self._caller_connections),
+            "connections_accepted": self._caller_listener.accepted_count,
+            "loop_delay_seconds": self._loop_delay.last_s,
             "retry_budget": self._retry_budgets.lowest_remaining(),
             "digest_entries_omitted": self._peer_transport.omitted_entries,
             "log_lines_dropped": self._log.writer.dropped,
@@ -400,7 +402,7 @@
             self._follow_store()
         self._log.info("settings.reloaded", store=self._settings.store_address)
 
-    async def _drain(self, caller_listener: Listener) -> None:
+    async def _drain(self) -> None:
         """Fail readiness probes, then finish the requests in flight."""
         self._relay.draining = True
         started_at = now()
@@ -411,7 +413,7 @@
         )
         self._log.info("process.stopping", active=self._relay.active_requests)
         await asyncio.sleep(UNREADY_SERVING_SECONDS)
-        caller_listener.close()
+        self._caller_listener.close()
         self._relay.reject_new_requests()
         while now() < deadline:
             for conn in list(self._caller_connections):
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -79,6 +79,8 @@
                 ("active_requests", "Requests under way."),
                 ("connections_opened", "Connections opened to upstreams."),
                 ("caller_connections", "Open connections of callers."),
+                ("connections_accepted", "Connections of callers accepted."),
+                ("loop_delay_seconds", "Delay of the event loop's latest tick."),
                 ("retry_budget", "Retries left of the tightest service."),
                 ("digest_entries_omitted", "Entries beyond the limits of digests."),
                 ("log_lines_dropped", "Log lines dropped for a slow reader."),
--- a/src/oleandershift/io/listener.py
+++ b/src/oleandershift/io/listener.py
@@ -31,6 +31,11 @@
         Receives failed accepts.
     backlog : int
         Length of the queue.
+
+    Attributes
+    ----------
+    accepted_count : int
+        Connections accepted so far.
     """
 
     def __init__(
@@ -47,6 +52,7 @@
         self._socket: socket.socket | None = None
         self._retry: asyncio.TimerHandle | None = None
         self._opening: set[asyncio.Task[None]] = set()
+        self.accepted_count = 0
 
     def open(self) -> None:
         """Start to listen.
@@ -97,6 +103,7 @@
             except OSError as exc:
                 self._on_failure(exc)
                 return False
+            self.accepted_count += 1
             conn.setblocking(False)
             self._start(conn)
         return True
--- a/src/oleandershift/loopdelay.py
+++ b/src/oleandershift/loopdelay.py
@@ -15,19 +15,26 @@
     ----------
     interval_s : float
         Planned time between two ticks, seconds.
+
+    Attributes
+    ----------
+    last_s : float
+        Delay of the latest tick, seconds.
     """
 
     def __init__(self, interval_s: float) -> None:
         self._interval_s = interval_s
         self._ticked_at: float | None = None
         self._overloaded_until = float("-inf")
+        self.last_s = 0.0
 
     def tick(self, now: float) -> None:
         """Record a tick at a time in seconds."""
         previous, self._ticked_at = self._ticked_at, now
         if previous is None:
             return
-        if now - previous - self._interval_s >= OVERLOAD_DELAY_SECONDS:
+        self.last_s = max(0.0, now - previous - self._interval_s)
+        if self.last_s >= OVERLOAD_DELAY_SECONDS:
             self._overloaded_until = now + OVERLOAD_SECONDS
 
     def is_overloaded(self, now: float) -> bool:
--- a/tests/integration/test_gateway_descriptors.py
+++ b/tests/integration/test_gateway_descriptors.py
@@ -45,3 +45,5 @@
         wait_until(gateway.is_ready, "the gateway is ready again")
         assert gateway.call("/read/x", "next").status == 200
     assert "connection.not-accepted" in fleet.log(gateway)
+    accepted = "oleander_connections_accepted 6.0"
+    wait_until(lambda: accepted in gateway.metrics(), accepted)
--- a/tests/test_loopdelay.py
+++ b/tests/test_loopdelay.py
@@ -36,3 +36,10 @@
     tick_at(delay, 0.0, late, late + INTERVAL_SECONDS)
     assert delay.is_overloaded(late + INTERVAL_SECONDS)
     assert not delay.is_overloaded(late + OVERLOAD_SECONDS)
+
+
+def test_delay_of_the_latest_tick_is_reported(delay):
+    tick_at(delay, 0.0, INTERVAL_SECONDS + 0.02)
+    assert delay.last_s == pytest.approx(0.02)
+    tick_at(delay, 2 * INTERVAL_SECONDS)
+    assert delay.last_s == 0.0
