Name the shared prompt parts of a broken attempt

When an upstream crashes, the logs name the requests that it had not answered, but not what they have in common, so a prompt part that crashes upstreams could not be told from upstreams that crash by themselves. Lines `attempt.broken` now have the parts that other requests share.

Measured: the new test fails before this change (no field `parts`).

--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -37,6 +37,7 @@
 )
 from oleandershift.outliers import OutlierDetector
 from oleandershift.placement import Choice, InFlightRequest, Placement
+from oleandershift.prompts import Prompt
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
 from oleandershift.shedding import (
@@ -341,6 +342,7 @@
                 cause=exc.cause.value,
                 after_ms=round((now() - sent_at) * 1000),
                 events=call.event_stream.event_count,
+                parts=_shared_part_names(call.prompt),
             )
             if res.started and not call.resumable:
                 self._abort_stream(call, res, f"upstream {exc.cause.value}")
@@ -601,6 +603,11 @@
     )
 
 
+def _shared_part_names(prompt: Prompt | None) -> list[str]:
+    """Return the names of the prompt parts that other requests share."""
+    return [part.name for part in prompt.shared_parts] if prompt is not None else []
+
+
 def _placement_fields(choice: Choice | None) -> dict[str, object]:
     """Return the log fields for the inputs of a placement decision."""
     if choice is None:
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -388,6 +388,6 @@
 
 def _rank(candidates: Collection[Upstream], prompt: Prompt) -> list[Upstream]:
     """Return the candidates in the order of preference that all VMs share."""
-    shared = prompt.parts[:-1]
+    shared = prompt.shared_parts
     key = shared[-1].name if shared else prompt.parts[-1].name if prompt.parts else ""
     return ranked(key, candidates, lambda upstream: upstream.name)
--- a/src/oleandershift/prompts.py
+++ b/src/oleandershift/prompts.py
@@ -48,6 +48,11 @@
             return self.max_output_tokens
         return min(self.expected_output_tokens, self.max_output_tokens)
 
+    @property
+    def shared_parts(self) -> tuple[PrefixPart, ...]:
+        """Parts that other requests have as well."""
+        return self.parts[:-1]
+
     @property
     def unique_tokens(self) -> int:
         """Prompt tokens that are not shared with other requests."""
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -185,6 +185,19 @@
         assert answer.body.endswith(f" ran b{number}".encode())
 
 
+def test_broken_attempt_names_the_shared_parts_of_its_prompt(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.behaviour = Behaviour.CUT_AFTER
+    prompt = {
+        "Oleandershift-Token-Usage": "30,10",
+        "Oleandershift-Prompt-Prefix": "aa:10,bb:10,cc:10",
+    }
+    assert gateway.call("/stream/once/x", "a1", **prompt).status == 502
+    entries = find_entries("a1", fleet.log(gateway).encode().splitlines())
+    (broken,) = [entry for entry in entries if entry.event == "attempt.broken"]
+    assert broken.fields["parts"] == ["aa", "bb"]
+
+
 def test_large_response_that_breaks_off_looks_incomplete(fleet, gateway):
     for engine in fleet.engines.values():
         engine.padding = LARGE_PADDING
