--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -3,6 +3,7 @@
 import threading
 import time
 from collections import Counter
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -11,6 +12,7 @@
 ATTEMPT_HEADER = "Oleandershift-Attempt-Id"
 SEAL_HEADER = "Oleandershift-Response-Seal"
 NOT_EXECUTED_HEADER = "Oleandershift-Not-Executed"
+PROMPT_PREFIX_HEADER = "Oleandershift-Prompt-Prefix"
 
 
 class Behaviour(Enum):
@@ -52,6 +54,8 @@
         Time at which the request was received, by the monotonic clock.
     first_event : int
         Number of the first event to send, from 1; greater if a stream is resumed.
+    parts : tuple of str
+        Names of the parts of its prompt.
     """
 
     attempt_id: str
@@ -60,6 +64,12 @@
     body: bytes
     received_at: float
     first_event: int
+    parts: tuple[str, ...] = ()
+
+
+def _prompt_parts(exchange: Exchange) -> tuple[str, ...]:
+    prefix = exchange.headers.get(PROMPT_PREFIX_HEADER, "")
+    return tuple(entry.partition(":")[0] for entry in prefix.split(",") if entry)
 
 
 class ModelEngine:
@@ -84,6 +94,14 @@
         Responses to the next requests.
     padding : bytes
         Appended to the body of a plain response.
+    crashing_part : str or None
+        Prompt part under which the upstream crashes instead of a response.
+    restart_seconds : float
+        Time after a crash at which it runs again, at the same address.
+    on_restart : callable
+        Called with this upstream after a restart.
+    crashed_at : list of float
+        Time of each crash, by the monotonic clock.
     """
 
     def __init__(
@@ -98,8 +116,13 @@
         self.started_at_ms = int(time.time() * 1000)
         self.address = f"{ip}:{self._server.port}"
         self.port = self._server.port
-        self.start = self._server.start
-        self.stop = self._server.stop
+        self.crashing_part: str | None = None
+        self.restart_seconds = 1.0
+        self.on_restart: Callable[[ModelEngine], None] = lambda engine: None
+        self.crashed_at: list[float] = []
+        self._ip = ip
+        self._is_up = False
+        self._is_stopped = False
         self.behaviour = Behaviour.ANSWER
         self.queued_behaviours: list[Behaviour] = []
         self.padding = b""
@@ -108,6 +131,38 @@
         self._lock = threading.Lock()
         self._ledger: list[ExecutedRequest] = []
 
+    def start(self) -> None:
+        """Accept connections."""
+        self._is_up = True
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop accepting connections and reset the open ones; don't restart."""
+        with self._lock:
+            was_up, self._is_up = self._is_up, False
+            self._is_stopped = True
+        if was_up:
+            self._server.stop()
+
+    def _crash(self) -> None:
+        """Stop as a process that ends, and restart later; once for several calls."""
+        with self._lock:
+            was_up, self._is_up = self._is_up, False
+            if was_up:
+                self.crashed_at.append(time.monotonic())
+        if was_up:
+            threading.Thread(target=self._restart, daemon=True).start()
+
+    def _restart(self) -> None:
+        self._server.stop()
+        time.sleep(self.restart_seconds)
+        if self._is_stopped:
+            return
+        self._server = Server(self._ip, self.port, self._handle)
+        self.started_at_ms = int(time.time() * 1000)
+        self.start()
+        self.on_restart(self)
+
     def entry(self, service: str, zone: str, state: str = "ready") -> dict[str, object]:
         """Return the entry that registers the upstream with the platform."""
         return {
@@ -162,9 +217,14 @@
             exchange.body,
             time.monotonic(),
             first_event,
+            _prompt_parts(exchange),
         )
         with self._lock:
             self._ledger.append(executed)
+        if self.crashing_part in executed.parts[:-1]:
+            self._crash()
+            exchange.abort()
+            return
         headers = {ATTEMPT_HEADER: attempt_id, SEAL_HEADER: f"{self.name}.{attempt_id}"}
         if behaviour is Behaviour.HANG:
             while not exchange.client_disconnected():
