Block prompt parts that crash upstreams one after the other

Cause: nothing related a crash to what the upstream was answering. The crash was taken as the end of one upstream, and the next such request, from any VM, went to another one; requests that may be repeated carried it on by themselves.

Change: a crash counts for the shared parts of what the upstream had not answered yet. Exchanges that break off count only if the upstream is then found gone, and not if another upstream answers the part. After three crashes of a part all VMs reject it for a time that doubles; then single requests show whether it is sound. VMs exchange what they know in datagrams, since requests with a part come at any of them, and a VM among 84 sees one crash of many.

--- a/src/oleandershift/cli/cause.py
+++ b/src/oleandershift/cli/cause.py
@@ -1,4 +1,4 @@
-"""Command `oleander cause`: find in logs why a request ended as it did."""
+"""Command `oleander cause`: find in logs why a request or a prompt part failed."""
 
 import argparse
 
@@ -15,9 +15,13 @@
     parser = subparsers.add_parser(
         "cause",
         help="find in gateways' logs why a request ended as it did",
-        description="Search the logs of gateways for one request.",
+        description="Search the logs of gateways for one request or prompt part.",
+    )
+    parser.add_argument(
+        "subject",
+        metavar="request",
+        help="id of the caller's attempt, or a prompt part that was blocked",
     )
-    parser.add_argument("request", help="id of the caller's attempt")
     add_logs_argument(parser)
     add_json_flag(parser)
 
@@ -29,10 +33,10 @@
 
 def run(args: argparse.Namespace) -> int:
     """Run the command and return the exit code."""
-    entries = find_entries(args.request, read_log_lines(args.logs))
+    entries = find_entries(args.subject, read_log_lines(args.logs))
     if not entries:
         raise OleanderError(
-            f"no line names request {args.request}: it was answered in time, or its "
+            f"no line names request {args.subject}: it was answered in time, or its "
             "gateway's log is missing"
         )
     cause = find_cause(entries)
--- a/src/oleandershift/cli/gateway.py
+++ b/src/oleandershift/cli/gateway.py
@@ -10,13 +10,16 @@
 from oleandershift.exceptions import OleanderError, SettingsError
 from oleandershift.io import gateway
 from oleandershift.platform.settings import DEFAULT_PATH, PATH_VARIABLE
+from oleandershift.quarantine import QuarantineLimits
 from oleandershift.settings import (
     Setting,
     build_parser,
     choice,
+    integer_between,
     load_settings,
     non_empty_text,
     port,
+    seconds_between,
 )
 
 SETTINGS = (
@@ -41,6 +44,20 @@
         "minimum level to log",
         "INFO",
     ),
+    Setting(
+        "prompt_crash_limit",
+        integer_between(2, 10),
+        "2 to 10",
+        "crashes of upstreams under one prompt part that block it",
+        "3",
+    ),
+    Setting(
+        "prompt_block_seconds",
+        seconds_between(1, 3600),
+        "1 to 3600",
+        "first block of a prompt part, doubled with each further crash",
+        "30",
+    ),
 )
 
 
@@ -53,7 +70,12 @@
         if isinstance(result, Failure):
             raise SettingsError(result.failure())
         cfg = result.unwrap()
-        gateway.run(Path(cfg.node_file), cfg.metrics_port, cfg.log_level)
+        gateway.run(
+            Path(cfg.node_file),
+            cfg.metrics_port,
+            cfg.log_level,
+            QuarantineLimits(cfg.prompt_crash_limit, cfg.prompt_block_seconds),
+        )
     except OleanderError as exc:
         print(f"oleander-gateway: {exc.message}", file=sys.stderr)
         return exc.exit_code
--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -14,6 +14,7 @@
 from oleandershift.ids import (
     DataCentreId,
     Incarnation,
+    PromptPartId,
     Seq,
     TeamId,
     UpstreamId,
@@ -113,6 +114,59 @@
     parts: int = 1
 
 
+class CrashRecord(msgspec.Struct, array_like=True, frozen=True):
+    """Crash of an upstream before it had answered a request.
+
+    Parameters
+    ----------
+    upstream : UpstreamId
+        The upstream.
+    incarnation : int
+        Its run, as in `UpstreamRun`.
+    age_ms : int
+        Time since the crash, milliseconds. Clocks of VMs may differ.
+    """
+
+    upstream: UpstreamId
+    incarnation: int
+    age_ms: int
+
+
+class PartRecord(msgspec.Struct, array_like=True, frozen=True):
+    """What a VM knows of a prompt part under which upstreams crashed.
+
+    Parameters
+    ----------
+    part : PromptPartId
+        The part.
+    crashes : tuple of CrashRecord
+        Crashes under it since its latest answer.
+    answer_age_ms : int
+        Time since the start of its latest answer, milliseconds; -1 without one.
+    """
+
+    part: PromptPartId
+    crashes: tuple[CrashRecord, ...]
+    answer_age_ms: int
+
+
+class CrashNotice(msgspec.Struct, tag="crashes", frozen=True):
+    """What a VM knows of prompt parts under which upstreams crashed.
+
+    VMs of an earlier version log it as a damaged digest and ignore it.
+
+    Parameters
+    ----------
+    vm : VmId
+        The sender.
+    records : tuple of PartRecord
+        Its knowledge, from its own requests and from other VMs.
+    """
+
+    vm: VmId
+    records: tuple[PartRecord, ...]
+
+
 class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True):
     """What the requesting VM knows, so that it is sent only what is newer.
 
@@ -154,10 +208,14 @@
     removed: tuple[tuple[str, int, int], ...] = ()
 
 
-PeerMessage: TypeAlias = Digest | SnapshotRequest | StoreSnapshot
+PeerMessage: TypeAlias = Digest | CrashNotice | SnapshotRequest | StoreSnapshot
+
+_MAP_MASK, _FIXMAP = 0xF0, 0x80
+"""MessagePack's mark of a small map. A notice is one, a digest is an array."""
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DIGEST_DECODER = msgspec.msgpack.Decoder(Digest)
+_NOTICE_DECODER = msgspec.msgpack.Decoder(CrashNotice)
 _REQUEST_DECODER = msgspec.msgpack.Decoder(SnapshotRequest)
 _SNAPSHOT_DECODER = msgspec.msgpack.Decoder(StoreSnapshot)
 
@@ -175,6 +233,16 @@
         return Failure(str(exc))
 
 
+def decode_datagram(data: bytes) -> Result[Digest | CrashNotice, str]:
+    """Decode a datagram; return the reason if the data is foreign or damaged."""
+    if data and data[0] & _MAP_MASK == _FIXMAP:
+        try:
+            return Success(_NOTICE_DECODER.decode(data))
+        except msgspec.DecodeError as exc:
+            return Failure(str(exc))
+    return decode_digest(data)
+
+
 def decode_request(data: bytes) -> Result[SnapshotRequest, str]:
     """Decode a request for a snapshot; return the reason if the data is damaged."""
     try:
--- a/src/oleandershift/ids.py
+++ b/src/oleandershift/ids.py
@@ -26,6 +26,9 @@
 UpstreamId = NewType("UpstreamId", str)
 """Name of an upstream, unique in the fleet."""
 
+PromptPartId = NewType("PromptPartId", str)
+"""Hash of the content of a prompt part."""
+
 RequestId = NewType("RequestId", str)
 """Id of a caller's request, assigned by the router that accepted it."""
 
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -9,6 +9,7 @@
 from oleandershift.io.callers import CallerRequest, Headers
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
+from oleandershift.quarantine import SOUND_ANSWER_SECONDS
 from oleandershift.routing import Route, Service, Team
 from oleandershift.shedding import AdmissionDecision, ShareClass
 
@@ -63,6 +64,10 @@
     failed_response : tuple or None
         Status, headers and body of a server error, which is returned when no other
         upstream succeeds.
+    answer_began_at : float or None
+        Clock time in seconds of the first event of the current attempt.
+    is_counted_as_answer : bool
+        Whether an event of this call has shown that its prompt is answered.
     """
 
     id: str
@@ -84,6 +89,8 @@
     failed_connects: int = 0
     may_have_run: bool = False
     failed_response: tuple[int, Headers, bytes] | None = None
+    answer_began_at: float | None = None
+    is_counted_as_answer: bool = False
     event_stream: EventFramer = field(default_factory=EventFramer)
 
     @property
@@ -101,6 +108,11 @@
         """Return whether another upstream may continue a response that has begun."""
         return self.repeatable and self.route.semantics.is_stream
 
+    def shows_sound_upstream(self, now: float) -> bool:
+        """Return whether the upstream has outlived the start of its answer."""
+        began_at = self.answer_began_at
+        return began_at is not None and now - began_at >= SOUND_ANSWER_SECONDS
+
     @property
     def expects_body(self) -> bool:
         """Return whether the response may have a body."""
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -38,6 +38,11 @@
 from oleandershift.placement import LoadTracker, Location, Placement
 from oleandershift.platform import settings
 from oleandershift.platform.store import StoreClient
+from oleandershift.quarantine import (
+    BlockChange,
+    PromptQuarantine,
+    QuarantineLimits,
+)
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
 from oleandershift.settings import program_version
@@ -88,6 +93,9 @@
 """Smallest divisor of the retry budget, until the VMs have been counted."""
 
 
+_DEFAULT_QUARANTINE_LIMITS = QuarantineLimits()
+
+
 @dataclass
 class _RetryBudgets:
     """Retry budgets of this VM by service, a part of the fleet's budget.
@@ -156,10 +164,17 @@
         Port of the metrics endpoint.
     log : DecisionLog
         Log of the process.
+    quarantine_limits : QuarantineLimits
+        When and for how long prompt parts that crash upstreams are blocked.
     """
 
     def __init__(
-        self, vm_settings: VmSettings, path: Path, metrics_port: int, log: DecisionLog
+        self,
+        vm_settings: VmSettings,
+        path: Path,
+        metrics_port: int,
+        log: DecisionLog,
+        quarantine_limits: QuarantineLimits = _DEFAULT_QUARANTINE_LIMITS,
     ) -> None:
         self._settings = vm_settings
         self._path = path
@@ -175,6 +190,7 @@
             FleetView(REMOVAL_GRACE_FRACTION * vm_settings.bounds.drain_ms / 1000),
             LoadTracker(vm_settings.bounds.reuse_window_ms / 1000),
             DemandMeter(vm_settings.bounds.share_window_ms / 1000),
+            quarantine=PromptQuarantine(quarantine_limits, random.Random()),
         )
         self._view = self._state.view
         self._pool = ConnectionPool(
@@ -315,6 +331,7 @@
             self._outliers.on_tick(instant)
             self._update_shares(instant)
             self._peer_transport.send_due_digests()
+            self._update_quarantine(instant)
             self._store_sync.set_role(self._peers.store_role(instant))
             self._view.directory.expire(instant)
             self._pool.close_expired()
@@ -324,6 +341,21 @@
                 next_poll = instant + SETTINGS_POLL_SECONDS
                 self._poll_settings()
 
+    def _update_quarantine(self, instant: float) -> None:
+        for change in self._state.update_quarantine(instant):
+            blocked = change.change is BlockChange.BLOCKED
+            self._metrics.prompt_blocks.labels(change.change.name.lower()).inc()
+            log = self._log.warning if blocked else self._log.info
+            log(
+                "prompt.blocked" if blocked else "prompt.released",
+                part=change.part,
+                reason=change.change.value,
+                upstreams=change.upstreams,
+                last_request=change.request,
+                block_s=round(max(0.0, change.blocked_until - instant), 1),
+            )
+        self._peer_transport.send_due_notice()
+
     def _update_gauges(self, instant: float) -> None:
         cfg = self._view.configuration
         directory = self._view.directory
@@ -339,6 +371,7 @@
             "caller_connections": len(self._caller_connections),
             "connections_accepted": self._caller_listener.accepted_count,
             "loop_delay_seconds": self._loop_delay.last_s,
+            "prompt_parts_blocked": self._state.quarantine.rejected_count(instant),
             "retry_budget": self._retry_budgets.lowest_remaining(),
             "digest_entries_omitted": self._peer_transport.omitted_entries,
             "log_lines_dropped": self._log.writer.dropped,
@@ -432,7 +465,9 @@
     return info.st_mtime_ns, info.st_size
 
 
-def run(path: Path, metrics_port: int, level: str) -> None:
+def run(
+    path: Path, metrics_port: int, level: str, quarantine_limits: QuarantineLimits
+) -> None:
     """Run a gateway until SIGTERM or SIGINT.
 
     Parameters
@@ -443,6 +478,8 @@
         Port of the metrics endpoint.
     level : str
         Lowest log level that is written.
+    quarantine_limits : QuarantineLimits
+        When and for how long prompt parts that crash upstreams are blocked.
 
     Raises
     ------
@@ -456,10 +493,8 @@
     import uvloop
 
     log = DecisionLog(vm_settings.vm, level)
-    uvloop.run(_main(vm_settings, path, metrics_port, log))
 
+    async def main() -> None:
+        await Gateway(vm_settings, path, metrics_port, log, quarantine_limits).run()
 
-async def _main(
-    vm_settings: VmSettings, path: Path, metrics_port: int, log: DecisionLog
-) -> None:
-    await Gateway(vm_settings, path, metrics_port, log).run()
+    uvloop.run(main())
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -67,6 +67,12 @@
             ["kind", "outcome"],
             registry=self._registry,
         )
+        self.prompt_blocks = Counter(
+            "oleander_prompt_blocks",
+            "Blocks and releases of prompt parts that crash upstreams.",
+            ["change"],
+            registry=self._registry,
+        )
         self.gauges = {
             name: Gauge(f"oleander_{name}", text, registry=self._registry)
             for name, text in (
@@ -81,6 +87,7 @@
                 ("caller_connections", "Open connections of callers."),
                 ("connections_accepted", "Connections of callers accepted."),
                 ("loop_delay_seconds", "Delay of the event loop's latest tick."),
+                ("prompt_parts_blocked", "Prompt parts whose requests are rejected."),
                 ("retry_budget", "Retries left of the tightest service."),
                 ("digest_entries_omitted", "Entries beyond the limits of digests."),
                 ("log_lines_dropped", "Log lines dropped for a slow reader."),
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -5,11 +5,13 @@
 
 from returns.result import Failure
 
+from oleandershift.crashnotices import NoticeExchange
 from oleandershift.digests import (
+    CrashNotice,
     PeerMessage,
     SnapshotRequest,
     StoreSnapshot,
-    decode_digest,
+    decode_datagram,
     decode_request,
     decode_snapshot,
     encode,
@@ -71,6 +73,9 @@
     ) -> None:
         self._address = this_vm.address
         self._digest_exchange = DigestExchange(this_vm, incarnation, state)
+        self._notice_exchange = NoticeExchange(
+            this_vm.vm, state.peers, state.quarantine
+        )
         self._urgent_timer: asyncio.TimerHandle | None = None
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
@@ -126,6 +131,12 @@
         if self._digest_exchange.is_due(now()):
             self.send_digests()
 
+    def send_due_notice(self) -> None:
+        """Send a notice about crashes of upstreams if it is time for one."""
+        addressed = self._notice_exchange.next_notice(now())
+        if addressed is not None:
+            self._send(encode(addressed.notice), addressed.peers)
+
     def send_digests(self) -> None:
         """Send this VM's digest and, on the hub, the digest of its data centre."""
         if self._urgent_timer is not None:
@@ -172,12 +183,16 @@
             self._transport.sendto(data, (peer.address.host, peer.address.port))
 
     def _on_datagram(self, data: bytes, sender: Address) -> None:
-        result = decode_digest(data)
+        result = decode_datagram(data)
         if isinstance(result, Failure):
             self._log.warning("digest.damaged", sender=sender, why=result.failure())
             return
         instant = now()
-        forward_to = self._digest_exchange.receive(instant, result.unwrap())
+        message = result.unwrap()
+        if isinstance(message, CrashNotice):
+            self._notice_exchange.receive(instant, message)
+            return
+        forward_to = self._digest_exchange.receive(instant, message)
         if self._digest_exchange.sums_peers(instant):
             self.on_load_change()
         self._send(data, forward_to)
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -180,6 +180,8 @@
         if self._is_overloaded() and self._reject_beyond_share(call, res):
             return
         while True:
+            if self._reject_quarantined(call, res):
+                return
             choice = self._choose(call)
             if choice is None:
                 self._give_up(call, res, "no upstream to send to")
@@ -203,6 +205,22 @@
                 self._give_up(call, res, f"last attempt: {outcome.value}")
                 return
 
+    def _reject_quarantined(self, call: Call, res: Responder) -> bool:
+        """Reject a request whose prompt crashes upstreams; return whether it is one."""
+        quarantine = self._state.quarantine
+        part = quarantine.rejected_part(now(), call.prompt)
+        if part is None:
+            return False
+        reason = f"prompt part {part!r} crashes upstreams"
+        if res.started:
+            self._abort_stream(call, res, reason)
+            return True
+        retry_after_s = max(
+            MIN_RETRY_AFTER_SECONDS, quarantine.retry_after_s(now(), part)
+        )
+        self._send_error(call, res, reason, 502, retry_after_s)
+        return True
+
     def _reject_beyond_share(self, call: Call, res: Responder) -> bool:
         """Reject a generation beyond its team's share; return whether it is one."""
         pending = _pending_request(call)
@@ -318,6 +336,12 @@
             raise TimeoutError
         if res.caller_has_left():
             raise CallerLeftError
+        quarantine = self._state.quarantine
+        if quarantine.rejected_part(now(), call.prompt) is not None:
+            # Another VM's crashes were learned while the connection was opened.
+            return AttemptOutcome.NOT_SENT
+        quarantine.on_sent(now(), call.prompt)
+        call.answer_began_at = None
         call.send_count += 1
         data = encode_request(call, upstream)
         sent_at = now()
@@ -335,6 +359,8 @@
             )
         except BrokenExchangeError as exc:
             self._record_health(call, upstream, False)
+            if not call.shows_sound_upstream(now()):
+                quarantine.on_broken(now(), upstream.run, call.prompt, call.id)
             self._log.warning(
                 "attempt.broken",
                 request=call.id,
@@ -391,6 +417,8 @@
             self._abort_stream(call, res, f"resumed with status {head.status}")
             return AttemptOutcome.ANSWERED
         call.first_byte_at = now()
+        if head.status < 300 and start.is_whole:
+            self._state.quarantine.on_answer(now(), call.prompt)
         if start.is_whole and call.expects_body:
             res.send(head.status, fields, start.data)
         else:
@@ -440,9 +468,7 @@
             if in_flight.prefill_tokens:
                 self._loads.on_first_event(in_flight)
                 self._state.on_load_change()
-            if not call.first_byte_at:
-                call.first_byte_at = now()
-                self._record_start(call)
+            self._record_event(call)
             if not res.started:
                 res.start(head.status, response_headers(head))
             res.write(events)
@@ -452,11 +478,24 @@
         if not call.event_stream.is_at_boundary:
             self._abort_stream(call, res, "its end came within an event")
             return AttemptOutcome.ANSWERED
+        if call.answer_began_at is not None:
+            self._state.quarantine.on_answer(call.answer_began_at, call.prompt)
         res.finish()
         self._record_health(call, upstream, True)
         self._record_completion(call, head.status)
         return AttemptOutcome.ANSWERED
 
+    def _record_event(self, call: Call) -> None:
+        instant = now()
+        if not call.first_byte_at:
+            call.first_byte_at = instant
+            self._record_start(call)
+        if call.answer_began_at is None:
+            call.answer_began_at = instant
+        elif call.shows_sound_upstream(instant) and not call.is_counted_as_answer:
+            call.is_counted_as_answer = True
+            self._state.quarantine.on_answer(call.answer_began_at, call.prompt)
+
     def _record_start(self, call: Call) -> None:
         if call.team is not None and call.prompt is not None:
             size = call.prompt.weighted_tokens
--- a/src/oleandershift/logcauses.py
+++ b/src/oleandershift/logcauses.py
@@ -14,8 +14,11 @@
     "stream.disorder": "the stream was cut: {detail}",
     "caller.left": "the caller left before the answer ended",
     "request.error": "internal error: {exception}",
+    "prompt.blocked": "blocked: upstreams {upstreams} crashed under it",
+    "prompt.released": "released: {reason}",
 }
-"""Text of the cause for each event that ends a request."""
+"""Text of the cause for each event that ends a request, or that blocks or releases a
+prompt part."""
 
 SUCCESS_EVENTS = frozenset({"request.done", "request.late"})
 """Events of requests that ended successfully."""
@@ -30,7 +33,7 @@
 
 @dataclass(frozen=True)
 class LogEntry:
-    """One log line about a request.
+    """One log line about a request or a prompt part.
 
     Parameters
     ----------
@@ -76,22 +79,25 @@
         return self.explained + len(self.unexplained)
 
 
-def find_entries(request: str, lines: Iterable[bytes]) -> list[LogEntry]:
-    """Return the log entries of a request sorted by time; ignore other lines.
+def find_entries(subject: str, lines: Iterable[bytes]) -> list[LogEntry]:
+    """Return the log entries of a request or a prompt part, sorted by time.
 
     Parameters
     ----------
-    request : str
-        Id of the caller's attempt.
+    subject : str
+        Id of the caller's attempt, or of the part.
     lines : iterable of bytes
         Logs of one or more gateways; text before the JSON of a line is ignored.
     """
-    request_bytes = request.encode()
+    subject_bytes = subject.encode()
     entries = []
     for line in lines:
-        if request_bytes in line:
+        if subject_bytes in line:
             entry = _parse_entry(line)
-            if entry is not None and entry.fields.get("request") == request:
+            if entry is not None and subject in (
+                entry.fields.get("request"),
+                entry.fields.get("part"),
+            ):
                 entries.append(entry)
     return sorted(entries, key=lambda entry: entry.time)
 
--- a/src/oleandershift/platform/headers.py
+++ b/src/oleandershift/platform/headers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from oleandershift.exceptions import MalformedRequestError
+from oleandershift.ids import PromptPartId
 from oleandershift.prompts import PrefixPart, Prompt
 
 ATTEMPT_ID = b"oleandershift-attempt-id"
@@ -120,7 +121,10 @@
     for entry in raw.split(b",") if raw else ():
         name, _, tokens = entry.strip().partition(b":")
         parts.append(
-            PrefixPart(name.decode("latin-1"), _parse_count(_PROMPT_PREFIX, tokens))
+            PrefixPart(
+                PromptPartId(name.decode("latin-1")),
+                _parse_count(_PROMPT_PREFIX, tokens),
+            )
         )
     return tuple(parts)
 
--- a/src/oleandershift/prompts.py
+++ b/src/oleandershift/prompts.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from oleandershift.ids import PromptPartId
+
 
 @dataclass(frozen=True, slots=True)
 class PrefixPart:
@@ -9,13 +11,13 @@
 
     Parameters
     ----------
-    name : str
+    name : PromptPartId
         Hash of the content.
     tokens : int
         Length in tokens.
     """
 
-    name: str
+    name: PromptPartId
     tokens: int
 
 
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -1,5 +1,6 @@
 """State of one VM's view of the fleet, shared by the components of a gateway."""
 
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -9,6 +10,7 @@
 from oleandershift.fleetview import FleetView
 from oleandershift.neighbours import PeerTable
 from oleandershift.placement import LoadTracker
+from oleandershift.quarantine import PartChange, PromptQuarantine, QuarantineLimits
 
 
 @dataclass
@@ -29,6 +31,8 @@
         Called after the load of an upstream has changed, or its absence was found.
     absences : AbsenceTracker
         Upstreams that this VM found absent.
+    quarantine : PromptQuarantine
+        Prompt parts that crash upstreams.
     """
 
     peers: PeerTable
@@ -37,6 +41,9 @@
     demand: DemandMeter
     on_load_change: Callable[[], None] = lambda: None
     absences: AbsenceTracker = field(default_factory=AbsenceTracker)
+    quarantine: PromptQuarantine = field(
+        default_factory=lambda: PromptQuarantine(QuarantineLimits(), random.Random())
+    )
 
     def shares(self, now: float, declared: float) -> Shares:
         """Return the teams' fair shares of the fleet's capacity.
@@ -55,6 +62,17 @@
         """Return the upstreams that any VM found absent from their address."""
         return self.absences.absent(now) | self.peers.absent(now)
 
+    def update_quarantine(self, now: float) -> list[PartChange]:
+        """Block and release prompt parts; return what has changed."""
+        absent = self.absent(now)
+
+        def is_gone(run: UpstreamRun) -> bool:
+            entry = self.view.directory.get(run.upstream)
+            return run in absent or entry is None or entry.run != run
+
+        self.quarantine.confirm(now, is_gone)
+        return self.quarantine.update(now)
+
     def refresh_loads(self, now: float) -> None:
         """Update the load that other VMs cause, from their digests."""
         self.loads.set_remote(self.peers.remote_loads(now))
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -20,6 +20,7 @@
 from oleandershift.ids import (
     DataCentreId,
     Incarnation,
+    PromptPartId,
     RegionId,
     RouteId,
     ServiceId,
@@ -400,9 +401,11 @@
             name = f"{kind.name}-{level}-{variant}"
             if name not in self._part_sizes:
                 self._part_sizes[name] = max(MIN_PART_TOKENS, self._draw(shared.tokens))
-            parts.append(PrefixPart(name, self._part_sizes[name]))
+            parts.append(PrefixPart(PromptPartId(name), self._part_sizes[name]))
         unique_tokens = max(MIN_PART_TOKENS, self._draw(kind.unique_tokens))
-        parts.append(PrefixPart(f"own-{next(self._sequence)}", unique_tokens))
+        parts.append(
+            PrefixPart(PromptPartId(f"own-{next(self._sequence)}"), unique_tokens)
+        )
         prompt_tokens = sum(part.tokens for part in parts)
         output_events = max(1, self._draw(kind.output_events))
         output_tokens = output_events * self._deployment.engine_profile.tokens_per_event
--- a/tests/integration/test_gateway_crashing_prompts.py
+++ b/tests/integration/test_gateway_crashing_prompts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from oleandershift.logcauses import find_cause, find_entries
 from standins.gateway_fleet import GatewayFleet, running_fleet, wait_until
 
 GATEWAYS, ENGINES = 3, 4
@@ -116,3 +117,22 @@
     assert len(late) <= MAX_LATE_ARRIVALS
     served = [status == 200 for at, status in sound.answers if at > known_at]
     assert sum(served) > MIN_SERVED_FRACTION * len(served)
+
+
+def test_rejection_says_that_the_request_has_not_run_and_why(fleet):
+    crashing = Callers(fleet, CRASHING_PART, "/stream/once/x", CRASH_INTERVAL_SECONDS)
+    blocked = "oleander_prompt_parts_blocked 2.0"
+    for gateway in fleet.gateways:
+        wait_until(lambda gw=gateway: blocked in gw.metrics(), blocked)
+    before = crashing_arrivals(fleet)
+    headers = prompt_headers("other", CRASHING_PART, "own")
+    answer = fleet.gateways[0].call("/stream/resumable/x", "rejected", **headers)
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 1.0
+    crashing.join()
+    assert crashing_arrivals(fleet) == before
+    for gateway in fleet.gateways:
+        log = fleet.log(gateway).encode().splitlines()
+        cause = find_cause(find_entries(CRASHING_PART, log))
+        assert cause.startswith("blocked: upstreams")
+        assert 'blocks_total{change="blocked"} 2.0' in gateway.metrics()
--- a/tests/test_logcauses.py
+++ b/tests/test_logcauses.py
@@ -62,6 +62,22 @@
     assert "cause: refused: too late" in capsys.readouterr().out
 
 
+def test_cause_of_a_prompt_part_is_its_latest_block_or_release():
+    log = [
+        line("attempt.broken", "a1", parts=["bad"]),
+        line("prompt.blocked", "", part="bad", upstreams=["e1", "e2"]),
+    ]
+    assert find_cause(read(log, "bad")) == (
+        "blocked: upstreams ['e1', 'e2'] crashed under it"
+    )
+    released = line(
+        "prompt.released", "", part="bad", reason="an upstream answered it", time="3"
+    )
+    assert (
+        find_cause(read([*log, released], "bad")) == "released: an upstream answered it"
+    )
+
+
 def test_summary_counts_requests_by_cause(log):
     more_lines = [
         line("request.refused", "a3", reason="no route for host 'x' and path '/y'"),
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -5,6 +5,7 @@
 import pytest
 from returns.result import Failure
 
+from oleandershift.cli import gateway
 from oleandershift.platform import settings
 
 FILE = """
@@ -40,6 +41,15 @@
     return settings_file
 
 
+def test_wrong_limits_of_the_quarantine_are_reported_together(capsys):
+    flags = ["--prompt-crash-limit", "1", "--prompt-block-seconds", "never"]
+    assert gateway.main(flags) == 2
+    error = capsys.readouterr().err
+    assert "--prompt-crash-limit" in error
+    assert "'1' is not allowed: expected 2 to 10" in error
+    assert "--prompt-block-seconds" in error
+
+
 def test_settings_file_is_decoded(path):
     vm_settings = settings.read(path).unwrap()
     assert vm_settings.vm == "edge-fukuoka-a-1"
