Take streams that end early without a length as broken off

Callers of upstreams whose answers have neither a length nor chunks got a success without any event, or a resumable stream that was cut although another upstream could have continued it. The end of such a connection was taken as the end of the answer even before its first event, and an end within an event closed the caller's connection without a retry.

Change: an end within an event, or by the connection before the first event, counts as a broken exchange, so the paths for resets serve it.

--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -416,9 +416,9 @@
         if res.started:
             self._abort_stream(call, res, f"resumed with status {head.status}")
             return AttemptOutcome.ANSWERED
-        call.first_byte_at = now()
+        call.first_byte_at = call.answer_began_at = now()
         if head.status < 300 and start.is_whole:
-            self._state.quarantine.on_answer(now(), call.prompt)
+            self._record_answer(call, upstream, exchange)
         if start.is_whole and call.expects_body:
             res.send(head.status, fields, start.data)
         else:
@@ -473,18 +473,29 @@
                 res.start(head.status, response_headers(head))
             res.write(events)
             await res.drain()
+        has_no_event = call.answer_began_at is None
+        if not call.event_stream.is_at_boundary or (
+            exchange.ended_by_close and has_no_event
+        ):
+            raise BrokenExchangeError(FailureCause.CLOSED)
         if not res.started:
             res.start(head.status, response_headers(head))
-        if not call.event_stream.is_at_boundary:
-            self._abort_stream(call, res, "its end came within an event")
-            return AttemptOutcome.ANSWERED
-        if call.answer_began_at is not None:
-            self._state.quarantine.on_answer(call.answer_began_at, call.prompt)
+        self._record_answer(call, upstream, exchange)
         res.finish()
         self._record_health(call, upstream, True)
         self._record_completion(call, head.status)
         return AttemptOutcome.ANSWERED
 
+    def _record_answer(
+        self, call: Call, upstream: Upstream, exchange: Exchange
+    ) -> None:
+        """Record a complete answer, unless it may have ended with its upstream."""
+        quarantine = self._state.quarantine
+        if exchange.ended_by_close and not call.shows_sound_upstream(now()):
+            quarantine.on_broken(now(), upstream.run, call.prompt, call.id)
+        elif call.answer_began_at is not None:
+            quarantine.on_answer(call.answer_began_at, call.prompt)
+
     def _record_event(self, call: Call) -> None:
         instant = now()
         if not call.first_byte_at:
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -72,6 +72,12 @@
         Connection that carries the exchange.
     matches : callable
         Returns whether a response belongs to this request.
+
+    Attributes
+    ----------
+    ended_by_close : bool
+        Whether the end of the response is that of its connection, which is also how the
+        response of an upstream that crashes may end.
     """
 
     def __init__(
@@ -85,6 +91,7 @@
         self._buffered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._ended = False
+        self.ended_by_close = False
         self._error: BrokenExchangeError | None = None
 
     async def read(self) -> bytes:
@@ -125,9 +132,10 @@
             self._conn.pause()
         self._wake_reader()
 
-    def on_end(self) -> None:
-        """Mark the response as complete."""
+    def on_end(self, by_close: bool) -> None:
+        """Mark the response as complete, by its framing or by the connection's end."""
         self._ended = True
+        self.ended_by_close = by_close
         self._wake_reader()
 
     def on_error(self, error: BrokenExchangeError) -> None:
@@ -259,7 +267,7 @@
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
         if self._in_body and not self._has_framing:
-            self._complete()
+            self._complete(by_close=True)
         self.reusable = False
         return False
 
@@ -313,14 +321,14 @@
             self.reusable = False
         self._complete()
 
-    def _complete(self) -> None:
+    def _complete(self, by_close: bool = False) -> None:
         exchange, self._exchange = self._exchange, None
         self._in_body = False
         self.idle_since = now()
         if exchange is not None:
             if self._transport.get_write_buffer_size():
                 self.reusable = False
-            exchange.on_end()
+            exchange.on_end(by_close)
 
     def _fail(self, cause: FailureCause) -> None:
         exchange, self._exchange = self._exchange, None
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -21,7 +21,8 @@
     `REFUSE` and `CUT_BEFORE` do not execute the request. `CUT_BEFORE`, `CUT_AFTER`,
     `CUT_MIDWAY` and `CUT_LATE` reset the connection before the execution, after it,
     within the response and before its last byte. `LEFTOVER` sends another response
-    first; `UNFRAMED` sends no length.
+    first; `UNFRAMED` sends no length. `END_IN_EVENT` and `END_EMPTY` also end a stream
+    without a length within its second event and before its first.
     """
 
     ANSWER = "answer"
@@ -34,10 +35,15 @@
     GARBAGE = "garbage"
     LEFTOVER = "leftover"
     UNFRAMED = "unframed"
+    END_IN_EVENT = "end-in-event"
+    END_EMPTY = "end-empty"
     ENCODED = "encoded"
     HANG = "hang"
 
 
+_UNFRAMED_STREAMS = (Behaviour.UNFRAMED, Behaviour.END_IN_EVENT, Behaviour.END_EMPTY)
+
+
 @dataclass(frozen=True)
 class ExecutedRequest:
     """A request that an upstream executed.
@@ -96,6 +102,8 @@
         Appended to the body of a plain response.
     crashing_part : str or None
         Prompt part under which the upstream crashes instead of a response.
+    begins_before_crash : bool
+        Whether it then sends the first event of a stream that ends with the connection.
     restart_seconds : float
         Time after a crash at which it runs again, at the same address.
     on_restart : callable
@@ -117,6 +125,7 @@
         self.address = f"{ip}:{self._server.port}"
         self.port = self._server.port
         self.crashing_part: str | None = None
+        self.begins_before_crash = False
         self.restart_seconds = 1.0
         self.on_restart: Callable[[ModelEngine], None] = lambda engine: None
         self.crashed_at: list[float] = []
@@ -222,6 +231,10 @@
         with self._lock:
             self._ledger.append(executed)
         if self.crashing_part in executed.parts[:-1]:
+            if self.begins_before_crash:
+                self._send_first_event(exchange, attempt_id)
+                self._crash()
+                return
             self._crash()
             exchange.abort()
             return
@@ -241,6 +254,11 @@
         else:
             self._send_plain(exchange, attempt_id, headers, behaviour)
 
+    def _send_first_event(self, exchange: Exchange, attempt_id: str) -> None:
+        seal = {ATTEMPT_HEADER: attempt_id, SEAL_HEADER: f"{self.name}.{attempt_id}"}
+        exchange.send_head(200, {"Connection": "close", **seal})
+        exchange.write(b"id: 1\ndata: x\n\n")
+
     def _send_plain(
         self,
         exchange: Exchange,
@@ -276,20 +294,28 @@
         first_event: int,
         behaviour: Behaviour,
     ) -> None:
-        stream_headers = {
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
-        }
+        is_unframed = behaviour in _UNFRAMED_STREAMS
+        framing = (
+            {"Connection": "close"} if is_unframed else {"Transfer-Encoding": "chunked"}
+        )
+        write = exchange.write if is_unframed else exchange.write_chunk
+        stream_headers = {"Content-Type": "text/event-stream", **framing}
         exchange.send_head(200, {**stream_headers, **headers})
+        if behaviour is Behaviour.END_EMPTY:
+            return
         for number in range(first_event, self._event_count + 1):
             event = b"id: %d\ndata: %b\n\n" % (number, attempt_id.encode())
+            if behaviour is Behaviour.END_IN_EVENT and number > first_event:
+                write(event[:6])
+                return
             if (
                 behaviour is Behaviour.CUT_MIDWAY
                 and number == self._event_count // 2 + 1
             ):
-                exchange.write_chunk(event[:6])
+                write(event[:6])
                 exchange.abort()
                 return
-            exchange.write_chunk(event)
+            write(event)
             time.sleep(self._pause_seconds)
-        exchange.write_chunk(b"")
+        if not is_unframed:
+            write(b"")
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -165,6 +165,50 @@
     assert b"ran a1" in answer.body
 
 
+ALL_EVENTS = [b"id: %d" % number for number in range(1, 6)]
+
+
+def event_ids(answer):
+    return [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+
+
+@pytest.mark.parametrize("path", ["/stream/once/x", "/stream/resumable/x"])
+def test_stream_without_framing_is_passed_on_whole(fleet, gateway, path):
+    for engine in fleet.engines.values():
+        engine.behaviour = Behaviour.UNFRAMED
+    answer = gateway.call(path, "a1")
+    assert (answer.status, answer.whole) == (200, True)
+    assert event_ids(answer) == ALL_EVENTS
+
+
+def test_stream_that_ends_within_an_event_looks_incomplete(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.behaviour = Behaviour.END_IN_EVENT
+    answer = gateway.call("/stream/once/x", "a1")
+    assert (answer.status, answer.whole) == (200, False)
+    assert event_ids(answer) == ALL_EVENTS[:1]
+    assert execution_count(fleet, "a1") == 1
+
+
+@pytest.mark.parametrize("conduct", [Behaviour.END_IN_EVENT, Behaviour.END_EMPTY])
+def test_resumable_stream_that_ends_early_resumes_at_another_upstream(
+    fleet, gateway, conduct
+):
+    for engine in fleet.engines.values():
+        engine.queued_behaviours = [conduct]
+    add_known_engine(fleet, "e3")
+    answer = gateway.call("/stream/resumable/x", "a1")
+    assert answer.whole
+    assert event_ids(answer) == ALL_EVENTS
+
+
+def test_stream_without_an_event_is_no_success(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.behaviour = Behaviour.END_EMPTY
+    assert gateway.call("/stream/once/x", "a1").status == 502
+    assert execution_count(fleet, "a1") == 1
+
+
 LARGE_PADDING = b"x" * (6 << 20)
 
 
--- a/tests/integration/test_gateway_crashing_prompts.py
+++ b/tests/integration/test_gateway_crashing_prompts.py
@@ -106,8 +106,8 @@
     return crashes[:CRASHES][-1] + CONTACT_SECONDS
 
 
-@pytest.mark.parametrize("path", ["/stream/once/x", "/stream/resumable/x"])
-def test_prompt_part_does_not_crash_one_upstream_after_the_other(fleet, path):
+def assert_crashes_end(fleet: GatewayFleet, path: str) -> None:
+    """Send requests that crash upstreams, and sound ones, and judge what arrives."""
     crashing = Callers(fleet, CRASHING_PART, path, CRASH_INTERVAL_SECONDS)
     sound = Callers(fleet, "good", "/stream/once/x", SOUND_INTERVAL_SECONDS)
     crashing.join()
@@ -119,6 +119,17 @@
     assert sum(served) > MIN_SERVED_FRACTION * len(served)
 
 
+@pytest.mark.parametrize("path", ["/stream/once/x", "/stream/resumable/x"])
+def test_prompt_part_does_not_crash_one_upstream_after_the_other(fleet, path):
+    assert_crashes_end(fleet, path)
+
+
+def test_answer_that_ends_with_its_upstream_is_no_proof_of_a_sound_part(fleet):
+    for engine in fleet.engines.values():
+        engine.begins_before_crash = True
+    assert_crashes_end(fleet, "/stream/once/x")
+
+
 def test_rejection_says_that_the_request_has_not_run_and_why(fleet):
     crashing = Callers(fleet, CRASHING_PART, "/stream/once/x", CRASH_INTERVAL_SECONDS)
     blocked = "oleander_prompt_parts_blocked 2.0"
