Give up upstreams' bytes that are no answer and never end

Callers whose upstream sent a head, an error or framing without end waited until their deadline; meanwhile the gateway read at full speed, kept all of an endless header, and passed an endless error on.

Cause: the parser passes a header field or a chunk on when it is complete, so nothing limited one that never is; nothing limited interim responses, late responses to earlier requests, or errors either. A refusal kept its request until the end of its body.

Change: a meter counts what is received for a request and is not body; above 256 KiB, and 16 times the body, the exchange is broken off (cause `endless`).

Measured: the 21 pass within 1.5 s each and 64 MiB of memory.

--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -37,6 +37,7 @@
 )
 from oleandershift.outliers import OutlierDetector
 from oleandershift.placement import Choice, InFlightRequest, Placement
+from oleandershift.platform import headers
 from oleandershift.prompts import Prompt
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
@@ -52,6 +53,9 @@
 CATCH_UP_PAUSE_SECONDS = 0.01
 """Delay of requests that are read just after a pause of the process."""
 
+NOT_RUN_BODY_SECONDS = 0.25
+"""Longest wait for the end of a response that proves that the request was not run."""
+
 MAX_CONNECT_ATTEMPTS = 3
 """Failed connects after which a request is rejected."""
 
@@ -351,8 +355,10 @@
             head = await exchange.head
             if proves_not_run(head):
                 call.may_have_run = ran_before
-                with suppress(BrokenExchangeError):
-                    await read_body_start(exchange)
+                with suppress(BrokenExchangeError, TimeoutError):
+                    # Its end allows the connection to be used again, no more.
+                    async with asyncio.timeout(NOT_RUN_BODY_SECONDS):
+                        await read_body_start(exchange)
                 return self._log_not_run(call, upstream, head)
             return await self._forward_response(
                 call, upstream, in_flight, exchange, head, res
@@ -405,6 +411,8 @@
                 call, upstream, in_flight, exchange, head, res
             )
         start = await read_body_start(exchange)
+        if not start.is_whole and head.get(headers.RESPONSE_SEAL) is None:
+            raise BrokenExchangeError(FailureCause.ENDLESS)
         fields = response_headers(head)
         if head.status >= 500:
             self._record_health(call, upstream, False)
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -13,10 +13,18 @@
 
 from oleandershift.io.callers import Headers
 from oleandershift.io.clock import now
+from oleandershift.overhead import OverheadMeter
 
 READ_HIGH_WATER_BYTES = 256 * 1024
 """Buffered response bytes above which the connection stops reading."""
 
+MAX_OVERHEAD_BYTES = 256 * 1024
+"""Heads and framing that responses to one request may have, late and interim ones
+included; more is allowed for the framing of a large body."""
+
+MAX_SKIPPED_BYTES = 16 << 20
+"""Bodies of late responses to earlier requests that are skipped before a response."""
+
 _BODILESS_STATUSES = (204, 304)
 
 _ZERO_LINGER = struct.pack("ii", 1, 0)
@@ -31,6 +39,7 @@
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "garbage"
+    ENDLESS = "endless"
 
 
 class BrokenExchangeError(Exception):
@@ -184,6 +193,8 @@
         self._in_body = False
         self._expects_body = True
         self._paused = False
+        self._overhead = OverheadMeter(MAX_OVERHEAD_BYTES)
+        self._skipped_bytes = 0
         self.idle_since = now()
         self.idle_timeout_s: float | None = None
         self.reusable = True
@@ -216,6 +227,8 @@
             exchange.on_error(BrokenExchangeError(FailureCause.CLOSED))
             return exchange
         self._exchange = exchange
+        self._overhead.reset()
+        self._skipped_bytes = 0
         self._transport.write(data)
         return exchange
 
@@ -259,10 +272,14 @@
         if self._exchange is None:
             self.close()
             return
+        self._overhead.on_received(len(data))
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(FailureCause.MALFORMED)
+            return
+        if self._overhead.is_exceeded or self._skipped_bytes > MAX_SKIPPED_BYTES:
+            self._fail(FailureCause.ENDLESS)
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
@@ -309,7 +326,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Pass a part of the body to the exchange."""
-        if self._exchange is not None and not self._skipping:
+        self._overhead.on_body(len(body))
+        if self._skipping:
+            self._skipped_bytes += len(body)
+        elif self._exchange is not None:
             self._exchange.on_data(body)
 
     def on_message_complete(self) -> None:
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -37,10 +37,45 @@
     UNFRAMED = "unframed"
     END_IN_EVENT = "end-in-event"
     END_EMPTY = "end-empty"
+    ENDLESS_HEADER = "endless-header"
+    ENDLESS_HEADERS = "endless-headers"
+    ENDLESS_INTERIM = "endless-interim"
+    ENDLESS_OTHER = "endless-other"
+    ENDLESS_ERROR = "endless-error"
+    ENDLESS_CHUNK = "endless-chunk"
+    ENDLESS_REFUSAL = "endless-refusal"
     ENCODED = "encoded"
     HANG = "hang"
 
 
+SLOW_BYTES = 100
+SLOW_BYTES_SECONDS = 0.02
+"""Pause after the repeated bytes if they are few."""
+
+_ENDLESS_BYTES = {
+    Behaviour.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nx: ", b"x" * 4096),
+    Behaviour.ENDLESS_HEADERS: (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 1000),
+    Behaviour.ENDLESS_INTERIM: (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 200),
+    Behaviour.ENDLESS_OTHER: (
+        b"HTTP/1.1 200 OK\r\nOleandershift-Attempt-Id: other\r\n\r\n",
+        b"x" * 65_536,
+    ),
+    Behaviour.ENDLESS_ERROR: (
+        b"HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"1000\r\n%b\r\n" % (b"x" * 4096),
+    ),
+    Behaviour.ENDLESS_CHUNK: (
+        b"HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"x" * 4096,
+    ),
+    Behaviour.ENDLESS_REFUSAL: (
+        b"HTTP/1.1 503 Busy\r\nOleandershift-Not-Executed: 1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n",
+    ),
+}
+"""Start of a response that never ends, and the bytes that are sent again and again."""
+
 _UNFRAMED_STREAMS = (Behaviour.UNFRAMED, Behaviour.END_IN_EVENT, Behaviour.END_EMPTY)
 
 
@@ -246,6 +281,8 @@
             exchange.send_json(500, {"error": "failed"}, headers)
         elif behaviour is Behaviour.CUT_AFTER:
             exchange.abort()
+        elif behaviour in _ENDLESS_BYTES:
+            self._send_without_end(exchange, behaviour)
         elif behaviour is Behaviour.GARBAGE:
             exchange.write(b"this is no answer\r\n\r\n")
             exchange.abort()
@@ -259,6 +296,17 @@
         exchange.send_head(200, {"Connection": "close", **seal})
         exchange.write(b"id: 1\ndata: x\n\n")
 
+    def _send_without_end(self, exchange: Exchange, behaviour: Behaviour) -> None:
+        start, repeated = _ENDLESS_BYTES[behaviour]
+        pause_seconds = SLOW_BYTES_SECONDS if len(repeated) < SLOW_BYTES else 0.0
+        try:
+            exchange.write(start)
+            while not exchange.client_disconnected():
+                exchange.write(repeated)
+                time.sleep(pause_seconds)
+        except OSError:
+            return
+
     def _send_plain(
         self,
         exchange: Exchange,
--- /dev/null
+++ b/tests/integration/test_gateway_endless.py
@@ -0,0 +1,38 @@
+"""Upstreams that send bytes without end, in a head or a body."""
+
+from collections.abc import Iterator
+
+import pytest
+
+from standins.gateway_fleet import GatewayFleet, running_fleet, wait_until
+from standins.modelengine import Behaviour
+from standins.processes import resident_bytes
+
+ENDLESS = [item for item in Behaviour if item.value.startswith("endless")]
+ANSWER_SECONDS = 1.5
+"""Time for an answer; the callers' deadline is 4 s."""
+
+MAX_GROWTH_BYTES = 64 << 20
+
+
+@pytest.fixture
+def fleet(tmp_path) -> Iterator[GatewayFleet]:
+    with running_fleet(tmp_path, engines=1) as running:
+        expected = "oleander_upstreams 1.0"
+        wait_until(lambda: expected in running.gateways[0].metrics(), expected)
+        yield running
+
+
+@pytest.mark.parametrize("path", ["/read/x", "/write/x", "/stream/once/x"])
+@pytest.mark.parametrize("conduct", ENDLESS)
+def test_endless_bytes_of_an_upstream_are_given_up(fleet, path, conduct):
+    (gateway,), (engine,) = fleet.gateways, fleet.engines.values()
+    engine.queued_behaviours = [conduct]
+    before = resident_bytes(gateway.process.pid)
+    answer = gateway.call(path, "a1")
+    assert answer.seconds < ANSWER_SECONDS
+    assert answer.whole
+    assert answer.status in (500, 502, 503)
+    assert resident_bytes(gateway.process.pid) - before < MAX_GROWTH_BYTES
+    assert gateway.call(path, "a2").status == 200
+    assert engine.runs()["a1"] <= 1 or path == "/read/x"
