Reject callers' bytes that are no request and never end

A caller could send one header field, or one chunk extension, without end: the gateway kept all of a header field until the header timeout, 3 s at the speed of the link, and read the extensions of a chunk for as long as bytes came.

Cause, the same as with upstreams: the parser passes a field or a chunk on when it is complete, and the limits counted complete ones.

Evidence: two of the three tests fail before this change (512 MiB taken, or no end within 2 s); a target that does not end was rejected already.

Change: the meter of upstreams' bytes counts callers' as well; a request with more than the limit of headers and one read beyond its body gets 431.

Measured: the three pass; requests that begin in the bytes of another are not rejected.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -11,6 +11,7 @@
 import httptools
 
 from oleandershift.io.clock import now
+from oleandershift.overhead import OverheadMeter
 from oleandershift.routing import Limits
 
 Headers = list[tuple[bytes, bytes]]
@@ -18,6 +19,9 @@
 MAX_PIPELINED_REQUESTS = 4
 """Pipelined requests buffered on one connection before it stops reading."""
 
+READ_BYTES = 256 * 1024
+"""Largest part that the event loop reads at once. It may end within a request."""
+
 BODY_READ_TIMEOUT_SECONDS = 10.0
 """Longest pause between two parts of a body; callers' deadlines are of this order."""
 
@@ -185,6 +189,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
         self._reading_paused = False
+        self._overhead = OverheadMeter(handler.limits().header_bytes + READ_BYTES)
         self.closed = False
 
     @property
@@ -264,6 +269,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
+        self._overhead.on_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -271,6 +277,9 @@
         except httptools.HttpParserError as exc:
             self._reject(400, f"malformed request: {exc}")
             return
+        if self._partial is not None and self._overhead.is_exceeded:
+            self._reject(431, "the header block or the framing is too large")
+            return
         if self._partial is not None and self._partial.head_complete:
             self._start_timer(BODY_READ_TIMEOUT_SECONDS)
 
@@ -307,6 +316,7 @@
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
         assert self._partial is not None
+        self._overhead.on_body(len(body))
         self._partial.body_bytes += len(body)
         if self._partial.body_bytes > self.handler.limits().body_bytes:
             self._reject(413, "the body is too large")
@@ -316,6 +326,7 @@
     def on_message_complete(self) -> None:
         """Queue a complete request."""
         partial, self._partial = self._partial, None
+        self._overhead.reset()
         if partial is None or self.closed:
             return
         self._stop_timer()
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -8,7 +8,12 @@
 import pytest
 import uvloop
 
-from oleandershift.io.callers import CallerRequest, Responder, protocol_factory
+from oleandershift.io.callers import (
+    READ_BYTES,
+    CallerRequest,
+    Responder,
+    protocol_factory,
+)
 from oleandershift.routing import Limits
 
 LIMITS = Limits(
@@ -204,3 +209,15 @@
 
     response = run_with_caller(echo, pause, uvloop.run)
     assert response.startswith(b"HTTP/1.1 200")
+
+
+def test_requests_that_begin_in_the_part_of_another_are_not_too_large(echo):
+    head = b"POST /x HTTP/1.1\r\nhost: a\r\nx: %b\r\ncontent-length: 1\r\n\r\n"
+    request = head % (b"x" * 1500) + b"y"
+    count = 2 * READ_BYTES // len(request)
+    data = request * count
+    part_bytes = 20 * len(request) + 700
+    parts = [data[at : at + part_bytes] for at in range(0, len(data), part_bytes)]
+    response = exchange(echo, *parts, wait_s=2.0)
+    assert b" 431 " not in response
+    assert len(echo.requests) == count
--- a/tests/integration/test_gateway_endless.py
+++ b/tests/integration/test_gateway_endless.py
@@ -1,6 +1,9 @@
-"""Upstreams that send bytes without end, in a head or a body."""
+"""Upstreams and callers that send bytes without end, in a head or a body."""
 
+import socket
+import time
 from collections.abc import Iterator
+from contextlib import suppress
 
 import pytest
 
@@ -13,6 +16,9 @@
 """Time for an answer; the callers' deadline is 4 s."""
 
 MAX_GROWTH_BYTES = 64 << 20
+CALLER_SECONDS = 2.0
+CALLER_BYTES = 512 << 20
+"""Bytes after which a caller gives up, several times what a gateway may store."""
 
 
 @pytest.fixture
@@ -36,3 +42,33 @@
     assert resident_bytes(gateway.process.pid) - before < MAX_GROWTH_BYTES
     assert gateway.call(path, "a2").status == 200
     assert engine.runs()["a1"] <= 1 or path == "/read/x"
+
+
+REQUEST_STARTS = {
+    "header": (b"GET /read/x HTTP/1.1\r\nx: ", b"x" * 65_536),
+    "target": (b"GET /", b"x" * 65_536),
+    "chunk extension": (
+        b"POST /read/x HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n1;",
+        b"x" * 65_536,
+    ),
+}
+
+
+@pytest.mark.parametrize("where", list(REQUEST_STARTS))
+def test_endless_bytes_of_a_caller_are_given_up(fleet, where):
+    (gateway,) = fleet.gateways
+    start, repeated = REQUEST_STARTS[where]
+    before = resident_bytes(gateway.process.pid)
+    deadline = time.monotonic() + CALLER_SECONDS
+    sent = 0
+    with socket.create_connection((gateway.ip, gateway.frontend_port)) as conn:
+        conn.settimeout(CALLER_SECONDS)
+        with suppress(ConnectionError):
+            conn.sendall(start)
+            while sent < CALLER_BYTES and time.monotonic() < deadline:
+                conn.sendall(repeated)
+                sent += len(repeated)
+    assert sent < CALLER_BYTES
+    assert time.monotonic() < deadline
+    assert resident_bytes(gateway.process.pid) - before < MAX_GROWTH_BYTES
+    assert gateway.call("/read/x", "a2").status == 200
