Send nothing more to an upstream whose response says that it leaves

An upstream that leaves says so in all its responses (`Server-Leaving: 1`). Requests reached it from a VM that had passed on such a response until the store told of its leaving, which may take as long as an outage of the store.

Cause: leaving was learned from the store alone; the header was not looked at.

Change: every response head of an upstream, interim and late ones included, is looked at; what it says holds for that run of the upstream, at once, for new requests, retries and resumed streams, and again right before a request is sent. Idle connections to it are closed. Other VMs are not told yet; each learns it from the store or from a response.

--- a/src/oleandershift/io/pool.py
+++ b/src/oleandershift/io/pool.py
@@ -2,10 +2,16 @@
 
 import asyncio
 from collections import defaultdict, deque
+from collections.abc import Callable
+from functools import partial
 
 from oleandershift.directory import Upstream
 from oleandershift.io.clock import now
-from oleandershift.io.upstreamconn import IdleConnection, UpstreamConnection
+from oleandershift.io.upstreamconn import (
+    IdleConnection,
+    ResponseHead,
+    UpstreamConnection,
+)
 
 CONNECT_TIMEOUT_SECONDS = 0.6
 """TCP retransmits a lost SYN only after a second; another upstream answers sooner."""
@@ -30,10 +36,18 @@
     ----------
     max_idle : int
         Maximum number of idle connections to all upstreams together.
+
+    Attributes
+    ----------
+    on_response : callable
+        Called with an upstream and the head of each of its responses.
     """
 
     def __init__(self, max_idle: int) -> None:
         self._max_idle = max_idle
+        self.on_response: Callable[[Upstream, ResponseHead], None] = (
+            lambda upstream, head: None
+        )
         self._idle_count = 0
         self._idle: defaultdict[tuple[str, int], deque[UpstreamConnection]]
         self._idle = defaultdict(deque)
@@ -61,7 +75,9 @@
         self.opened_count += 1
         async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             _, conn = await loop.create_connection(
-                UpstreamConnection, upstream.host, upstream.port
+                lambda: UpstreamConnection(partial(self.on_response, upstream)),
+                upstream.host,
+                upstream.port,
             )
         return conn
 
@@ -71,6 +87,12 @@
         if idle_conn is not None:
             self._keep(upstream, idle_conn)
 
+    def close_idle(self, upstream: Upstream) -> None:
+        """Close the idle connections to an upstream."""
+        for conn in self._idle.pop((upstream.host, upstream.port), ()):
+            conn.close()
+            self._idle_count -= 1
+
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -119,6 +119,7 @@
         self._metrics = metrics
         self.draining = False
         self.active_requests = 0
+        pool.on_response = self._on_response
 
     def limits(self) -> Limits:
         """Return the caller limits of the current configuration."""
@@ -271,7 +272,9 @@
 
     def _choose(self, call: Call) -> Choice | None:
         self._state.refresh_loads(now())
-        usable = self._view.directory.usable(call.service.name)
+        usable = self._state.standings.accepting(
+            now(), self._view.directory.usable(call.service.name)
+        )
         ejected = self._outliers.ejected()
         absent = self._state.absent(now())
         untried = [item for item in usable if item.name not in call.tried_upstreams]
@@ -341,8 +344,10 @@
         if res.caller_has_left():
             raise CallerLeftError
         quarantine = self._state.quarantine
-        if quarantine.rejected_part(now(), call.prompt) is not None:
-            # Another VM's crashes were learned while the connection was opened.
+        if not self._state.standings.accepts(now(), upstream.run) or (
+            quarantine.rejected_part(now(), call.prompt) is not None
+        ):
+            # Learned while the connection was opened.
             return AttemptOutcome.NOT_SENT
         quarantine.on_sent(now(), call.prompt)
         call.answer_began_at = None
@@ -542,6 +547,15 @@
         if isinstance(exc, ConnectionRefusedError):
             self._record_absence(upstream, AbsenceProof.CONNECTION_REFUSED)
 
+    def _on_response(self, upstream: Upstream, head: ResponseHead) -> None:
+        """Record what an upstream says of itself in a response."""
+        standings = self._state.standings
+        request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
+        is_leaving = head.get(headers.UPSTREAM_LEAVING) == b"1"
+        if is_leaving and standings.on_leaving(upstream.run):
+            self._pool.close_idle(upstream)
+            self._log.info("upstream.leaving", upstream=upstream.name, request=request)
+
     def _record_absence(self, upstream: Upstream, proof: AbsenceProof) -> None:
         self._log.info("upstream.absent", upstream=upstream.name, proof=proof.value)
         self._state.absences.record(now(), upstream, proof)
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -11,6 +11,7 @@
 from oleandershift.neighbours import PeerTable
 from oleandershift.placement import LoadTracker
 from oleandershift.quarantine import PartChange, PromptQuarantine, QuarantineLimits
+from oleandershift.standings import UpstreamStandings
 
 
 @dataclass
@@ -33,6 +34,8 @@
         Upstreams that this VM found absent.
     quarantine : PromptQuarantine
         Prompt parts that crash upstreams.
+    standings : UpstreamStandings
+        What upstreams have told this VM of themselves.
     """
 
     peers: PeerTable
@@ -45,6 +48,8 @@
         default_factory=lambda: PromptQuarantine(QuarantineLimits(), random.Random())
     )
 
+    standings: UpstreamStandings = field(default_factory=UpstreamStandings)
+
     def shares(self, now: float, declared: float) -> Shares:
         """Return the teams' fair shares of the fleet's capacity.
 
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -12,6 +12,7 @@
 ATTEMPT_HEADER = "Oleandershift-Attempt-Id"
 SEAL_HEADER = "Oleandershift-Response-Seal"
 NOT_EXECUTED_HEADER = "Oleandershift-Not-Executed"
+LEAVING_HEADER = "Server-Leaving"
 PROMPT_PREFIX_HEADER = "Oleandershift-Prompt-Prefix"
 
 
@@ -133,6 +134,12 @@
         Response to requests for which none is queued.
     queued_behaviours : list of Behaviour
         Responses to the next requests.
+    is_leaving : bool
+        Whether its responses say that it leaves.
+    retry_after : str or None
+        Value of the header `Retry-After` when it refuses a request.
+    arrivals : list of float
+        Time of each request that reached it, by the monotonic clock.
     padding : bytes
         Appended to the body of a plain response.
     crashing_part : str or None
@@ -169,6 +176,9 @@
         self._is_stopped = False
         self.behaviour = Behaviour.ANSWER
         self.queued_behaviours: list[Behaviour] = []
+        self.is_leaving = False
+        self.retry_after: str | None = None
+        self.arrivals: list[float] = []
         self.padding = b""
         self._event_count = events
         self._pause_seconds = pause_seconds
@@ -231,7 +241,10 @@
         return Counter(executed.attempt_id for executed in self.ledger())
 
     def _handle(self, exchange: Exchange) -> None:
+        if self.is_leaving:
+            exchange.extra_headers = {LEAVING_HEADER: "1"}
         with self._lock:
+            self.arrivals.append(time.monotonic())
             behaviour = (
                 self.queued_behaviours.pop(0)
                 if self.queued_behaviours
@@ -242,9 +255,9 @@
         if expected_instance is not None and expected_instance != self.name:
             exchange.send_json(421, {}, {"Oleandershift-Instance-Id": self.name})
         elif behaviour is Behaviour.REFUSE:
-            exchange.send_json(
-                503, {}, {NOT_EXECUTED_HEADER: "1", ATTEMPT_HEADER: attempt_id}
-            )
+            away = {} if self.retry_after is None else {"Retry-After": self.retry_after}
+            refusal = {NOT_EXECUTED_HEADER: "1", ATTEMPT_HEADER: attempt_id, **away}
+            exchange.send_json(503, {}, refusal)
         elif behaviour is Behaviour.CUT_BEFORE:
             exchange.abort()
         else:
--- a/standins/server.py
+++ b/standins/server.py
@@ -60,6 +60,8 @@
         Header fields, case-insensitive.
     body : bytes
         Complete body.
+    extra_headers : Mapping
+        Header fields that are added to every response.
     """
 
     def __init__(self, handler: "RequestHandler") -> None:
@@ -68,6 +70,7 @@
         self.path = parts.path
         self.query = dict(parse_qsl(parts.query))
         self.headers = handler.headers
+        self.extra_headers: Mapping[str, str] = {}
         self._handler = handler
         length = int(self.headers.get("Content-Length", 0))
         self.body = handler.rfile.read(length)
@@ -87,7 +90,7 @@
         self._handler.send_response(status)
         if "Content-Type" not in headers:
             self._handler.send_header("Content-Type", "application/json")
-        for name, value in headers.items():
+        for name, value in {**self.extra_headers, **headers}.items():
             self._handler.send_header(name, value)
         self._handler.end_headers()
 
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -351,6 +351,21 @@
     assert len(engine.ledger()) == before
 
 
+@pytest.mark.parametrize("path", ["/read/x", "/write/x", "/stream/once/x"])
+def test_upstream_that_says_that_it_leaves_gets_no_new_requests(fleet, gateway, path):
+    engine = fleet.engines["e1"]
+    engine.is_leaving = True
+    wait_until(
+        lambda: gateway.call(path, "a1") and "upstream.leaving" in fleet.log(gateway),
+        "the leaving upstream answers",
+    )
+    before = len(engine.arrivals)
+    answers = [gateway.call(path, f"b{number}") for number in range(20)]
+    assert [answer.status for answer in answers] == [200] * 20
+    assert len(engine.arrivals) == before
+    assert "oleander_upstreams_leaving 1.0" in gateway.metrics()
+
+
 def test_upstream_with_another_name_at_the_address_executes_nothing(fleet, gateway):
     misaddressed = fleet.engines["e1"]
     misaddressed.name = "e9"
