Send an upstream nothing for as long as its Retry-After asks

An upstream that turns a request away with 503 may add `Retry-After`: it wants nothing from that VM for so long. Requests of the VM kept reaching it, and callers were told to return after 0.3 s although no upstream would take them.

Cause: the header of an upstream's response was not looked at.

Evidence: the two new tests of gateways fail before this change: arrivals within the time, and `Retry-After: 0.30` where all upstreams asked for 3 s.

Change: 503 with a usable `Retry-After` keeps that run of the upstream from this VM's choices until then, 120 s at most and up to a tenth longer, so that not all VMs return at once. Values that are malformed, dates, zero or negative are ignored. If no upstream is left, callers get the time to the first return.

--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -88,6 +88,7 @@
                 ("connections_accepted", "Connections of callers accepted."),
                 ("loop_delay_seconds", "Delay of the event loop's latest tick."),
                 ("upstreams_leaving", "Upstreams that said that they leave."),
+                ("upstreams_away", "Upstreams that want no work for a while."),
                 ("prompt_parts_blocked", "Prompt parts whose requests are rejected."),
                 ("retry_budget", "Retries left of the tightest service."),
                 ("digest_entries_omitted", "Entries beyond the limits of digests."),
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -48,6 +48,7 @@
     PendingRequest,
     ShareClass,
 )
+from oleandershift.standings import parse_away_seconds
 from oleandershift.state import FleetState
 
 CATCH_UP_PAUSE_SECONDS = 0.01
@@ -189,7 +190,7 @@
                 return
             choice = self._choose(call)
             if choice is None:
-                self._give_up(call, res, "no upstream to send to")
+                self._give_up(call, res, "no upstream to send to", self._return_s(call))
                 return
             if not call.send_count and not self._admit(call, choice, res):
                 return
@@ -555,6 +556,17 @@
         if is_leaving and standings.on_leaving(upstream.run):
             self._pool.close_idle(upstream)
             self._log.info("upstream.leaving", upstream=upstream.name, request=request)
+        if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
+            away_s = parse_away_seconds(head.get(headers.RETRY_AFTER))
+            if away_s is not None and standings.on_turned_away(
+                now(), upstream.run, away_s
+            ):
+                self._log.info(
+                    "upstream.away",
+                    upstream=upstream.name,
+                    request=request,
+                    away_s=away_s,
+                )
 
     def _record_absence(self, upstream: Upstream, proof: AbsenceProof) -> None:
         self._log.info("upstream.absent", upstream=upstream.name, proof=proof.value)
@@ -608,7 +620,19 @@
     def _count_request(self, call: Call, outcome: str) -> None:
         self._metrics.requests.labels(call.route.semantics.value, outcome).inc()
 
-    def _give_up(self, call: Call, res: Responder, reason: str) -> None:
+    def _return_s(self, call: Call) -> float:
+        """Return the seconds until an upstream of the service accepts requests."""
+        usable = self._view.directory.usable(call.service.name)
+        return_s = self._state.standings.return_s(now(), usable) or 0.0
+        return max(MIN_RETRY_AFTER_SECONDS, return_s)
+
+    def _give_up(
+        self,
+        call: Call,
+        res: Responder,
+        reason: str,
+        retry_after_s: float = MIN_RETRY_AFTER_SECONDS,
+    ) -> None:
         """End a request whose last attempt failed, or that no upstream can serve."""
         if res.started:
             self._abort_stream(call, res, reason)
@@ -621,7 +645,7 @@
             )
             self._count_request(call, "failed")
             return
-        self._send_error(call, res, reason, 502)
+        self._send_error(call, res, reason, 502, retry_after_s)
 
     def _on_deadline(self, call: Call, res: Responder) -> None:
         """End a request whose deadline has passed."""
--- a/src/oleandershift/standings.py
+++ b/src/oleandershift/standings.py
@@ -1,23 +1,58 @@
-"""What upstreams say of themselves: that they leave."""
+"""What upstreams say of themselves: that they leave, or want no work for a while."""
 
+import math
+import random
 from collections.abc import Iterable
+from dataclasses import dataclass, field
 
 from oleandershift.directory import Upstream, UpstreamRun
 
+MAX_AWAY_SECONDS = 120.0
+"""Longest time for which an upstream can turn a VM away with one response."""
+
+RETURN_JITTER = 0.1
+MAX_RETURN_JITTER_SECONDS = 1.0
+"""Extension of an upstream's time, as a fraction and at most, so that not all VMs send
+their first request at its end."""
+
 MAX_LEAVING = 1024
 """Limit of the leaving upstreams that are remembered; the oldest are forgotten."""
 
 
+def parse_away_seconds(raw: bytes | None) -> float | None:
+    """Return the seconds in a `Retry-After` header; None without a usable value.
+
+    Dates, and values that are malformed or negative, are ignored. A larger value than
+    `MAX_AWAY_SECONDS` counts as that limit.
+    """
+    try:
+        seconds = float(raw.decode("ascii")) if raw is not None else math.nan
+    except ValueError:
+        return None
+    if math.isnan(seconds) or seconds <= 0:
+        return None
+    return min(seconds, MAX_AWAY_SECONDS)
+
+
+@dataclass
 class UpstreamStandings:
     """What upstreams have said of themselves, each for one run.
 
     A later run of an upstream starts anew. What a response says counts whatever the
     store says, as that may be away or behind.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of the jitter of upstreams' returns.
     """
 
-    def __init__(self) -> None:
-        # In the order in which they were learned.
+    rng: random.Random = field(default_factory=random.Random)
+
+    def __post_init__(self) -> None:
+        # By run, in the order in which they were learned.
         self._leaving: dict[UpstreamRun, None] = {}
+        self._away_until: dict[UpstreamRun, float] = {}
 
     def on_leaving(self, run: UpstreamRun) -> bool:
         """Record that an upstream leaves; return whether that is new."""
@@ -28,14 +63,64 @@
             del self._leaving[next(iter(self._leaving))]
         return True
 
+    def on_turned_away(self, now: float, run: UpstreamRun, seconds: float) -> bool:
+        """Record that an upstream wants no work of this VM; return whether it is new.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        run : UpstreamRun
+            The upstream.
+        seconds : float
+            Time for which it wants none.
+        """
+        was_away = self._away_until.get(run, -math.inf) > now
+        jitter = self.rng.uniform(0.0, RETURN_JITTER)
+        extension = min(seconds * jitter, MAX_RETURN_JITTER_SECONDS)
+        away_until = now + seconds + extension
+        self._away_until[run] = max(away_until, self._away_until.get(run, -math.inf))
+        return not was_away
+
     def accepts(self, now: float, run: UpstreamRun) -> bool:
         """Return whether an upstream may get a request."""
-        return run not in self._leaving
+        return run not in self._leaving and self._away_until.get(run, now) <= now
 
     def accepting(self, now: float, upstreams: Iterable[Upstream]) -> list[Upstream]:
         """Return the upstreams that may get a request."""
+        if not self._leaving and not self._away_until:
+            return list(upstreams)
         return [item for item in upstreams if self.accepts(now, item.run)]
 
+    def return_s(self, now: float, upstreams: Iterable[Upstream]) -> float | None:
+        """Return the seconds until the first of some upstreams accepts requests.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        upstreams : iterable of Upstream
+            The upstreams.
+
+        Returns
+        -------
+        float or None
+            None if all of them leave.
+        """
+        returns = [
+            max(0.0, self._away_until.get(item.run, now) - now)
+            for item in upstreams
+            if item.run not in self._leaving
+        ]
+        return min(returns, default=None)
+
     def leaving_count(self) -> int:
         """Return the number of upstreams known to leave."""
         return len(self._leaving)
+
+    def away_count(self, now: float) -> int:
+        """Return the number of upstreams that want no work; forget those back."""
+        self._away_until = {
+            run: until for run, until in self._away_until.items() if until > now
+        }
+        return len(self._away_until)
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -366,6 +366,40 @@
     assert "oleander_upstreams_leaving 1.0" in gateway.metrics()
 
 
+AWAY_SECONDS = 1.5
+
+
+def test_upstream_that_turned_a_vm_away_gets_nothing_until_its_time(fleet, gateway):
+    engine = fleet.engines["e1"]
+    engine.behaviour = Behaviour.REFUSE
+    engine.retry_after = str(AWAY_SECONDS)
+    wait_until(
+        lambda: gateway.call("/read/x", "a1") and engine.arrivals, "it is refused"
+    )
+    engine.behaviour = Behaviour.ANSWER
+    refused_at, ends_at = engine.arrivals[-1], engine.arrivals[-1] + AWAY_SECONDS
+    while time.monotonic() < ends_at - 0.1:
+        assert gateway.call("/read/x", "b").status == 200
+    assert engine.arrivals[-1] == refused_at
+    wait_until(
+        lambda: gateway.call("/read/x", "c") and engine.arrivals[-1] > ends_at,
+        "it is used again",
+    )
+
+
+def test_caller_learns_when_all_upstreams_are_back(fleet, gateway):
+    for engine in fleet.engines.values():
+        engine.behaviour = Behaviour.REFUSE
+        engine.retry_after = "3"
+    gateway.call("/read/x", "a1")
+    arrivals = [len(engine.arrivals) for engine in fleet.engines.values()]
+    answer = gateway.call("/read/x", "a2")
+    assert answer.status == 503
+    assert answer.seconds < 0.5
+    assert 2.0 < float(answer.headers["retry-after"]) < 4.0
+    assert [len(engine.arrivals) for engine in fleet.engines.values()] == arrivals
+
+
 def test_upstream_with_another_name_at_the_address_executes_nothing(fleet, gateway):
     misaddressed = fleet.engines["e1"]
     misaddressed.name = "e9"
