Take no request of a VM that has just started for an old one

Callers with short deadlines got 503 (`deadline`) from a VM that had just become ready, although no time had passed.

Cause: requests that are read after a pause count as received at its start, and the time from the construction of the gateway to its first tick, while it opens its sockets, counted as a pause.

Evidence: test_log_names_the_upstream_that_did_not_respond failed once in a run of six tests at a time: a request with a deadline of 300 ms, sent right after the start, was refused after 18 ms with no attempt. The new test shows it each time on a loop that opens sockets slowly.

Change: the clock of arrivals starts when the gateway begins to listen, and again when its ticks begin, as no request can be older.

--- a/src/oleandershift/arrivals.py
+++ b/src/oleandershift/arrivals.py
@@ -21,6 +21,10 @@
     """
 
     def __init__(self, now: float) -> None:
+        self.restart(now)
+
+    def restart(self, now: float) -> None:
+        """Record that the process starts to accept requests, so none is older."""
         self._ticked_at = now
         self._paused_at = now
         self._resumed_at = float("-inf")
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -282,6 +282,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._follow_store()
         await self._peer_transport.open(self._store_sync.snapshot)
+        self._arrivals.restart(now())
         self._caller_listener.open()
         metrics_server = await loop.create_server(
             protocol_factory(MetricsHandler(self._metrics), self._probe_connections),
@@ -297,6 +298,7 @@
         self._log.info(
             "process.started", settings=str(self._path), version=program_version()
         )
+        self._arrivals.restart(now())
         tasks = [
             loop.create_task(supervise(name, run, self._log))
             for name, run in (
--- a/tests/contract/test_gateway_start.py
+++ b/tests/contract/test_gateway_start.py
@@ -1,12 +1,14 @@
 """What a load balancer and callers meet while a gateway starts."""
 
 import asyncio
+import http.client
 import signal
 
-from standins.gateway_fleet import is_ready
+from standins.gateway_fleet import call_on, is_ready
 
 LISTEN_DELAY_SECONDS = 0.3
 TIMEOUT_SECONDS = 10.0
+SHORT_DEADLINE_MS = "280"
 
 
 class SlowLoop(asyncio.SelectorEventLoop):
@@ -43,3 +45,29 @@
 
     with asyncio.Runner(loop_factory=SlowLoop) as runner:
         assert runner.run(start_and_stop()) is None
+
+
+async def answer_to_short_deadline(vm_settings):
+    """Return the answer to a request that is sent as soon as the VM is ready."""
+    probed, address = vm_settings.readiness_address, vm_settings.caller_address
+    async with asyncio.timeout(TIMEOUT_SECONDS):
+        while not await asyncio.to_thread(is_ready, probed.host, probed.port):
+            await asyncio.sleep(0.01)
+    conn = http.client.HTTPConnection(address.host, address.port, timeout=5.0)
+    fields = {"Oleandershift-Deadline-Ms": SHORT_DEADLINE_MS}
+    answer = await asyncio.to_thread(call_on, conn, "/read/x", "a1", **fields)
+    conn.close()
+    return answer
+
+
+def test_vm_that_has_just_started_does_not_take_requests_for_old(gateway, vm_settings):
+    async def start_and_stop():
+        serving = asyncio.create_task(gateway.run())
+        answer = await answer_to_short_deadline(vm_settings)
+        signal.raise_signal(signal.SIGTERM)
+        await serving
+        return answer
+
+    with asyncio.Runner(loop_factory=SlowLoop) as runner:
+        answer = runner.run(start_and_stop())
+    assert answer.status == 200
