Ignore a negative age in a notice of crashes, and look for absences on demand

A notice with a negative age, from a damaged or faulty VM, would have put a crash into the future and its block past the longest one. The tick that confirms crashes also joined the absences of all VMs ten times a second, which is needed only while an exchange has broken off.

Measured: the new test fails before this change for an age of minus one hour.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -92,7 +92,6 @@
 MIN_BUDGET_VMS = 10
 """Smallest divisor of the retry budget, until the VMs have been counted."""
 
-
 _DEFAULT_QUARANTINE_LIMITS = QuarantineLimits()
 
 
--- a/src/oleandershift/quarantine.py
+++ b/src/oleandershift/quarantine.py
@@ -275,7 +275,8 @@
                 self._record_answer(record.part, now - record.answer_age_ms / 1000)
             for crash in record.crashes:
                 run = UpstreamRun(crash.upstream, crash.incarnation)
-                self._record_crash(record.part, run, now - crash.age_ms / 1000)
+                crashed_at = now - max(0, crash.age_ms) / 1000
+                self._record_crash(record.part, run, crashed_at)
         return self.revision != revision
 
     def records(self, now: float) -> tuple[PartRecord, ...]:
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -47,7 +47,6 @@
     quarantine: PromptQuarantine = field(
         default_factory=lambda: PromptQuarantine(QuarantineLimits(), random.Random())
     )
-
     standings: UpstreamStandings = field(default_factory=UpstreamStandings)
 
     def shares(self, now: float, declared: float) -> Shares:
@@ -69,11 +68,10 @@
 
     def update_quarantine(self, now: float) -> list[PartChange]:
         """Block and release prompt parts; return what has changed."""
-        absent = self.absent(now)
 
         def is_gone(run: UpstreamRun) -> bool:
             entry = self.view.directory.get(run.upstream)
-            return run in absent or entry is None or entry.run != run
+            return entry is None or entry.run != run or run in self.absent(now)
 
         self.quarantine.confirm(now, is_gone)
         return self.quarantine.update(now)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -203,6 +203,17 @@
     assert quarantine.rejected_part(now + 1.0, BAD) is None
 
 
+@pytest.mark.parametrize("age_ms", [-3_600_000, 2**62])
+def test_crash_with_an_impossible_age_blocks_nothing_for_good(quarantine, age_ms):
+    crashes = tuple(
+        CrashRecord(UpstreamId(f"e{number}"), 1, age_ms - 1000 * number)
+        for number in range(10)
+    )
+    quarantine.merge(0.0, [PartRecord(PromptPartId("bad"), crashes, -1)])
+    quarantine.update(0.0)
+    assert quarantine.retry_after_s(0.0, "bad") <= 3600.0 * (1 + BLOCK_JITTER)
+
+
 def test_known_records_are_no_news(quarantine):
     now = crash_often(quarantine, BAD)
     other = make_quarantine()
