Let the stand-in's endless refusal not execute its request

The gateway did what the response allows.

Change: the conduct refuses without an execution, and the test of endless bytes also checks that what got 503 did not run.

--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -19,8 +19,8 @@
 class Behaviour(Enum):
     """Response of an upstream to a request.
 
-    `REFUSE` and `CUT_BEFORE` do not execute the request. `CUT_BEFORE`, `CUT_AFTER`,
-    `CUT_MIDWAY` and `CUT_LATE` reset the connection before the execution, after it,
+    `REFUSE`, `ENDLESS_REFUSAL` and `CUT_BEFORE` do not execute the request.
+    `CUT_BEFORE`, `CUT_AFTER`, `CUT_MIDWAY` and `CUT_LATE` reset the connection before the execution, after it,
     within the response and before its last byte. `LEFTOVER` sends another response
     first; `UNFRAMED` sends no length. `END_IN_EVENT` and `END_EMPTY` also end a stream
     without a length within its second event and before its first.
@@ -260,6 +260,8 @@
             exchange.send_json(503, {}, refusal)
         elif behaviour is Behaviour.CUT_BEFORE:
             exchange.abort()
+        elif behaviour is Behaviour.ENDLESS_REFUSAL:
+            self._send_without_end(exchange, behaviour)
         else:
             self._execute(exchange, attempt_id, behaviour)
 
--- a/tests/integration/test_gateway_endless.py
+++ b/tests/integration/test_gateway_endless.py
@@ -42,6 +42,8 @@
     assert resident_bytes(gateway.process.pid) - before < MAX_GROWTH_BYTES
     assert gateway.call(path, "a2").status == 200
     assert engine.runs()["a1"] <= 1 or path == "/read/x"
+    if answer.status == 503:
+        assert engine.runs()["a1"] == 0
 
 
 REQUEST_STARTS = {
