Let the soak send prompts that crash upstreams

The soak had no prompts, so it could not meet upstreams that crash under one, beside kills, freezes, cut links and an unavailable store. One stream in a hundred now has a part that crashes its upstream, which restarts at its address and registers again. At most three such requests may reach upstreams later than 4 s after the fifth crash, unless a disturbance overlaps.

--- a/standins/gateway_soak.py
+++ b/standins/gateway_soak.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from standins.gateway_fleet import (
@@ -27,7 +28,7 @@
     running_fleet,
 )
 from standins.metastore import StoreMode
-from standins.modelengine import Behaviour, ExecutedRequest
+from standins.modelengine import Behaviour, ExecutedRequest, ModelEngine
 from standins.proxy import Proxy
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 
@@ -54,6 +55,16 @@
 
 DEADLINE_SECONDS = 4.0
 
+CRASHING_PART = "bad"
+CRASHING_FRACTION = 0.01
+"""Fraction of the streams whose prompt has a part that crashes upstreams."""
+
+CRASHES_TO_LEARN = 5
+CONTACT_SECONDS = 4.0
+MAX_LATE_CRASHES = 3
+"""After so many crashes and the contact time, so many more requests with the part may
+reach upstreams."""
+
 
 @dataclass(frozen=True)
 class GatewayCall:
@@ -82,12 +93,15 @@
     disturbances : list of tuple
         Start and end of the intervals in which a gateway was frozen or killed, or the
         store disturbed, including the time to catch up.
+    crashed_at : list of float
+        Time of each crash of an upstream under a prompt.
     """
 
     calls: list[GatewayCall] = field(default_factory=list)
     arrivals: dict[str, list[ExecutedRequest]] = field(default_factory=dict)
     drain_started_at: dict[str, float] = field(default_factory=dict)
     disturbances: list[tuple[float, float]] = field(default_factory=list)
+    crashed_at: list[float] = field(default_factory=list)
 
 
 def find_violations(history: SoakHistory) -> list[str]:
@@ -104,7 +118,7 @@
         for attempt_id in executions
         if attempt_id not in sent
     ]
-    return violations + _drain_violations(history)
+    return violations + _drain_violations(history) + _crash_violations(history)
 
 
 def _call_violations(call: GatewayCall, executions: int) -> list[str]:
@@ -150,6 +164,26 @@
     return violations
 
 
+def _crash_violations(history: SoakHistory) -> list[str]:
+    crashes = sorted(history.crashed_at)
+    if len(crashes) < CRASHES_TO_LEARN:
+        return []
+    known_at = crashes[CRASHES_TO_LEARN - 1] + CONTACT_SECONDS
+    late = [
+        req.attempt_id
+        for requests in history.arrivals.values()
+        for req in requests
+        if CRASHING_PART in req.parts
+        and req.received_at > known_at
+        and not _was_disturbed(
+            history, req.received_at - CONTACT_SECONDS, req.received_at
+        )
+    ]
+    if len(late) <= MAX_LATE_CRASHES:
+        return []
+    return [f"{len(late)} requests crashed upstreams late: {', '.join(late)}"]
+
+
 def _was_disturbed(history: SoakHistory, start: float, end: float) -> bool:
     """Return whether a disturbance overlaps an interval."""
     return any(
@@ -205,7 +239,7 @@
         path = rng.choice(PATHS)
         sent_at = time.monotonic()
         try:
-            res = call_on(conn, path, attempt_id)
+            res = call_on(conn, path, attempt_id, **_prompt_headers(path, rng))
         except (OSError, http.client.HTTPException):
             res = None
         self._history.calls.append(
@@ -215,6 +249,19 @@
         return res is not None and res.headers.get("connection") != "close"
 
 
+def _prompt_headers(path: str, rng: random.Random) -> dict[str, str]:
+    """Return the headers of a stream's prompt; some have a part that crashes."""
+    if not path.startswith("/stream/"):
+        return {}
+    crashes = rng.random() < CRASHING_FRACTION
+    middle = CRASHING_PART if crashes else f"part{rng.randrange(5)}"
+    own = f"{rng.getrandbits(32):08x}"
+    return {
+        "Oleandershift-Token-Usage": "30,10",
+        "Oleandershift-Prompt-Prefix": f"first:10,{middle}:10,{own}:10",
+    }
+
+
 class _FaultInjector:
     """Injector of random faults, reproducible by its seed.
 
@@ -354,6 +401,15 @@
         self._history.disturbances.append((self._started_at, finish))
 
 
+def _register_again(
+    fleet: GatewayFleet, history: SoakHistory, engine: ModelEngine
+) -> None:
+    """Register an upstream after a crash, in the state that it had."""
+    state = "draining" if engine.name in history.drain_started_at else "ready"
+    entry = engine.entry("model", "one", state)
+    fleet.store.put("servers", engine.name, entry)
+
+
 def run(seed: int, seconds: float, folder: Path, gateways: int = 3) -> list[str]:
     """Run a soak test, print its statuses and faults, and return the violations."""
     history = SoakHistory()
@@ -366,6 +422,8 @@
             proxy.start()
             proxies.append(proxy)
             engine.address = f"127.0.0.1:{proxy.port}"
+            engine.crashing_part = CRASHING_PART
+            engine.on_restart = partial(_register_again, fleet, history)
             fleet.store.put("servers", engine.name, engine.entry("model", "one"))
         callers = _Callers(fleet, history, seed)
         injector = _FaultInjector(fleet, proxies, history, rng)
@@ -374,6 +432,7 @@
         callers.stop()
         for name, engine in fleet.engines.items():
             history.arrivals[name] = engine.ledger()
+            history.crashed_at += engine.crashed_at
     for proxy in proxies:
         proxy.stop()
     statuses = Counter(
@@ -381,7 +440,9 @@
         for call in history.calls
     )
     print(
-        f"seed {seed}: {dict(statuses)}; faults {dict(injector.injected)}", flush=True
+        f"seed {seed}: {dict(statuses)}; faults {dict(injector.injected)}; "
+        f"{len(history.crashed_at)} crashes",
+        flush=True,
     )
     return find_violations(history)
 
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -20,10 +20,11 @@
     """Response of an upstream to a request.
 
     `REFUSE`, `ENDLESS_REFUSAL` and `CUT_BEFORE` do not execute the request.
-    `CUT_BEFORE`, `CUT_AFTER`, `CUT_MIDWAY` and `CUT_LATE` reset the connection before the execution, after it,
-    within the response and before its last byte. `LEFTOVER` sends another response
-    first; `UNFRAMED` sends no length. `END_IN_EVENT` and `END_EMPTY` also end a stream
-    without a length within its second event and before its first.
+    `CUT_BEFORE`, `CUT_AFTER`, `CUT_MIDWAY` and `CUT_LATE` reset the connection before
+    the execution, after it, within the response and before its last byte. `LEFTOVER`
+    sends another response first; `UNFRAMED` sends no length. `END_IN_EVENT` and
+    `END_EMPTY` also end a stream without a length within its second event and before
+    its first. `ENDLESS_…` send bytes until the caller closes.
     """
 
     ANSWER = "answer"
--- a/tests/integration/test_gateway_soak.py
+++ b/tests/integration/test_gateway_soak.py
@@ -3,7 +3,13 @@
 import pytest
 
 from standins.gateway_fleet import GatewayResponse
-from standins.gateway_soak import GatewayCall, SoakHistory, find_violations, run
+from standins.gateway_soak import (
+    CRASHING_PART,
+    GatewayCall,
+    SoakHistory,
+    find_violations,
+    run,
+)
 from standins.modelengine import ExecutedRequest
 
 SECONDS = 6.0
@@ -26,7 +32,14 @@
     return ExecutedRequest("a", "/write/x", "team", b"a", received_at, 1)
 
 
+def crashing_request(received_at):
+    parts = ("first", CRASHING_PART, "own")
+    return ExecutedRequest("a", "/stream/once/x", "team", b"a", received_at, 1, parts)
+
+
+CRASHED_LATE = [crashing_request(20.0 + number) for number in range(4)]
 VIOLATIONS = [
+    SoakHistory([call()], {"e1": CRASHED_LATE}, crashed_at=[1.0] * 5),
     SoakHistory([call()], {"e1": [executed_request()], "e2": [executed_request()]}),
     SoakHistory([call(res=response(503))], {"e1": [executed_request()]}),
     SoakHistory([call(res=response(200, b"e1 ran b"))], {"e1": [executed_request()]}),
