--- a/tests/contract/test_gateway_start.py
+++ b/tests/contract/test_gateway_start.py
@@ -20,12 +20,19 @@
         return await super().create_server(*args, **kwargs)
 
 
-async def first_connection(vm_settings):
-    """Return the exception of a caller that connects as soon as the VM is ready."""
+async def until_ready(vm_settings):
+    """Wait until a readiness probe succeeds."""
+    probed = vm_settings.readiness_address
     async with asyncio.timeout(TIMEOUT_SECONDS):
-        probed, address = vm_settings.readiness_address, vm_settings.caller_address
         while not await asyncio.to_thread(is_ready, probed.host, probed.port):
             await asyncio.sleep(0.01)
+
+
+async def first_connection(vm_settings):
+    """Return the exception of a caller that connects as soon as the VM is ready."""
+    address = vm_settings.caller_address
+    await until_ready(vm_settings)
+    async with asyncio.timeout(TIMEOUT_SECONDS):
         try:
             _, writer = await asyncio.open_connection(address.host, address.port)
         except OSError as exc:
@@ -49,10 +56,8 @@
 
 async def answer_to_short_deadline(vm_settings):
     """Return the answer to a request that is sent as soon as the VM is ready."""
-    probed, address = vm_settings.readiness_address, vm_settings.caller_address
-    async with asyncio.timeout(TIMEOUT_SECONDS):
-        while not await asyncio.to_thread(is_ready, probed.host, probed.port):
-            await asyncio.sleep(0.01)
+    address = vm_settings.caller_address
+    await until_ready(vm_settings)
     conn = http.client.HTTPConnection(address.host, address.port, timeout=5.0)
     fields = {"Oleandershift-Deadline-Ms": SHORT_DEADLINE_MS}
     answer = await asyncio.to_thread(call_on, conn, "/read/x", "a1", **fields)
