Wait until a suspended process stands still in tests

Three tests of a resumed router were in KNOWN-RED.txt: beside heavy load, a request reached an upstream that had left. The tests sent SIGSTOP and changed the rows at once, but the signal returns before all threads stand still, so the router took the new rows, and the request, as a running one does. It broke no promise.

Change: suspending a process returns when none of its threads can run; the agents' and the gateways' stand-ins and their tests use it. No assertion changes, and the tests are stricter, as nothing runs while they change rows.

--- a/standins/processes.py
+++ b/standins/processes.py
@@ -10,6 +10,11 @@
 from pathlib import Path
 
 KILL_TIMEOUT_SECONDS = 5.0
+SUSPEND_TIMEOUT_SECONDS = 5.0
+SUSPEND_POLL_SECONDS = 0.001
+
+HALTED_STATES = ("T", "t", "Z", "X")
+"""States of threads that are stopped or have ended (proc(5))."""
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 
 
@@ -97,8 +102,9 @@
         self.wait(KILL_TIMEOUT_SECONDS)
 
     def freeze(self) -> None:
-        """Suspend the process with SIGSTOP."""
-        self.signal(signal.SIGSTOP)
+        """Suspend the process; return when it stands still."""
+        if self._process is not None and self.is_running():
+            suspend(self._process.pid)
 
     def thaw(self) -> None:
         """Resume the process after `freeze`."""
@@ -139,6 +145,29 @@
         signal.signal(number, exit_once)
 
 
+def suspend(pid: int) -> bool:
+    """Stop a process with SIGSTOP; return whether it stands still.
+
+    The signal is delivered to a thread at a time, so the others go on for a moment.
+    """
+    os.kill(pid, signal.SIGSTOP)
+    deadline = time.monotonic() + SUSPEND_TIMEOUT_SECONDS
+    while not _stands_still(pid):
+        if time.monotonic() >= deadline:
+            return False
+        time.sleep(SUSPEND_POLL_SECONDS)
+    return True
+
+
+def _stands_still(pid: int) -> bool:
+    """Return whether no thread of a process can run; True if it has exited."""
+    try:
+        stats = [path.read_text() for path in Path(f"/proc/{pid}/task").glob("*/stat")]
+    except OSError:
+        return not Path(f"/proc/{pid}").exists()
+    return all(stat.rpartition(")")[2].split()[0] in HALTED_STATES for stat in stats)
+
+
 def resident_bytes(pid: int) -> int:
     """Return the resident memory of a process in bytes; 0 if it has exited."""
     try:
--- a/tests/agents.py
+++ b/tests/agents.py
@@ -26,6 +26,7 @@
 )
 from oleandershift.subscription import Subscription
 from standins.ports import free_port
+from standins.processes import suspend
 
 WAIT_TIMEOUT_SECONDS = 30.0
 QUERY_TIMEOUT_SECONDS = 2.0
@@ -104,9 +105,9 @@
         return {member.vm: member.state.value for member in members}
 
     def freeze(self) -> None:
-        """Pause the process with SIGSTOP."""
+        """Pause the process; return when it stands still."""
         assert self.process is not None
-        self.process.send_signal(signal.SIGSTOP)
+        assert suspend(self.process.pid)
 
     def thaw(self) -> None:
         """Resume the process with SIGCONT."""
--- a/tests/integration/test_gateway_pauses.py
+++ b/tests/integration/test_gateway_pauses.py
@@ -49,7 +49,7 @@
     fleet, gateway, path, leaves
 ):
     assert gateway.call(path, "warm").status == 200
-    gateway.process.signal(signal.SIGSTOP)
+    gateway.process.freeze()
     conn = start_call(gateway, path, "late")
     time.sleep(DEADLINE_SECONDS)
     if leaves:
@@ -68,7 +68,7 @@
 def test_request_whose_caller_left_before_it_was_read_is_not_sent(fleet, gateway, path):
     for number in range(10):
         assert gateway.call(path, f"warm{number}").status == 200
-        gateway.process.signal(signal.SIGSTOP)
+        gateway.process.freeze()
         start_call(gateway, path, f"left{number}").close()
         time.sleep(0.05)
         gateway.process.signal(signal.SIGCONT)
--- a/tests/integration/test_upstreams.py
+++ b/tests/integration/test_upstreams.py
@@ -10,6 +10,7 @@
 from oleandershift.rows import UpstreamRow, UpstreamState
 from standins.faulty import FaultName, FaultyUpstream
 from standins.ports import free_port
+from standins.processes import suspend
 
 FROZEN_SECONDS = 2.0
 
@@ -42,7 +43,7 @@
 ) -> None:
     put_upstream(table, "u2", second_upstream.url)
     wait_until(lambda: has_run_on(router, second_upstream), "second upstream is used")
-    router.process.send_signal(signal.SIGSTOP)
+    assert suspend(router.process.pid)
     try:
         with ThreadPoolExecutor(8) as pool:
             waiting = [
@@ -71,7 +72,7 @@
         wait_until(lambda: bool(upstream.ledger.executions()), "request is running")
         waiting = pool.submit(router.call, "POST", "/v1/chat/x", b"{}")
         wait_until(lambda: waiting_count(router) == 1, "request is waiting")
-        router.process.send_signal(signal.SIGSTOP)
+        assert suspend(router.process.pid)
         try:
             put_upstream(table, "u2", second_upstream.url)
             table.push_rows()
