Show followers a removal that their reader found in a list

Requests kept reaching an upstream that had left, from all VMs that learn of the store from others, until anything else changed in the list of upstreams.

Cause: a VM that has lost its watch reads a list. A removal has no record in a list, and the revision that digests name was that of the newest record, so it stayed the same and no follower asked.

Evidence: test_removal_found_in_a_list_reaches_the_followers failed before: the follower still used the upstream after the grace of its removal.

Change: a list that lacks a known upstream raises the revision to its own.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -135,9 +135,9 @@
         ]
         for changed, entry in listed.values():
             self._store(changed, entry)
-        self.revision = max(
-            [self.revision, *(changed for changed, _ in listed.values())]
-        )
+        newest = max((changed for changed, _ in listed.values()), default=0)
+        # A missing entry is a change without a record that could carry its revision.
+        self.revision = max(self.revision, revision if missing else newest)
         self._listed_revision = revision
         self.loaded = True
         return tuple(removed)
--- /dev/null
+++ b/tests/test_departures.py
@@ -0,0 +1,117 @@
+"""Tests of what VMs do with an upstream that leaves, however they learn of it."""
+
+import pytest
+
+from oleandershift.fleetview import FleetView
+from oleandershift.ids import ServiceId
+from oleandershift.io.feed import ChangesRead, SnapshotRead
+from oleandershift.io.gatewaymetrics import GatewayMetrics
+from oleandershift.io.storesync import StoreSync
+from oleandershift.records import Changes, Record, Snapshot
+
+UPSTREAMS = "servers"
+GRACE_SECONDS = 2.4
+
+
+class SilentLog:
+    """Log that drops its lines."""
+
+    def info(self, event, **fields):
+        """Drop a line."""
+
+    warning = info
+
+
+class ManualClock:
+    """Clock that tests set."""
+
+    def __init__(self):
+        self.instant = 100.0
+
+    def __call__(self):
+        """Return the time that was set."""
+        return self.instant
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    manual_clock = ManualClock()
+    monkeypatch.setattr("oleandershift.io.storesync.now", manual_clock)
+    return manual_clock
+
+
+class Vm:
+    """What one VM knows of the store."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.view = FleetView(GRACE_SECONDS)
+        self.sync = StoreSync(
+            self.view, lambda name: None, SilentLog(), GatewayMetrics()
+        )
+
+    def read_list(self, revision, *records):
+        """Read a complete list from the store."""
+        self.sync.on_event(SnapshotRead(UPSTREAMS, Snapshot(revision, records)))
+
+    def read_changes(self, revision, *events):
+        """Read changes from the store."""
+        self.sync.on_event(ChangesRead(UPSTREAMS, Changes(revision, events)))
+
+    def catch_up(self, peer):
+        """Fetch what another VM has read, as after its digest."""
+        if peer.view.directory.revision > self.view.directory.revision:
+            self.sync.apply_snapshot(peer.sync.snapshot(self.sync.request()), "peer")
+
+    def usable(self):
+        """Return the names of the upstreams that may get requests now."""
+        self.view.directory.expire(self.clock.instant)
+        return {entry.name for entry in self.view.directory.usable(ServiceId("s"))}
+
+
+def registration(name, revision, state="ready", born=1, sequence=1):
+    spec = {
+        "service": "s",
+        "address": "10.0.0.1:8000",
+        "zone": "z",
+        "slots": 4,
+        "state": state,
+        "born": born,
+        "sequence": sequence,
+    }
+    return Record(name, revision, spec)
+
+
+@pytest.fixture
+def reader(clock):
+    vm = Vm(clock)
+    vm.read_list(6, registration("u1", 5), registration("u2", 6))
+    return vm
+
+
+@pytest.fixture
+def follower(clock, reader):
+    vm = Vm(clock)
+    vm.catch_up(reader)
+    return vm
+
+
+def test_removal_found_in_a_list_reaches_the_followers(clock, reader, follower):
+    reader.read_list(20, registration("u2", 6))
+    follower.catch_up(reader)
+    clock.instant += GRACE_SECONDS
+    assert follower.usable() == {"u2"}
+
+
+def test_upstream_that_starts_again_after_leaving_is_used(reader):
+    reader.read_changes(10, (registration("u1", 10, state="draining"), False))
+    reader.read_changes(12, (registration("u1", 12, born=2), False))
+    assert reader.usable() == {"u1", "u2"}
+
+
+def test_upstream_that_lapsed_and_registered_again_is_used(clock, reader):
+    reader.read_changes(10, (registration("u1", 5), True))
+    clock.instant += GRACE_SECONDS
+    assert reader.usable() == {"u2"}
+    reader.read_changes(12, (registration("u1", 12), False))
+    assert reader.usable() == {"u1", "u2"}
