Let followers of a list drop a removed upstream together with its reader

Requests reached an upstream up to 1.6 s after the VM that read its removal had stopped using it, so later than the drain time allows.

They go to every follower after a reader has listed anew, as it does when its watch is lost.

Evidence: test_follower_of_a_list_drops_a_removed_upstream_with_its_reader failed before: the follower kept the upstream for another 1.5 s.

VMs of an earlier version ignore the new field, and theirs is taken as unknown.

Measured: the tests of catching up and of the digests' encoding pass.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -198,7 +198,11 @@
         are all upstreams.
     removed : tuple of tuple
         Name and revision of each upstream that was removed, and the milliseconds for
-        which the sender still keeps it.
+        which the sender still keeps it. In a whole snapshot, those that were removed
+        after the sender's last list from the store.
+    list_grace_ms : int
+        Milliseconds for which the sender still keeps upstreams that its last list from
+        the store lacked; -1 if unknown, from VMs of an earlier version.
     """
 
     configuration: Record | None
@@ -206,6 +210,7 @@
     upstreams: tuple[Record, ...]
     since: int = 0
     removed: tuple[tuple[str, int, int], ...] = ()
+    list_grace_ms: int = -1
 
 
 PeerMessage: TypeAlias = Digest | CrashNotice | SnapshotRequest | StoreSnapshot
--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -1,7 +1,8 @@
 """Directory of upstreams, from the lists and changes of the platform's store."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -65,6 +66,27 @@
         return UpstreamRun(self.name, self.incarnation)
 
 
+@dataclass(frozen=True, slots=True)
+class RemovalGrace:
+    """For how long a VM still keeps the upstreams that its list does not contain.
+
+    Parameters
+    ----------
+    unnamed_s : float
+        Seconds for those that it has never known or that its last list from the store
+        lacked.
+    named_s : mapping
+        Seconds by name, for those whose removal it read after that list.
+    """
+
+    unnamed_s: float
+    named_s: Mapping[UpstreamId, float] = field(default_factory=dict)
+
+    def left_s(self, name: UpstreamId) -> float:
+        """Return the seconds for which an upstream is kept."""
+        return self.named_s.get(name, self.unnamed_s)
+
+
 class Directory:
     """The upstreams that this VM knows.
 
@@ -97,6 +119,7 @@
         self._store_lost = False
         self.revision = 0
         self._listed_revision = 0
+        self._list_grace_end = -math.inf
         self.loaded = False
 
     def on_store_lost(self) -> None:
@@ -110,7 +133,11 @@
             self._recovered_at = now
 
     def replace(
-        self, now: float, revision: int, entries: Iterable[tuple[int, Upstream]]
+        self,
+        now: float,
+        revision: int,
+        entries: Iterable[tuple[int, Upstream]],
+        removals: RemovalGrace | None = None,
     ) -> tuple[Upstream, ...]:
         """Apply a complete list and return the entries that were removed immediately.
 
@@ -124,14 +151,21 @@
             Store revision of the list.
         entries : iterable of tuple
             Pairs of the revision of an entry's last change and the entry.
+        removals : RemovalGrace or None
+            For how long the VM that read the list still keeps what is missing in it;
+            None if this VM read it.
         """
         if self.loaded and revision < self.revision:
             return ()
         listed = {entry.name: (changed, entry) for changed, entry in entries}
         missing = [name for name in self._entries if name not in listed]
-        deadline = self._lapse_deadline(now)
+        if removals is None:
+            removals = RemovalGrace(self._lapse_deadline(now) - now)
+        self._list_grace_end = now + removals.unnamed_s
         removed = [
-            entry for name in missing if (entry := self._lapse(now, name, deadline))
+            entry
+            for name in missing
+            if (entry := self._lapse(now, name, now + removals.left_s(name)))
         ]
         for changed, entry in listed.values():
             self._store(changed, entry)
@@ -185,6 +219,14 @@
         """Return the seconds for which a lapsed entry is kept; 0 without one."""
         return max(0.0, self._lapse_deadlines.get(name, now) - now)
 
+    def lapsing(self) -> tuple[UpstreamId, ...]:
+        """Return the names of the entries that were removed and are still kept."""
+        return tuple(self._lapse_deadlines)
+
+    def list_grace_left(self, now: float) -> float:
+        """Return the seconds for which entries missing in the last list are kept."""
+        return max(0.0, self._list_grace_end - now)
+
     def expire(self, now: float) -> tuple[Upstream, ...]:
         """Remove and return the lapsed entries that were not renewed in time."""
         expired = [
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from oleandershift.digests import SnapshotRequest, StoreSnapshot
-from oleandershift.directory import Upstream
+from oleandershift.directory import RemovalGrace, Upstream
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import UpstreamId
 from oleandershift.io.clock import now
@@ -133,7 +133,9 @@
         since = req.revision
         log = self._upstream_records
         is_partial = log.is_complete_since(since)
-        removed = log.removed_since(since) if is_partial else ()
+        removed = log.removed_since(since if is_partial else 0)
+        if not is_partial:
+            removed += self._lapsing_removals()
         return StoreSnapshot(
             configuration=self._configuration_record if is_newer else None,
             revision=self._view.directory.revision,
@@ -142,8 +144,14 @@
             removed=tuple(
                 (name, revision, self._grace_ms(name)) for name, revision in removed
             ),
+            list_grace_ms=round(self._view.directory.list_grace_left(now()) * 1000),
         )
 
+    def _lapsing_removals(self) -> tuple[tuple[str, int], ...]:
+        """Return name and revision of the removed upstreams that are still kept."""
+        directory = self._view.directory
+        return tuple((name, directory.revision) for name in directory.lapsing())
+
     def _grace_ms(self, name: str) -> int:
         """Return the milliseconds for which a removed upstream is still kept."""
         left_s = self._view.directory.grace_left(now(), UpstreamId(name))
@@ -164,7 +172,9 @@
         if snapshot.since:
             self._apply_missed_changes(snapshot)
         else:
-            self._apply_upstream_list(snapshot.revision, snapshot.upstreams)
+            self._apply_upstream_list(
+                snapshot.revision, snapshot.upstreams, _removal_grace(snapshot)
+            )
         self._view.directory.advance(snapshot.revision)
 
     def _on_call_failed(self, event: StoreCallFailed) -> None:
@@ -220,7 +230,12 @@
                 "configuration.applied", version=cfg.version, revision=record.revision
             )
 
-    def _apply_upstream_list(self, revision: int, records: tuple[Record, ...]) -> None:
+    def _apply_upstream_list(
+        self,
+        revision: int,
+        records: tuple[Record, ...],
+        removals: RemovalGrace | None = None,
+    ) -> None:
         directory = self._view.directory
         if directory.loaded and revision < directory.revision:
             return
@@ -233,7 +248,7 @@
             entry = result.unwrap()
             self._detect_restart(entry)
             listed.append((record.revision, entry))
-        directory.replace(now(), revision, listed)
+        directory.replace(now(), revision, listed, removals)
         self._upstream_records.replace(revision, records)
         self._log.info("upstreams.listed", revision=revision, count=len(listed))
 
@@ -286,3 +301,11 @@
         previous = self._view.directory.get(entry.name)
         if previous is not None and previous.run != entry.run:
             self._on_restart(entry.name)
+
+
+def _removal_grace(snapshot: StoreSnapshot) -> RemovalGrace | None:
+    """Return how long the sender of a whole snapshot keeps what it lacks, if known."""
+    if snapshot.list_grace_ms < 0:
+        return None
+    named_s = {UpstreamId(name): ms / 1000 for name, _, ms in snapshot.removed}
+    return RemovalGrace(snapshot.list_grace_ms / 1000, named_s)
--- a/tests/contract/test_snapshots.py
+++ b/tests/contract/test_snapshots.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 
+import msgspec
 import pytest
 
 from oleandershift.demand import DemandMeter
@@ -23,6 +24,7 @@
 from oleandershift.vmsettings import Address
 
 LENGTH_BYTES = 4
+FIELDS_OF_EARLIER_BUILD = list(StoreSnapshot.__annotations__).index("since")
 SNAPSHOT = StoreSnapshot(None, 9, (Record("u", 9, {}),), 7, (("v", 8, 250),))
 _numbers = itertools.count(1)
 
@@ -116,8 +118,8 @@
 
 def test_snapshot_of_an_earlier_build_is_a_whole_one(transport, vm):
     whole = StoreSnapshot(Record("main", 4, {}), 9, ())
-    three_field_array = b"\x93"
-    data = three_field_array + encode(whole)[1:-2]
+    fields = msgspec.msgpack.decode(encode(whole))[:FIELDS_OF_EARLIER_BUILD]
+    data = msgspec.msgpack.encode(fields)
 
     async def serve(reader, writer):
         writer.write(len(data).to_bytes(LENGTH_BYTES, "big") + data)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -11,6 +11,7 @@
 
 UPSTREAMS = "servers"
 GRACE_SECONDS = 2.4
+BATCH_SECONDS = 1.5
 
 
 class SilentLog:
@@ -103,6 +104,17 @@
     assert follower.usable() == {"u2"}
 
 
+def test_follower_of_a_list_drops_a_removed_upstream_with_its_reader(
+    clock, reader, follower
+):
+    reader.read_list(20, registration("u2", 6), registration("u3", 18))
+    clock.instant += BATCH_SECONDS
+    follower.catch_up(reader)
+    clock.instant += GRACE_SECONDS - BATCH_SECONDS
+    assert reader.usable() == {"u2", "u3"}
+    assert follower.usable() == {"u2", "u3"}
+
+
 def test_upstream_that_starts_again_after_leaving_is_used(reader):
     reader.read_changes(10, (registration("u1", 10, state="draining"), False))
     reader.read_changes(12, (registration("u1", 12, born=2), False))
