Let no older change add a removed upstream again

A VM that became a reader of the store sent requests to upstreams that had left up to 20 s before.

Cause: nothing was kept of a removed upstream. A new reader watches from the revision of its own first list, so the store replays what the VM has learned from others since: the registration, which counted as new, and its removal, whose grace began anew.

Evidence: test_new_reader_does_not_use_a_removed_upstream_again and the three cases of test_replayed_registration_does_not_undo_a_removal failed before.

Change: the directory remembers the revision of each removal for 60 s, three times the store's history, and ignores changes that are not newer.

Measured: the tests of the directory and of catching up pass.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -8,6 +8,10 @@
 
 from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
 
+REMOVAL_MEMORY_SECONDS = 60.0
+"""Time for which the revision of a removal is remembered; three times the history that
+the store keeps, so longer than a watch can lag behind."""
+
 REREGISTRATION_SECONDS = 2.0
 """Registrations that lapsed during an outage of the store are renewed within this time
 after it recovered (platform contract)."""
@@ -66,6 +70,11 @@
         return UpstreamRun(self.name, self.incarnation)
 
 
+class _Removal(NamedTuple):
+    revision: int
+    forget_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class RemovalGrace:
     """For how long a VM still keeps the upstreams that its list does not contain.
@@ -115,6 +124,7 @@
         self._entries: dict[UpstreamId, Upstream] = {}
         self._revisions: dict[UpstreamId, int] = {}
         self._lapse_deadlines: dict[UpstreamId, float] = {}
+        self._removals: dict[UpstreamId, _Removal] = {}
         self._recovered_at: float | None = None
         self._store_lost = False
         self.revision = 0
@@ -177,8 +187,17 @@
         return tuple(removed)
 
     def update(self, revision: int, entry: Upstream) -> bool:
-        """Add or replace an entry; return False if the change is known already."""
-        if revision <= max(self._listed_revision, self._revisions.get(entry.name, 0)):
+        """Add or replace an entry; return False if the change is known already.
+
+        A change from before the removal of an entry does not add it again.
+        """
+        removal = self._removals.get(entry.name)
+        known_revision = max(
+            self._listed_revision,
+            self._revisions.get(entry.name, 0),
+            removal.revision if removal is not None else 0,
+        )
+        if revision <= known_revision:
             return False
         self._store(revision, entry)
         self.revision = max(self.revision, revision)
@@ -210,8 +229,10 @@
             if this VM read it.
         """
         self.revision = max(self.revision, revision)
-        if revision and revision < self._revisions.get(name, 0):
+        last_revision = self._revisions.get(name, 0)
+        if revision and revision < last_revision:
             return False
+        self._remember_removal(now, max(revision, last_revision), name)
         deadline = self._lapse_deadline(now) if grace_s is None else now + grace_s
         return self._lapse(now, name, deadline) is not None
 
@@ -234,6 +255,11 @@
         ]
         for name in expired:
             del self._lapse_deadlines[name]
+        while self._removals:
+            oldest = next(iter(self._removals))
+            if self._removals[oldest].forget_at > now:
+                break
+            del self._removals[oldest]
         return tuple(self._drop(name) for name in expired if name in self._entries)
 
     def usable(self, service: ServiceId) -> list[Upstream]:
@@ -252,6 +278,13 @@
         """Return all entries, including draining and lapsed ones."""
         return tuple(self._entries.values())
 
+    def _remember_removal(self, now: float, revision: int, name: UpstreamId) -> None:
+        known = self._removals.pop(name, None)
+        if known is not None:
+            revision = max(revision, known.revision)
+        # The dictionary stays in the order of the instants.
+        self._removals[name] = _Removal(revision, now + REMOVAL_MEMORY_SECONDS)
+
     def _store(self, revision: int, entry: Upstream) -> None:
         self._entries[entry.name] = entry
         self._revisions[entry.name] = revision
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -7,6 +7,7 @@
 from oleandershift.io.feed import ChangesRead, SnapshotRead
 from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.storesync import StoreSync
+from oleandershift.neighbours import StoreRole
 from oleandershift.records import Changes, Record, Snapshot
 
 UPSTREAMS = "servers"
@@ -115,6 +116,31 @@
     assert follower.usable() == {"u2", "u3"}
 
 
+def test_new_reader_does_not_use_a_removed_upstream_again(clock, reader, follower):
+    reader.read_changes(9, (registration("u1", 9), False))
+    reader.read_changes(20, (registration("u1", 9), True))
+    follower.catch_up(reader)
+    clock.instant += 10.0
+    assert follower.usable() == {"u2"}
+    follower.sync.set_role(StoreRole.HUB)
+    # A watch from the revision of its own first list.
+    follower.read_changes(
+        20, (registration("u1", 9), False), (registration("u1", 9), True)
+    )
+    assert follower.usable() == {"u2"}
+
+
+@pytest.mark.parametrize("removal_revision", [9, 12, 20])
+def test_replayed_registration_does_not_undo_a_removal(clock, reader, removal_revision):
+    reader.read_changes(9, (registration("u1", 9), False))
+    gone = Record("u1", removal_revision, None)
+    reader.read_changes(20, (gone, True))
+    clock.instant += 10.0
+    assert reader.usable() == {"u2"}
+    reader.read_changes(20, (registration("u1", 9), False))
+    assert reader.usable() == {"u2"}
+
+
 def test_upstream_that_starts_again_after_leaving_is_used(reader):
     reader.read_changes(10, (registration("u1", 10, state="draining"), False))
     reader.read_changes(12, (registration("u1", 12, born=2), False))
