Never take an upstream's leaving back within its run

Requests reached an upstream that had reported that it drains, and one whose response had said that it leaves, once a report from before that was written to the store late, or once the late report of an earlier run replaced a later one.

Cause: an upstream's state was that of the latest write of its name. The store may carry out a call seconds after it was sent, and an earlier run may still write. Leaving was known in two places, the directory and the standings, with two lifetimes, and neither outlived a newer record.

Evidence: test_late_report_of_an_upstream_does_not_take_back_its_leaving and test_late_report_of_an_earlier_run_does_not_replace_the_later failed before.

Change: the directory remembers runs that leave, by whichever way that is learned, and runs that another one has replaced; neither becomes usable again, whatever is read later. Eligibility is the one place that decides whether an upstream may get a request. Runs without a start time can't be told apart, so that nothing is remembered of those.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -8,6 +8,10 @@
 
 from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
 
+MAX_DEPARTED_RUNS = 16_384
+"""Limit of the runs that are remembered as leaving or over, the oldest of which are
+forgotten; more than the upstreams of the largest planned fleet."""
+
 REMOVAL_MEMORY_SECONDS = 60.0
 """Time for which the revision of a removal is remembered; three times the history that
 the store keeps, so longer than a watch can lag behind."""
@@ -105,6 +109,10 @@
     grace period. Around a known outage it is kept until `REREGISTRATION_SECONDS` after
     the store recovered.
 
+    A run that leaves never accepts requests again, whoever said so and whatever is read
+    later: a report that an upstream sent before may reach the store after it. The same
+    holds for a run that another one has replaced.
+
     Parameters
     ----------
     grace_s : float
@@ -125,6 +133,8 @@
         self._revisions: dict[UpstreamId, int] = {}
         self._lapse_deadlines: dict[UpstreamId, float] = {}
         self._removals: dict[UpstreamId, _Removal] = {}
+        # Runs that leave or were replaced, in the order in which that was learned.
+        self._departed: dict[UpstreamRun, None] = {}
         self._recovered_at: float | None = None
         self._store_lost = False
         self.revision = 0
@@ -178,7 +188,8 @@
             if (entry := self._lapse(now, name, now + removals.left_s(name)))
         ]
         for changed, entry in listed.values():
-            self._store(changed, entry)
+            if not self._is_superseded(entry):
+                self._store(changed, entry)
         newest = max((changed for changed, _ in listed.values()), default=0)
         # A missing entry is a change without a record that could carry its revision.
         self.revision = max(self.revision, revision if missing else newest)
@@ -197,7 +208,7 @@
             self._revisions.get(entry.name, 0),
             removal.revision if removal is not None else 0,
         )
-        if revision <= known_revision:
+        if revision <= known_revision or self._is_superseded(entry):
             return False
         self._store(revision, entry)
         self.revision = max(self.revision, revision)
@@ -267,9 +278,24 @@
         return [
             entry
             for entry in self._entries.values()
-            if entry.service == service and entry.state is UpstreamState.READY
+            if entry.service == service and not self.is_leaving(entry)
         ]
 
+    def is_leaving(self, entry: Upstream) -> bool:
+        """Return whether an upstream accepts no new requests for good."""
+        return entry.state is UpstreamState.DRAINING or entry.run in self._departed
+
+    def on_leaving(self, run: UpstreamRun) -> bool:
+        """Record that a run leaves, by its own word; return whether that is new."""
+        if run in self._departed:
+            return False
+        self._depart(run)
+        return True
+
+    def leaving_count(self) -> int:
+        """Return the number of registered upstreams that accept no new requests."""
+        return sum(self.is_leaving(entry) for entry in self._entries.values())
+
     def get(self, name: UpstreamId) -> Upstream | None:
         """Return an entry by name."""
         return self._entries.get(name)
@@ -285,7 +311,34 @@
         # The dictionary stays in the order of the instants.
         self._removals[name] = _Removal(revision, now + REMOVAL_MEMORY_SECONDS)
 
+    def _is_superseded(self, entry: Upstream) -> bool:
+        """Return whether a later run of an upstream is known."""
+        known = self._entries.get(entry.name)
+        return (
+            known is not None
+            and known.run != entry.run
+            and entry.run in self._departed
+            and known.run not in self._departed
+        )
+
+    def _depart(self, run: UpstreamRun) -> None:
+        self._departed[run] = None
+        if len(self._departed) > MAX_DEPARTED_RUNS:
+            del self._departed[next(iter(self._departed))]
+
     def _store(self, revision: int, entry: Upstream) -> None:
+        previous = self._entries.get(entry.name)
+        # Runs without a start time can't be told apart.
+        if entry.incarnation and entry.state is UpstreamState.DRAINING:
+            self.on_leaving(entry.run)
+        if (
+            previous is not None
+            and previous.run != entry.run
+            and previous.service == entry.service
+            and previous.incarnation
+            and entry.incarnation
+        ):
+            self.on_leaving(previous.run)
         self._entries[entry.name] = entry
         self._revisions[entry.name] = revision
         self._lapse_deadlines.pop(entry.name, None)
--- /dev/null
+++ b/src/oleandershift/eligibility.py
@@ -0,0 +1,77 @@
+"""Which upstreams may get requests, by everything that a VM knows of them."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from oleandershift.directory import Directory, Upstream, UpstreamRun
+from oleandershift.ids import ServiceId
+from oleandershift.standings import UpstreamStandings
+
+
+class Refusal(Enum):
+    """Why an upstream gets no request.
+
+    Attributes
+    ----------
+    NOT_REGISTERED
+        It is not registered any more, or another run of it is.
+    LEAVING
+        It accepts no new requests for good.
+    AWAY
+        It wants no request of this VM for a while.
+    """
+
+    NOT_REGISTERED = "not registered"
+    LEAVING = "leaving"
+    AWAY = "away"
+
+
+@dataclass(frozen=True, slots=True)
+class Eligibility:
+    """Decides which upstreams may get requests.
+
+    Every request asks it twice: when an upstream is chosen, and right before the
+    request is sent, as seconds can lie between the two on a busy VM.
+
+    Parameters
+    ----------
+    directory : Directory
+        Registered upstreams, and runs that leave.
+    standings : UpstreamStandings
+        Upstreams that have turned this VM away.
+    """
+
+    directory: Directory
+    standings: UpstreamStandings
+
+    def eligible(self, now: float, service: ServiceId) -> list[Upstream]:
+        """Return the upstreams of a service that may get a request."""
+        return self.standings.accepting(now, self.directory.usable(service))
+
+    def refusal(self, now: float, run: UpstreamRun) -> Refusal | None:
+        """Return why a run of an upstream may not get a request; None if it may."""
+        entry = self.directory.get(run.upstream)
+        if entry is None or entry.run != run:
+            return Refusal.NOT_REGISTERED
+        if self.directory.is_leaving(entry):
+            return Refusal.LEAVING
+        if not self.standings.accepts(now, run):
+            return Refusal.AWAY
+        return None
+
+    def return_s(self, now: float, service: ServiceId) -> float | None:
+        """Return the seconds until the first upstream of a service is eligible.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        service : ServiceId
+            The service.
+
+        Returns
+        -------
+        float or None
+            None if all of them leave.
+        """
+        return self.standings.return_s(now, self.directory.usable(service))
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -87,7 +87,7 @@
                 ("caller_connections", "Open connections of callers."),
                 ("connections_accepted", "Connections of callers accepted."),
                 ("loop_delay_seconds", "Delay of the event loop's latest tick."),
-                ("upstreams_leaving", "Upstreams that said that they leave."),
+                ("upstreams_leaving", "Registered upstreams that leave."),
                 ("upstreams_away", "Upstreams that want no work for a while."),
                 ("prompt_parts_blocked", "Prompt parts whose requests are rejected."),
                 ("retry_budget", "Retries left of the tightest service."),
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -8,6 +8,7 @@
 from oleandershift.absences import AbsenceProof
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.directory import Upstream
+from oleandershift.eligibility import Refusal
 from oleandershift.eventframes import EventOrderError
 from oleandershift.exceptions import CallerLeftError
 from oleandershift.io.call import AttemptOutcome, Call
@@ -106,6 +107,7 @@
     ) -> None:
         self._state = state
         self._view = state.view
+        self._eligibility = state.eligibility
         self._loads = state.loads
         self._pool = pool
         self._placement = placement
@@ -273,9 +275,7 @@
 
     def _choose(self, call: Call) -> Choice | None:
         self._state.refresh_loads(now())
-        usable = self._state.standings.accepting(
-            now(), self._view.directory.usable(call.service.name)
-        )
+        usable = self._eligibility.eligible(now(), call.service.name)
         ejected = self._outliers.ejected()
         absent = self._state.absent(now())
         untried = [item for item in usable if item.name not in call.tried_upstreams]
@@ -345,7 +345,8 @@
         if res.caller_has_left():
             raise CallerLeftError
         quarantine = self._state.quarantine
-        if not self._state.standings.accepts(now(), upstream.run) or (
+        refusal = self._eligibility.refusal(now(), upstream.run)
+        if refusal in (Refusal.LEAVING, Refusal.AWAY) or (
             quarantine.rejected_part(now(), call.prompt) is not None
         ):
             # Learned while the connection was opened.
@@ -553,7 +554,7 @@
         standings = self._state.standings
         request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
         is_leaving = head.get(headers.UPSTREAM_LEAVING) == b"1"
-        if is_leaving and standings.on_leaving(upstream.run):
+        if is_leaving and self._view.directory.on_leaving(upstream.run):
             self._pool.close_idle(upstream)
             self._log.info("upstream.leaving", upstream=upstream.name, request=request)
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
@@ -622,8 +623,7 @@
 
     def _return_s(self, call: Call) -> float:
         """Return the seconds until an upstream of the service accepts requests."""
-        usable = self._view.directory.usable(call.service.name)
-        return_s = self._state.standings.return_s(now(), usable) or 0.0
+        return_s = self._eligibility.return_s(now(), call.service.name) or 0.0
         return max(MIN_RETRY_AFTER_SECONDS, return_s)
 
     def _give_up(
--- a/src/oleandershift/standings.py
+++ b/src/oleandershift/standings.py
@@ -1,4 +1,4 @@
-"""What upstreams say of themselves: that they leave, or want no work for a while."""
+"""Upstreams that have turned this VM away and want no work of it for a while."""
 
 import math
 import random
@@ -15,9 +15,6 @@
 """Extension of an upstream's time, as a fraction and at most, so that not all VMs send
 their first request at its end."""
 
-MAX_LEAVING = 1024
-"""Limit of the leaving upstreams that are remembered; the oldest are forgotten."""
-
 
 def parse_away_seconds(raw: bytes | None) -> float | None:
     """Return the seconds in a `Retry-After` header; None without a usable value.
@@ -36,10 +33,9 @@
 
 @dataclass
 class UpstreamStandings:
-    """What upstreams have said of themselves, each for one run.
+    """Until when upstreams want no work of this VM, each for one run.
 
-    A later run of an upstream starts anew. What a response says counts whatever the
-    store says, as that may be away or behind.
+    A later run of an upstream starts anew.
 
     Parameters
     ----------
@@ -50,19 +46,8 @@
     rng: random.Random = field(default_factory=random.Random)
 
     def __post_init__(self) -> None:
-        # By run, in the order in which they were learned.
-        self._leaving: dict[UpstreamRun, None] = {}
         self._away_until: dict[UpstreamRun, float] = {}
 
-    def on_leaving(self, run: UpstreamRun) -> bool:
-        """Record that an upstream leaves; return whether that is new."""
-        if run in self._leaving:
-            return False
-        self._leaving[run] = None
-        if len(self._leaving) > MAX_LEAVING:
-            del self._leaving[next(iter(self._leaving))]
-        return True
-
     def on_turned_away(self, now: float, run: UpstreamRun, seconds: float) -> bool:
         """Record that an upstream wants no work of this VM; return whether it is new.
 
@@ -84,11 +69,11 @@
 
     def accepts(self, now: float, run: UpstreamRun) -> bool:
         """Return whether an upstream may get a request."""
-        return run not in self._leaving and self._away_until.get(run, now) <= now
+        return self._away_until.get(run, now) <= now
 
     def accepting(self, now: float, upstreams: Iterable[Upstream]) -> list[Upstream]:
         """Return the upstreams that may get a request."""
-        if not self._leaving and not self._away_until:
+        if not self._away_until:
             return list(upstreams)
         return [item for item in upstreams if self.accepts(now, item.run)]
 
@@ -105,19 +90,13 @@
         Returns
         -------
         float or None
-            None if all of them leave.
+            None if there are no upstreams.
         """
         returns = [
-            max(0.0, self._away_until.get(item.run, now) - now)
-            for item in upstreams
-            if item.run not in self._leaving
+            max(0.0, self._away_until.get(item.run, now) - now) for item in upstreams
         ]
         return min(returns, default=None)
 
-    def leaving_count(self) -> int:
-        """Return the number of upstreams known to leave."""
-        return len(self._leaving)
-
     def away_count(self, now: float) -> int:
         """Return the number of upstreams that want no work; forget those back."""
         self._away_until = {
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -7,6 +7,7 @@
 from oleandershift.absences import AbsenceTracker
 from oleandershift.demand import SHARE_HEADROOM, DemandMeter, Shares, max_min_shares
 from oleandershift.directory import UpstreamRun
+from oleandershift.eligibility import Eligibility
 from oleandershift.fleetview import FleetView
 from oleandershift.neighbours import PeerTable
 from oleandershift.placement import LoadTracker
@@ -35,7 +36,7 @@
     quarantine : PromptQuarantine
         Prompt parts that crash upstreams.
     standings : UpstreamStandings
-        What upstreams have told this VM of themselves.
+        Upstreams that have turned this VM away.
     """
 
     peers: PeerTable
@@ -49,6 +50,11 @@
     )
     standings: UpstreamStandings = field(default_factory=UpstreamStandings)
 
+    @property
+    def eligibility(self) -> Eligibility:
+        """Which upstreams may get requests."""
+        return Eligibility(self.view.directory, self.standings)
+
     def shares(self, now: float, declared: float) -> Shares:
         """Return the teams' fair shares of the fleet's capacity.
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -141,6 +141,20 @@
     assert reader.usable() == {"u2"}
 
 
+def test_late_report_of_an_upstream_does_not_take_back_its_leaving(reader):
+    draining = registration("u1", 10, state="draining", sequence=7)
+    reader.read_changes(10, (draining, False))
+    reader.read_changes(11, (registration("u1", 11, sequence=6), False))
+    assert reader.usable() == {"u2"}
+
+
+def test_late_report_of_an_earlier_run_does_not_replace_the_later(reader):
+    later = registration("u1", 10, state="draining", born=2)
+    reader.read_changes(10, (later, False))
+    reader.read_changes(11, (registration("u1", 11, born=1), False))
+    assert reader.usable() == {"u2"}
+
+
 def test_upstream_that_starts_again_after_leaving_is_used(reader):
     reader.read_changes(10, (registration("u1", 10, state="draining"), False))
     reader.read_changes(12, (registration("u1", 12, born=2), False))
