Ask for an upstream's state again right before each send

Requests reached upstreams that were known to have been removed or replaced since the choice.

Cause: the choice asked the directory, the absences, the ejections, the standings and the quarantine; right before the send only the last two were asked again. A new connection (0.6 s) or any pause of the process can lie between the two, also on retries and resumed streams.

The log could not tell such a request from one that was chosen too late.

Change: the send asks the eligibility as the choice does. A request that is not sent then has a line (attempt.withdrawn) with the reason and the time since its choice, and goes to another upstream. Absences and ejections are not asked again: they steer away from an upstream where there is another, and forbid nothing.

--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -51,6 +51,10 @@
         timeout, no longer waited for.
     last_event_id : int
         Id of the event after which a stream resumes.
+    choice : Choice or None
+        Upstream of the current attempt; None before the first.
+    chosen_at : float
+        Clock time in seconds of that choice.
     share : ShareClass or None
         Share towards which it counts, if that was found before the admission.
     admission : AdmissionDecision or None
@@ -82,6 +86,7 @@
     tried_upstreams: set[UpstreamId] = field(default_factory=set)
     first_byte_at: float = 0.0
     choice: Choice | None = None
+    chosen_at: float = 0.0
     share: ShareClass | None = None
     admission: AdmissionDecision | None = None
     admitted: AdmittedRequest | None = None
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -8,7 +8,6 @@
 from oleandershift.absences import AbsenceProof
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.directory import Upstream
-from oleandershift.eligibility import Refusal
 from oleandershift.eventframes import EventOrderError
 from oleandershift.exceptions import CallerLeftError
 from oleandershift.io.call import AttemptOutcome, Call
@@ -314,7 +313,7 @@
         self, call: Call, choice: Choice, res: Responder
     ) -> AttemptOutcome:
         upstream = choice.upstream
-        call.choice = choice
+        call.choice, call.chosen_at = choice, now()
         call.tried_upstreams.add(upstream.name)
         in_flight = self._loads.begin(now(), upstream, call.prompt)
         self._state.on_load_change()
@@ -344,13 +343,9 @@
             raise TimeoutError
         if res.caller_has_left():
             raise CallerLeftError
-        quarantine = self._state.quarantine
-        refusal = self._eligibility.refusal(now(), upstream.run)
-        if refusal in (Refusal.LEAVING, Refusal.AWAY) or (
-            quarantine.rejected_part(now(), call.prompt) is not None
-        ):
-            # Learned while the connection was opened.
+        if self._withdraw_attempt(call, upstream):
             return AttemptOutcome.NOT_SENT
+        quarantine = self._state.quarantine
         quarantine.on_sent(now(), call.prompt)
         call.answer_began_at = None
         call.send_count += 1
@@ -388,6 +383,25 @@
                 return AttemptOutcome.ANSWERED
             return AttemptOutcome.UNKNOWN
 
+    def _withdraw_attempt(self, call: Call, upstream: Upstream) -> bool:
+        """Ask again what the choice asked; return whether the request is not sent.
+
+        A new connection or a pause of the process can lie between the two.
+        """
+        instant = now()
+        refusal = self._eligibility.refusal(instant, upstream.run)
+        part = self._state.quarantine.rejected_part(instant, call.prompt)
+        if refusal is None and part is None:
+            return False
+        self._log.info(
+            "attempt.withdrawn",
+            request=call.id,
+            upstream=upstream.name,
+            reason="quarantine" if refusal is None else refusal.value,
+            chosen_ms=round((instant - call.chosen_at) * 1000),
+        )
+        return True
+
     def _log_not_run(
         self, call: Call, upstream: Upstream, head: ResponseHead
     ) -> AttemptOutcome:
