Tell other VMs that an upstream said that it leaves

Each VM kept sending requests to an upstream that had said in a response that it leaves, until it had such a response itself or the store listed it, which may be as long as an outage of the store.

Cause: the header `Server-Leaving` was looked at by each VM for itself; digests had no place for it.

Change: digests name the runs that leave though the store lists them as ready. Each VM that knows passes them on, so that a VM that dies takes nothing with it; hubs do so ahead of schedule. A run that leaves stays so, so that late and repeated digests are harmless. VMs of an earlier version ignore the field.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -94,6 +94,9 @@
     part, parts : int
         Number of this part, and number of parts over which the entries of one sequence
         number are divided. `vms` is 0 but in the first.
+    leaving : tuple of UpstreamRun
+        Upstreams that said in a response that they leave, though the store lists them
+        as ready. VMs of an earlier version do not send it.
     """
 
     vm: VmId
@@ -112,6 +115,7 @@
     reads_store: bool = False
     part: int = 0
     parts: int = 1
+    leaving: tuple[UpstreamRun, ...] = ()
 
 
 class CrashRecord(msgspec.Struct, array_like=True, frozen=True):
--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -292,6 +292,14 @@
         self._depart(run)
         return True
 
+    def leaving_unregistered(self) -> frozenset[UpstreamRun]:
+        """Return the runs that leave although the store lists them as ready."""
+        return frozenset(
+            entry.run
+            for entry in self._entries.values()
+            if entry.state is UpstreamState.READY and entry.run in self._departed
+        )
+
     def leaving_count(self) -> int:
         """Return the number of registered upstreams that accept no new requests."""
         return sum(self.is_leaving(entry) for entry in self._entries.values())
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -67,6 +67,12 @@
             ["kind", "outcome"],
             registry=self._registry,
         )
+        self.leaving_reports = Counter(
+            "oleander_leaving_reports",
+            "Upstreams that said that they leave, by how this VM learned it.",
+            ["source"],
+            registry=self._registry,
+        )
         self.prompt_blocks = Counter(
             "oleander_prompt_blocks",
             "Blocks and releases of prompt parts that crash upstreams.",
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -49,7 +49,7 @@
     ShareClass,
 )
 from oleandershift.standings import parse_away_seconds
-from oleandershift.state import FleetState
+from oleandershift.state import FleetState, LeavingReport, LeavingSource
 
 CATCH_UP_PAUSE_SECONDS = 0.01
 """Delay of requests that are read just after a pause of the process."""
@@ -122,6 +122,7 @@
         self.draining = False
         self.active_requests = 0
         pool.on_response = self._on_response
+        state.on_leaving = self._on_leaving
 
     def limits(self) -> Limits:
         """Return the caller limits of the current configuration."""
@@ -567,10 +568,9 @@
         """Record what an upstream says of itself in a response."""
         standings = self._state.standings
         request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
-        is_leaving = head.get(headers.UPSTREAM_LEAVING) == b"1"
-        if is_leaving and self._view.directory.on_leaving(upstream.run):
-            self._pool.close_idle(upstream)
-            self._log.info("upstream.leaving", upstream=upstream.name, request=request)
+        if head.get(headers.UPSTREAM_LEAVING) == b"1":
+            report = LeavingReport(upstream.run, LeavingSource.RESPONSE, request)
+            self._state.record_leaving(report)
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
             away_s = parse_away_seconds(head.get(headers.RETRY_AFTER))
             if away_s is not None and standings.on_turned_away(
@@ -583,6 +583,20 @@
                     away_s=away_s,
                 )
 
+    def _on_leaving(self, report: LeavingReport) -> None:
+        entry = self._view.directory.get(report.run.upstream)
+        if entry is not None and entry.run == report.run:
+            self._pool.close_idle(entry)
+        source = report.source
+        informant = "request" if source is LeavingSource.RESPONSE else "peer"
+        self._metrics.leaving_reports.labels(source.value).inc()
+        self._log.info(
+            "upstream.leaving",
+            upstream=report.run.upstream,
+            source=source.value,
+            **{informant: report.informant},
+        )
+
     def _record_absence(self, upstream: Upstream, proof: AbsenceProof) -> None:
         self._log.info("upstream.absent", upstream=upstream.name, proof=proof.value)
         self._state.absences.record(now(), upstream, proof)
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -227,6 +227,7 @@
         own_loads: Mapping[UpstreamId, Load],
         own_rates: Mapping[TeamId, TeamRate],
         own_absent: frozenset[UpstreamRun],
+        leaving: frozenset[UpstreamRun],
     ) -> Summary:
         """Return the sum over the VMs of this data centre, this one included."""
         loads = {name: copy(load) for name, load in own_loads.items()}
@@ -237,7 +238,7 @@
             totals.add(digest.demand)
         absent = self.data_centre_absent(now, own_absent)
         vms = len(self._live_members(now)) + 1
-        return summarise(vms, loads, totals.rates(), absent)
+        return summarise(vms, loads, totals.rates(), absent, leaving)
 
     def team_rates(
         self, now: float, own_rates: Mapping[TeamId, TeamRate]
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 from oleandershift.absences import AbsenceTracker
 from oleandershift.demand import SHARE_HEADROOM, DemandMeter, Shares, max_min_shares
@@ -15,6 +16,32 @@
 from oleandershift.standings import UpstreamStandings
 
 
+class LeavingSource(Enum):
+    """How a VM learned that an upstream leaves, other than from the store."""
+
+    RESPONSE = "response"
+    DIGEST = "digest"
+
+
+@dataclass(frozen=True, slots=True)
+class LeavingReport:
+    """An upstream's word that it leaves.
+
+    Parameters
+    ----------
+    run : UpstreamRun
+        The upstream.
+    source : LeavingSource
+        How it reached this VM.
+    informant : str
+        Id of the answered request, or name of the VM that sent the digest.
+    """
+
+    run: UpstreamRun
+    source: LeavingSource
+    informant: str
+
+
 @dataclass
 class FleetState:
     """Peers, fleet view, upstream loads and team demand as known to one VM.
@@ -30,7 +57,10 @@
     demand : DemandMeter
         Demand of the teams at this VM.
     on_load_change : callable
-        Called after the load of an upstream has changed, or its absence was found.
+        Called after the load of an upstream has changed, or its absence or leaving was
+        learned.
+    on_leaving : callable
+        Called with each report that an upstream leaves, if that was not known.
     absences : AbsenceTracker
         Upstreams that this VM found absent.
     quarantine : PromptQuarantine
@@ -44,6 +74,7 @@
     loads: LoadTracker
     demand: DemandMeter
     on_load_change: Callable[[], None] = lambda: None
+    on_leaving: Callable[[LeavingReport], None] = lambda report: None
     absences: AbsenceTracker = field(default_factory=AbsenceTracker)
     quarantine: PromptQuarantine = field(
         default_factory=lambda: PromptQuarantine(QuarantineLimits(), random.Random())
@@ -72,6 +103,12 @@
         """Return the upstreams that any VM found absent from their address."""
         return self.absences.absent(now) | self.peers.absent(now)
 
+    def record_leaving(self, report: LeavingReport) -> None:
+        """Record that an upstream leaves, and announce it if that was not known."""
+        if self.view.directory.on_leaving(report.run):
+            self.on_leaving(report)
+            self.on_load_change()
+
     def update_quarantine(self, now: float) -> list[PartChange]:
         """Block and release prompt parts; return what has changed."""
 
--- a/src/oleandershift/summaries.py
+++ b/src/oleandershift/summaries.py
@@ -19,6 +19,9 @@
 MAX_ABSENT_ENTRIES = 16
 """Limit of the absences in a part of a digest, which leaves room for the work."""
 
+MAX_LEAVING_ENTRIES = 8
+"""Limit of the leaving upstreams in a part of a digest, for the same reason."""
+
 MAX_DIGEST_PARTS = 8
 """Limit of the parts of a digest. Entries beyond it, the smallest, are omitted."""
 
@@ -37,12 +40,15 @@
         Load on upstreams and rates of teams.
     absent : tuple of UpstreamRun
         Upstreams that are not at their address any more.
+    leaving : tuple of UpstreamRun
+        Upstreams that said that they leave.
     """
 
     vms: int
     work: tuple[UpstreamWork, ...]
     demand: tuple[TeamDemand, ...]
     absent: tuple[UpstreamRun, ...]
+    leaving: tuple[UpstreamRun, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +72,7 @@
     loads: Mapping[UpstreamId, Load],
     rates: Mapping[TeamId, TeamRate],
     absent: frozenset[UpstreamRun],
+    leaving: frozenset[UpstreamRun],
 ) -> Summary:
     """Return what a digest contains, in parts within its limits.
 
@@ -80,15 +87,20 @@
         Load on each upstream and rates of each team.
     absent : frozenset of UpstreamRun
         Upstreams that are not at their address any more.
+    leaving : frozenset of UpstreamRun
+        Upstreams that said that they leave.
     """
     work, demand, runs = work_entries(loads), demand_entries(rates), sorted(absent)
+    leaving_runs = sorted(leaving)
     absent_limit = min(len(runs), MAX_ABSENT_ENTRIES)
-    work_limit = MAX_UPSTREAM_ENTRIES - absent_limit
+    leaving_limit = min(len(leaving_runs), MAX_LEAVING_ENTRIES)
+    work_limit = MAX_UPSTREAM_ENTRIES - absent_limit - leaving_limit
     parts_needed = max(
         1,
         math.ceil(len(work) / work_limit),
         math.ceil(len(demand) / MAX_DEMAND_ENTRIES),
         math.ceil(len(runs) / MAX_ABSENT_ENTRIES),
+        math.ceil(len(leaving_runs) / MAX_LEAVING_ENTRIES),
     )
     count = min(parts_needed, MAX_DIGEST_PARTS)
     sent_work = sorted(work[: count * work_limit], key=lambda entry: entry.upstream)
@@ -96,17 +108,20 @@
         demand[: count * MAX_DEMAND_ENTRIES], key=lambda entry: entry.team
     )
     sent_runs = runs[: count * MAX_ABSENT_ENTRIES]
+    sent_leaving = leaving_runs[: count * MAX_LEAVING_ENTRIES]
     parts = tuple(
         SummaryPart(
             0 if part else vms,
             _slice(sent_work, part, count),
             _slice(sent_demand, part, count),
             _slice(sent_runs, part, count),
+            _slice(sent_leaving, part, count),
         )
         for part in range(count)
     )
-    sent = len(sent_work) + len(sent_demand) + len(sent_runs)
-    return Summary(parts, len(work) + len(demand) + len(runs) - sent)
+    sent = len(sent_work) + len(sent_demand) + len(sent_runs) + len(sent_leaving)
+    entries = len(work) + len(demand) + len(runs) + len(leaving_runs)
+    return Summary(parts, entries - sent)
 
 
 def _slice(entries: Sequence[_Entry], part: int, count: int) -> tuple[_Entry, ...]:
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -6,7 +6,7 @@
 from oleandershift.directory import UpstreamRun
 from oleandershift.ids import Incarnation, Seq
 from oleandershift.neighbours import Peer
-from oleandershift.state import FleetState
+from oleandershift.state import FleetState, LeavingReport, LeavingSource
 from oleandershift.summaries import Summary, SummaryPart, summarise
 
 HUB_DISCOVERY_INTERVAL_DIGESTS = 10
@@ -44,7 +44,8 @@
 
     The caller sends digests when they are due, which suffices for steady work. Long
     prompts are announced immediately, because several VMs would otherwise send theirs
-    to the same engine, and so are upstreams that were found absent.
+    to the same engine, and so are upstreams that were found absent or said that they
+    leave.
 
     Parameters
     ----------
@@ -70,6 +71,7 @@
         self._peers = state.peers
         self._sent_prefill_tokens = 0
         self._sent_absent: frozenset[UpstreamRun] = frozenset()
+        self._sent_leaving: frozenset[UpstreamRun] = frozenset()
         self._seq = 0
         self._due_at = 0.0
         self.omitted_entries = 0
@@ -81,8 +83,10 @@
     def is_urgent(self, now: float) -> bool:
         """Return whether enough changed since the last digest to send one."""
         change = abs(self._prefill_tokens(now) - self._sent_prefill_tokens)
-        return change >= URGENT_CHANGE_TOKENS or not (
-            self._absent(now) <= self._sent_absent
+        return (
+            change >= URGENT_CHANGE_TOKENS
+            or not self._absent(now) <= self._sent_absent
+            or not self._leaving() <= self._sent_leaving
         )
 
     def sums_peers(self, now: float) -> bool:
@@ -100,6 +104,7 @@
         """
         self._sent_prefill_tokens = self._prefill_tokens(now)
         self._sent_absent = self._absent(now)
+        leaving = self._sent_leaving = self._leaving()
         self._seq += 1
         local_peers = self._peers.local_peers(now)
         self._due_at = now + min(
@@ -109,12 +114,14 @@
         loads = self._state.loads.local()
         rates = self._state.demand.rates(now)
         absent = self._state.absences.absent(now)
-        own_summary = summarise(1, loads, rates, absent)
+        own_summary = summarise(1, loads, rates, absent, leaving)
         self.omitted_entries += own_summary.omitted
         addressed = self._address(Scope.VM, own_summary, local_peers)
         if self._peers.is_hub(now):
             discover_hubs = self._seq % HUB_DISCOVERY_INTERVAL_DIGESTS == 0
-            summary = self._peers.data_centre_summary(now, loads, rates, absent)
+            summary = self._peers.data_centre_summary(
+                now, loads, rates, absent, leaving
+            )
             hubs = self._peers.remote_hubs(now, discover_hubs)
             self.omitted_entries += summary.omitted
             addressed += self._address(Scope.DATA_CENTRE, summary, hubs)
@@ -122,6 +129,12 @@
 
     def receive(self, now: float, digest: Digest) -> list[Peer]:
         """Store another VM's digest; return the peers to which it is forwarded."""
+        for run in digest.leaving:
+            report = LeavingReport(run, LeavingSource.DIGEST, digest.vm)
+            self._state.record_leaving(report)
+        if not self._peers.is_hub(now):
+            # Its sender has told this data centre already.
+            self._sent_leaving |= frozenset(digest.leaving)
         is_new_summary = self._peers.merge(now, digest)
         if is_new_summary and self._peers.is_hub(now):
             return self._peers.local_peers(now)
@@ -143,6 +156,13 @@
             return own
         return self._peers.data_centre_absent(now, own)
 
+    def _leaving(self) -> frozenset[UpstreamRun]:
+        """Return the leaving upstreams that this VM announces.
+
+        Each VM passes on what it was told, until the store lists it as well.
+        """
+        return self._state.view.directory.leaving_unregistered()
+
     def _address(
         self, scope: Scope, summary: Summary, peers: list[Peer]
     ) -> list[AddressedDigest]:
@@ -174,4 +194,5 @@
             reads_store=self._state.view.reads_store,
             part=part,
             parts=parts,
+            leaving=content.leaving,
         )
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -31,12 +31,17 @@
     MAX_ABSENT_ENTRIES,
     MAX_DEMAND_ENTRIES,
     MAX_DIGEST_PARTS,
+    MAX_LEAVING_ENTRIES,
     MAX_UPSTREAM_ENTRIES,
     summarise,
 )
 
 PACKET_BYTES = 1472
-FIELDS_BEFORE_ABSENCES = list(Digest.__annotations__).index("absent")
+
+
+def position_of(field):
+    """Return the number of fields before one that VMs of earlier versions lack."""
+    return list(Digest.__annotations__).index(field)
 
 
 @pytest.fixture
@@ -73,16 +78,18 @@
     assert len(encode(digest)) <= PACKET_BYTES
 
 
-def make_summary(upstreams, teams, absences):
+def make_runs(count):
+    return frozenset(
+        UpstreamRun(UpstreamId(f"i-{n:010x}"), 1_785_951_685_287) for n in range(count)
+    )
+
+
+def make_summary(upstreams, teams, absences, leaving=0):
     loads = {
         UpstreamId(f"i-{n:010x}"): Load(60, 99_999, 500_000) for n in range(upstreams)
     }
     rates = {TeamId(f"team{n:03}"): TeamRate(99_000, 99_000) for n in range(teams)}
-    absent = frozenset(
-        UpstreamRun(UpstreamId(f"i-{n:010x}"), 1_785_951_685_287)
-        for n in range(absences)
-    )
-    return summarise(1, loads, rates, absent)
+    return summarise(1, loads, rates, make_runs(absences), make_runs(leaving))
 
 
 @pytest.mark.parametrize("parts", [1, 2, MAX_DIGEST_PARTS])
@@ -107,37 +114,71 @@
         assert len(encode(full)) <= PACKET_BYTES
 
 
+@pytest.mark.parametrize("parts", [1, 2, MAX_DIGEST_PARTS])
+def test_largest_digest_with_leaving_upstreams_fits_into_a_packet(digest, parts):
+    work_limit = MAX_UPSTREAM_ENTRIES - MAX_ABSENT_ENTRIES - MAX_LEAVING_ENTRIES
+    summary = make_summary(
+        parts * work_limit,
+        parts * MAX_DEMAND_ENTRIES,
+        parts * MAX_ABSENT_ENTRIES,
+        parts * MAX_LEAVING_ENTRIES,
+    )
+    assert len(summary.parts) == parts
+    for part in summary.parts:
+        assert len(part.leaving) == MAX_LEAVING_ENTRIES
+        assert len(part.work) == work_limit
+        full = msgspec.structs.replace(
+            digest,
+            work=part.work,
+            demand=part.demand,
+            absent=part.absent,
+            leaving=part.leaving,
+            part=parts,
+            parts=parts,
+        )
+        assert len(encode(full)) <= PACKET_BYTES
+
+
 @given(
-    upstreams=st.integers(0, 400), teams=st.integers(0, 400), runs=st.integers(0, 200)
+    upstreams=st.integers(0, 400),
+    teams=st.integers(0, 400),
+    runs=st.integers(0, 200),
+    leaving_runs=st.integers(0, 100),
 )
-def test_no_entry_of_a_digest_is_left_out_uncounted(upstreams, teams, runs):
-    summary = make_summary(upstreams, teams, runs)
+def test_no_entry_of_a_digest_is_left_out_uncounted(
+    upstreams, teams, runs, leaving_runs
+):
+    summary = make_summary(upstreams, teams, runs, leaving_runs)
     work = [entry.upstream for part in summary.parts for entry in part.work]
     demand = [entry.team for part in summary.parts for entry in part.demand]
     absent = [run for part in summary.parts for run in part.absent]
-    sent = len(set(work)) + len(set(demand)) + len(set(absent))
-    assert sent == len(work) + len(demand) + len(absent)
-    assert sent + summary.omitted == upstreams + teams + runs
+    leaving = [run for part in summary.parts for run in part.leaving]
+    sent = len(set(work)) + len(set(demand)) + len(set(absent)) + len(set(leaving))
+    assert sent == len(work) + len(demand) + len(absent) + len(leaving)
+    assert sent + summary.omitted == upstreams + teams + runs + leaving_runs
     assert [part.vms for part in summary.parts] == [1] + [0] * (len(summary.parts) - 1)
     for part in summary.parts:
-        assert len(part.work) + len(part.absent) <= MAX_UPSTREAM_ENTRIES
+        entries = len(part.work) + len(part.absent) + len(part.leaving)
+        assert entries <= MAX_UPSTREAM_ENTRIES
         assert len(part.demand) <= MAX_DEMAND_ENTRIES
 
 
-def test_digest_of_an_earlier_version_has_no_absences(digest):
-    fields = msgspec.msgpack.decode(encode(digest))[:FIELDS_BEFORE_ABSENCES]
+@pytest.mark.parametrize("field", ["absent", "leaving"])
+def test_digest_of_an_earlier_version_lacks_later_fields(digest, field):
+    fields = msgspec.msgpack.decode(encode(digest))[: position_of(field)]
     assert decode_digest(msgspec.msgpack.encode(fields)).unwrap() == digest
 
 
-def test_earlier_version_reads_a_digest_with_absences(digest):
+@pytest.mark.parametrize("field", ["absent", "leaving"])
+def test_earlier_version_reads_a_digest_with_later_fields(digest, field):
     earlier = msgspec.defstruct(
         "Digest",
-        list(Digest.__annotations__.items())[:FIELDS_BEFORE_ABSENCES],
+        list(Digest.__annotations__.items())[: position_of(field)],
         array_like=True,
         namespace={"__module__": Digest.__module__},
     )
-    absent = (UpstreamRun(UpstreamId("u"), 1),)
-    data = encode(msgspec.structs.replace(digest, absent=absent))
+    runs = (UpstreamRun(UpstreamId("u"), 1),)
+    data = encode(msgspec.structs.replace(digest, **{field: runs}))
     assert msgspec.msgpack.decode(data, type=earlier).demand == digest.demand
 
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -134,7 +134,7 @@
     table.merge(0.0, make_digest("a"))
     own_rates = {TeamId("t"): TeamRate(25.0, 5.0)}
     assert table.team_rates(0.1, own_rates) == {"t": TeamRate(75.0, 45.0)}
-    summary = table.data_centre_summary(0.1, {}, own_rates, frozenset())
+    summary = table.data_centre_summary(0.1, {}, own_rates, frozenset(), frozenset())
     assert summary.parts[0].demand == (TeamDemand(TeamId("t"), 75, 45),)
 
 
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -1,11 +1,14 @@
 """Tests of the digest exchange: content, recipients and urgency of digests."""
 
+from dataclasses import replace
+
 import pytest
 from upstreams import make_upstream
 
 from oleandershift.absences import AbsenceProof
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import Digest, Scope
+from oleandershift.directory import UpstreamState
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import (
     DataCentreId,
@@ -17,7 +20,7 @@
 from oleandershift.neighbours import Peer, PeerTable
 from oleandershift.placement import LoadTracker
 from oleandershift.prompts import PrefixPart, Prompt
-from oleandershift.state import FleetState
+from oleandershift.state import FleetState, LeavingReport, LeavingSource
 from oleandershift.telling import (
     HUB_DISCOVERY_INTERVAL_DIGESTS,
     URGENT_CHANGE_TOKENS,
@@ -196,6 +199,78 @@
     assert not exchange.is_urgent(0.0)
 
 
+@pytest.fixture
+def leaving_report():
+    return LeavingReport(make_upstream().run, LeavingSource.RESPONSE, "a1")
+
+
+def register(state, upstream, revision=1):
+    state.view.directory.update(revision, upstream)
+
+
+def test_leaving_upstream_is_urgent_until_it_is_sent(
+    exchange_with_state, leaving_report
+):
+    exchange, state = exchange_with_state
+    register(state, make_upstream())
+    state.record_leaving(leaving_report)
+    assert exchange.is_urgent(0.0)
+    own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
+    assert own.leaving == summary.leaving == (leaving_report.run,)
+    assert not exchange.is_urgent(0.0)
+    assert exchange.next_digests(0.1)[0].digest.leaving == (leaving_report.run,)
+
+
+def test_leaving_upstream_is_announced_until_the_store_lists_it(
+    exchange_with_state, leaving_report
+):
+    exchange, state = exchange_with_state
+    register(state, make_upstream())
+    state.record_leaving(leaving_report)
+    register(state, replace(make_upstream(), state=UpstreamState.DRAINING), 2)
+    assert exchange.next_digests(0.1)[0].digest.leaving == ()
+
+
+def test_vm_that_is_told_of_a_leaving_upstream_sends_it_nothing_and_passes_it_on(
+    leaving_report,
+):
+    peers = [make_peer(name) for name in "abc"]
+    (told, told_state), (teller, teller_state) = (
+        make_exchange(peer.vm, *peers) for peer in peers[:2]
+    )
+    reports = []
+    told_state.on_leaving = reports.append
+    for state in (told_state, teller_state):
+        register(state, make_upstream())
+    teller_state.record_leaving(leaving_report)
+    digest = teller.next_digests(0.0)[0].digest
+    told.receive(0.0, digest)
+    told.receive(0.1, digest)
+    assert told_state.eligibility.eligible(0.0, make_upstream().service) == []
+    assert [(item.source, item.informant) for item in reports] == [
+        (LeavingSource.DIGEST, "b")
+    ]
+    assert told.next_digests(0.1)[0].digest.leaving == (leaving_report.run,)
+
+
+def test_only_a_hub_passes_on_a_leaving_upstream_ahead_of_schedule(leaving_report):
+    peers = [make_peer(name) for name in "abcdef"]
+    exchanges = {peer.vm: make_exchange(peer.vm, *peers) for peer in peers}
+    for _, state in exchanges.values():
+        register(state, make_upstream())
+    for sender, _ in exchanges.values():
+        digest = sender.next_digests(0.0)[0].digest
+        for receiver, _ in exchanges.values():
+            receiver.receive(0.0, digest)
+    (hub,) = [vm for vm, (_, state) in exchanges.items() if state.peers.is_hub(0.0)]
+    teller = next(vm for vm in exchanges if vm != hub)
+    exchanges[teller][1].record_leaving(leaving_report)
+    digest = exchanges[teller][0].next_digests(0.1)[0].digest
+    for vm, (exchange, _) in exchanges.items():
+        exchange.receive(0.1, digest)
+        assert exchange.is_urgent(0.1) == (vm == hub)
+
+
 def test_digests_have_consecutive_sequence_numbers(exchange_with_state):
     exchange, _ = exchange_with_state
     assert [exchange.next_digests(0.0)[0].digest.seq for _ in range(3)] == [1, 2, 3]
