Count what is left of a removal's grace from when a VM asked for it

Requests could reach an upstream that had been removed up to a second later than from the VM that read the removal.

A transfer may take up to 1 s, and a receiver with a late event loop takes it still later.

Evidence: both cases of test_slow_transfer_does_not_extend_the_use_of_a_removed_upstream fail when the time is counted from the arrival.

Measured: the tests of catching up pass.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -406,12 +406,13 @@
             ):
                 previous_vm = peer.vm if peer else None
                 continue
+            asked_at = now()
             snapshot = await self._peer_transport.fetch_snapshot(
                 peer, self._store_sync.request()
             )
             unreachable = peer.vm if snapshot is None else None
             if snapshot is not None:
-                self._store_sync.apply_snapshot(snapshot, peer.vm)
+                self._store_sync.apply_snapshot(snapshot, peer.vm, asked_at)
 
     def _find_fresher_peer(self, unreachable: VmId | None) -> Peer | None:
         """Return a VM that has read a newer revision or configuration, if any."""
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -116,7 +116,8 @@
         if event.kind == configuration.KIND:
             self._apply_configuration_records(event)
         elif isinstance(event, SnapshotRead):
-            self._apply_upstream_list(event.snapshot.revision, event.snapshot.records)
+            snapshot = event.snapshot
+            self._apply_upstream_list(now(), snapshot.revision, snapshot.records)
         else:
             self._apply_upstream_changes(event)
 
@@ -157,8 +158,21 @@
         left_s = self._view.directory.grace_left(now(), UpstreamId(name))
         return round(left_s * 1000)
 
-    def apply_snapshot(self, snapshot: StoreSnapshot, peer: str) -> None:
-        """Apply the newer parts of a snapshot that another VM read from the store."""
+    def apply_snapshot(
+        self, snapshot: StoreSnapshot, peer: str, asked_at: float
+    ) -> None:
+        """Apply the newer parts of a snapshot that another VM read from the store.
+
+        Parameters
+        ----------
+        snapshot : StoreSnapshot
+            What the other VM sent.
+        peer : str
+            Name of that VM.
+        asked_at : float
+            Time in seconds at which it was asked. What it says to be left of a time
+            counts from then, as the transfer may have been slow.
+        """
         self._log.info(
             "snapshot.taken",
             peer=peer,
@@ -170,10 +184,13 @@
         if snapshot.revision <= self._view.directory.revision:
             return
         if snapshot.since:
-            self._apply_missed_changes(snapshot)
+            self._apply_missed_changes(snapshot, asked_at)
         else:
             self._apply_upstream_list(
-                snapshot.revision, snapshot.upstreams, _removal_grace(snapshot)
+                asked_at,
+                snapshot.revision,
+                snapshot.upstreams,
+                _removal_grace(snapshot),
             )
         self._view.directory.advance(snapshot.revision)
 
@@ -232,6 +249,7 @@
 
     def _apply_upstream_list(
         self,
+        instant: float,
         revision: int,
         records: tuple[Record, ...],
         removals: RemovalGrace | None = None,
@@ -248,7 +266,7 @@
             entry = result.unwrap()
             self._detect_restart(entry)
             listed.append((record.revision, entry))
-        directory.replace(now(), revision, listed, removals)
+        directory.replace(instant, revision, listed, removals)
         self._upstream_records.replace(revision, records)
         self._log.info("upstreams.listed", revision=revision, count=len(listed))
 
@@ -256,24 +274,31 @@
         read_at = event.changes.revision
         for record, deleted in event.changes.records:
             if deleted:
-                self._remove_upstream(record.name, record.revision, read_at)
+                self._remove_upstream(now(), record.name, record.revision, read_at)
             else:
                 self._update_upstream(record, read_at)
 
-    def _apply_missed_changes(self, snapshot: StoreSnapshot) -> None:
+    def _apply_missed_changes(self, snapshot: StoreSnapshot, asked_at: float) -> None:
         for name, revision, grace_ms in snapshot.removed:
-            self._remove_upstream(name, revision, snapshot.revision, grace_ms / 1000)
+            self._remove_upstream(
+                asked_at, name, revision, snapshot.revision, grace_ms / 1000
+            )
         for record in snapshot.upstreams:
             self._update_upstream(record, snapshot.revision)
 
     def _remove_upstream(
-        self, name: str, revision: int, read_at: int, grace_s: float | None = None
+        self,
+        instant: float,
+        name: str,
+        revision: int,
+        read_at: int,
+        grace_s: float | None = None,
     ) -> None:
         """Apply a removal that was read at a store revision, not before it."""
         self._upstream_records.remove(name, revision, read_at)
         self._view.directory.advance(read_at)
         upstream = UpstreamId(name)
-        removed = self._view.directory.remove(now(), revision, upstream, grace_s)
+        removed = self._view.directory.remove(instant, revision, upstream, grace_s)
         self._log.info(
             "upstream.removed", upstream=name, revision=revision, at_once=removed
         )
@@ -282,7 +307,7 @@
         result = upstreams.decode(record.name, record.spec)
         if isinstance(result, Failure):
             self._log.warning("upstream.rejected", why=str(result.failure()))
-            self._remove_upstream(record.name, record.revision, read_at)
+            self._remove_upstream(now(), record.name, record.revision, read_at)
             return
         entry = result.unwrap()
         self._detect_restart(entry)
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -13,6 +13,7 @@
 UPSTREAMS = "servers"
 GRACE_SECONDS = 2.4
 BATCH_SECONDS = 1.5
+TRANSFER_SECONDS = 0.9
 
 
 class SilentLog:
@@ -60,10 +61,13 @@
         """Read changes from the store."""
         self.sync.on_event(ChangesRead(UPSTREAMS, Changes(revision, events)))
 
-    def catch_up(self, peer):
+    def catch_up(self, peer, transfer_s=0.0):
         """Fetch what another VM has read, as after its digest."""
         if peer.view.directory.revision > self.view.directory.revision:
-            self.sync.apply_snapshot(peer.sync.snapshot(self.sync.request()), "peer")
+            asked_at = self.clock.instant
+            snapshot = peer.sync.snapshot(self.sync.request())
+            self.clock.instant += transfer_s
+            self.sync.apply_snapshot(snapshot, "peer", asked_at)
 
     def usable(self):
         """Return the names of the upstreams that may get requests now."""
@@ -116,6 +120,20 @@
     assert follower.usable() == {"u2", "u3"}
 
 
+@pytest.mark.parametrize("is_list", [True, False])
+def test_slow_transfer_does_not_extend_the_use_of_a_removed_upstream(
+    clock, reader, follower, is_list
+):
+    if is_list:
+        reader.read_list(20, registration("u2", 6))
+    else:
+        reader.read_changes(20, (registration("u1", 5), True))
+    follower.catch_up(reader, TRANSFER_SECONDS)
+    clock.instant += GRACE_SECONDS - TRANSFER_SECONDS
+    assert reader.usable() == {"u2"}
+    assert follower.usable() == {"u2"}
+
+
 def test_new_reader_does_not_use_a_removed_upstream_again(clock, reader, follower):
     reader.read_changes(9, (registration("u1", 9), False))
     reader.read_changes(20, (registration("u1", 9), True))
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -10,6 +10,7 @@
 
 from oleandershift.digests import SnapshotRequest
 from oleandershift.fleetview import FleetView
+from oleandershift.io import storesync
 from oleandershift.io.feed import ChangesRead, SnapshotRead, StoreCallFailed
 from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.storesync import StoreSync
@@ -51,7 +52,8 @@
 
 
 def catch_up(sync, peer_sync):
-    sync.apply_snapshot(peer_sync.snapshot(sync.request()), "peer")
+    asked_at = storesync.now()
+    sync.apply_snapshot(peer_sync.snapshot(sync.request()), "peer", asked_at)
 
 
 @pytest.fixture
