End the use of a removed upstream at its instant, not at the next tick

On a VM with a late event loop requests reached a removed upstream after its grace had ended.

Cause: the upstream was dropped by the maintenance task, which runs as late as everything else on such a VM, while requests were being read and sent.

Evidence: the tests of departures, which no longer run the maintenance, fail without this change.

Change: the choice and the send compare the clock with the deadline of the grace.

Measured: the tests of the directory, of departures and of eligibility pass.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -273,17 +273,24 @@
             del self._removals[oldest]
         return tuple(self._drop(name) for name in expired if name in self._entries)
 
-    def usable(self, service: ServiceId) -> list[Upstream]:
+    def usable(self, now: float, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service that accept new requests."""
         return [
             entry
             for entry in self._entries.values()
-            if entry.service == service and not self.is_leaving(entry)
+            if entry.service == service and not self.is_leaving(now, entry)
         ]
 
-    def is_leaving(self, entry: Upstream) -> bool:
-        """Return whether an upstream accepts no new requests for good."""
-        return entry.state is UpstreamState.DRAINING or entry.run in self._departed
+    def is_leaving(self, now: float, entry: Upstream) -> bool:
+        """Return whether an upstream accepts no new requests for good.
+
+        The grace of a removed one ends at its instant, also where `expire` is late.
+        """
+        return (
+            entry.state is UpstreamState.DRAINING
+            or entry.run in self._departed
+            or self._lapse_deadlines.get(entry.name, math.inf) <= now
+        )
 
     def on_leaving(self, run: UpstreamRun) -> bool:
         """Record that a run leaves, by its own word; return whether that is new."""
@@ -300,9 +307,9 @@
             if entry.state is UpstreamState.READY and entry.run in self._departed
         )
 
-    def leaving_count(self) -> int:
+    def leaving_count(self, now: float) -> int:
         """Return the number of registered upstreams that accept no new requests."""
-        return sum(self.is_leaving(entry) for entry in self._entries.values())
+        return sum(self.is_leaving(now, entry) for entry in self._entries.values())
 
     def get(self, name: UpstreamId) -> Upstream | None:
         """Return an entry by name."""
--- a/src/oleandershift/eligibility.py
+++ b/src/oleandershift/eligibility.py
@@ -46,14 +46,14 @@
 
     def eligible(self, now: float, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service that may get a request."""
-        return self.standings.accepting(now, self.directory.usable(service))
+        return self.standings.accepting(now, self.directory.usable(now, service))
 
     def refusal(self, now: float, run: UpstreamRun) -> Refusal | None:
         """Return why a run of an upstream may not get a request; None if it may."""
         entry = self.directory.get(run.upstream)
         if entry is None or entry.run != run:
             return Refusal.NOT_REGISTERED
-        if self.directory.is_leaving(entry):
+        if self.directory.is_leaving(now, entry):
             return Refusal.LEAVING
         if not self.standings.accepts(now, run):
             return Refusal.AWAY
@@ -74,4 +74,4 @@
         float or None
             None if all of them leave.
         """
-        return self.standings.return_s(now, self.directory.usable(service))
+        return self.standings.return_s(now, self.directory.usable(now, service))
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -372,7 +372,7 @@
             "caller_connections": len(self._caller_connections),
             "connections_accepted": self._caller_listener.accepted_count,
             "loop_delay_seconds": self._loop_delay.last_s,
-            "upstreams_leaving": directory.leaving_count(),
+            "upstreams_leaving": directory.leaving_count(instant),
             "upstreams_away": self._state.standings.away_count(instant),
             "prompt_parts_blocked": self._state.quarantine.rejected_count(instant),
             "retry_budget": self._retry_budgets.lowest_remaining(),
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -543,7 +543,7 @@
             self._state.demand.record_start(now(), call.team.name, size)
 
     def _record_health(self, call: Call, upstream: Upstream, healthy: bool) -> None:
-        upstream_count = len(self._view.directory.usable(call.service.name))
+        upstream_count = len(self._view.directory.usable(now(), call.service.name))
         self._outliers.record(
             now(), call.service.name, upstream.name, upstream_count, healthy
         )
@@ -551,7 +551,7 @@
     def _record_unreachable(
         self, call: Call, upstream: Upstream, exc: Exception
     ) -> None:
-        upstream_count = len(self._view.directory.usable(call.service.name))
+        upstream_count = len(self._view.directory.usable(now(), call.service.name))
         self._outliers.record_unreachable(
             now(), call.service.name, upstream.name, upstream_count
         )
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -71,8 +71,8 @@
 
     def usable(self):
         """Return the names of the upstreams that may get requests now."""
-        self.view.directory.expire(self.clock.instant)
-        return {entry.name for entry in self.view.directory.usable(ServiceId("s"))}
+        usable = self.view.directory.usable(self.clock.instant, ServiceId("s"))
+        return {entry.name for entry in usable}
 
 
 def registration(name, revision, state="ready", born=1, sequence=1):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -28,8 +28,8 @@
     return [(revision, entry) for entry in entries]
 
 
-def usable_names(directory):
-    return {entry.name for entry in directory.usable(ServiceId("s"))}
+def usable_names(directory, now=0.0):
+    return {entry.name for entry in directory.usable(now, ServiceId("s"))}
 
 
 @pytest.fixture
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -14,6 +14,7 @@
 FIRST, SECOND = make_upstream("e1"), make_upstream("e2")
 SERVICE = FIRST.service
 GRACE_SECONDS = 2.4
+EXPIRE_PROBABILITY = 0.3
 
 
 @pytest.fixture
@@ -77,7 +78,8 @@
     written = []
     for _ in range(60):
         now += rng.uniform(0.0, 1.5)
-        directory.expire(now)
+        if rng.random() < EXPIRE_PROBABILITY:
+            directory.expire(now)
         name, step = rng.choice(names), rng.random()
         run = current.get(name)
         if run is None or step < 0.15:
