Claim no newer list of upstreams than its first page shows

Followers did not learn of a change that was made while their reader read a list of several pages.

Cause: the revision that digests name was that of the newest record, which may be on a later page, while earlier pages lack changes before it.

Evidence: test_change_during_a_list_of_several_pages_reaches_the_followers failed before.

Change: it is at most that of the list, which is the revision of its first page.

Measured: the test passes.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -195,8 +195,11 @@
             if not self._is_superseded(entry):
                 self._store(changed, entry)
         newest = max((changed for changed, _ in listed.values()), default=0)
-        # A missing entry is a change without a record that could carry its revision.
-        self.revision = max(self.revision, revision if missing else newest)
+        # A missing entry is a change without a record that could carry its revision,
+        # and later pages of a list may be newer than what is known of the first.
+        self.revision = max(
+            self.revision, revision if missing else min(newest, revision)
+        )
         self._listed_revision = revision
         self.loaded = True
         return tuple(removed)
