Count a removal's grace from when the feed read it

On a VM with a late event loop the use of a removed upstream was extended by the delay of the loop.

Cause: the feed's thread reads a removal, and the loop took the time when it handled it.

Evidence: test_late_event_loop_does_not_extend_the_use_of_a_removed_upstream (loop 1 s late) failed before.

Change: the feed's thread notes the time, which counts for removals, lists and the end of an outage.

Measured: the test passes.

--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -73,7 +73,8 @@
         feeds = self._feeds
 
         def deliver(event: FeedEvent) -> None:
-            loop.call_soon_threadsafe(self._on_feed_event, feeds, event)
+            # On the thread of the feed, as the loop may handle the event much later.
+            loop.call_soon_threadsafe(self._on_feed_event, feeds, event, now())
 
         for kind in KINDS:
             feed = Feed(store, kind, deliver, random.Random())
@@ -102,24 +103,35 @@
             feed.stop()
         self._feeds = []
 
-    def _on_feed_event(self, feeds: list[Feed], event: FeedEvent) -> None:
+    def _on_feed_event(
+        self, feeds: list[Feed], event: FeedEvent, read_at: float
+    ) -> None:
         """Process an event unless its feeds were stopped meanwhile."""
         if feeds is self._feeds:
-            self.on_event(event)
+            self.on_event(event, read_at)
+
+    def on_event(self, event: FeedEvent, read_at: float | None = None) -> None:
+        """Process an event of a feed.
 
-    def on_event(self, event: FeedEvent) -> None:
-        """Process an event of a feed."""
+        Parameters
+        ----------
+        event : FeedEvent
+            The event.
+        read_at : float or None
+            Time in seconds at which the feed read it; None for just now.
+        """
+        read_at = now() if read_at is None else read_at
         if isinstance(event, StoreCallFailed):
             self._on_call_failed(event)
             return
-        self._on_call_succeeded(event.kind)
+        self._on_call_succeeded(event.kind, read_at)
         if event.kind == configuration.KIND:
             self._apply_configuration_records(event)
         elif isinstance(event, SnapshotRead):
             snapshot = event.snapshot
-            self._apply_upstream_list(now(), snapshot.revision, snapshot.records)
+            self._apply_upstream_list(read_at, snapshot.revision, snapshot.records)
         else:
-            self._apply_upstream_changes(event)
+            self._apply_upstream_changes(event, read_at)
 
     def request(self) -> SnapshotRequest:
         """Return what this VM knows, to ask another VM for what is newer."""
@@ -210,7 +222,7 @@
         if event.kind == upstreams.KIND:
             self._view.directory.on_store_lost()
 
-    def _on_call_succeeded(self, kind: str) -> None:
+    def _on_call_succeeded(self, kind: str, read_at: float) -> None:
         self._metrics.store_events.labels(kind, "answered").inc()
         if kind in self._lost_kinds:
             self._lost_kinds.discard(kind)
@@ -218,7 +230,7 @@
         self._read_kinds.add(kind)
         self._update_reads_store()
         if kind == upstreams.KIND:
-            self._view.directory.on_store_recovered(now())
+            self._view.directory.on_store_recovered(read_at)
 
     def _update_reads_store(self) -> None:
         is_reader = self._role is not StoreRole.FOLLOWER
@@ -270,13 +282,13 @@
         self._upstream_records.replace(revision, records)
         self._log.info("upstreams.listed", revision=revision, count=len(listed))
 
-    def _apply_upstream_changes(self, event: ChangesRead) -> None:
-        read_at = event.changes.revision
+    def _apply_upstream_changes(self, event: ChangesRead, read_at: float) -> None:
+        revision = event.changes.revision
         for record, deleted in event.changes.records:
             if deleted:
-                self._remove_upstream(now(), record.name, record.revision, read_at)
+                self._remove_upstream(read_at, record.name, record.revision, revision)
             else:
-                self._update_upstream(record, read_at)
+                self._update_upstream(read_at, record, revision)
 
     def _apply_missed_changes(self, snapshot: StoreSnapshot, asked_at: float) -> None:
         for name, revision, grace_ms in snapshot.removed:
@@ -284,30 +296,32 @@
                 asked_at, name, revision, snapshot.revision, grace_ms / 1000
             )
         for record in snapshot.upstreams:
-            self._update_upstream(record, snapshot.revision)
+            self._update_upstream(asked_at, record, snapshot.revision)
 
     def _remove_upstream(
         self,
         instant: float,
         name: str,
         revision: int,
-        read_at: int,
+        list_revision: int,
         grace_s: float | None = None,
     ) -> None:
-        """Apply a removal that was read at a store revision, not before it."""
-        self._upstream_records.remove(name, revision, read_at)
-        self._view.directory.advance(read_at)
+        """Apply a removal that was read with a list revision, not before it."""
+        self._upstream_records.remove(name, revision, list_revision)
+        self._view.directory.advance(list_revision)
         upstream = UpstreamId(name)
         removed = self._view.directory.remove(instant, revision, upstream, grace_s)
         self._log.info(
             "upstream.removed", upstream=name, revision=revision, at_once=removed
         )
 
-    def _update_upstream(self, record: Record, read_at: int) -> None:
+    def _update_upstream(
+        self, instant: float, record: Record, list_revision: int
+    ) -> None:
         result = upstreams.decode(record.name, record.spec)
         if isinstance(result, Failure):
             self._log.warning("upstream.rejected", why=str(result.failure()))
-            self._remove_upstream(now(), record.name, record.revision, read_at)
+            self._remove_upstream(instant, record.name, record.revision, list_revision)
             return
         entry = result.unwrap()
         self._detect_restart(entry)
