Let the end of a removed upstream's use only move closer

Requests reached removed upstreams beyond the drain time from VMs that read the removal late, or twice.

Cause: the end of the grace could be set anew. A single cut connection counted as an outage and extended the grace to 2 s after it; the first end that a VM had learned was kept, though another VM had read the removal earlier; and a reader that listed again gave upstreams that it had dropped long ago the grace of the new list.

Evidence: these tests failed before: test_watch_that_was_cut_does_not_extend_a_removal_beyond_the_drain_time, test_earlier_end_of_use_at_the_reader_holds_for_a_vm_that_read_it_later, test_later_list_does_not_start_the_grace_of_a_dropped_upstream_anew.

Measured: the tests pass.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -12,6 +12,11 @@
 """Limit of the runs that are remembered as leaving, the oldest of which are forgotten;
 more than the upstreams of the largest planned fleet."""
 
+MIN_OUTAGE_SECONDS = 1.0
+"""Time without an answer of the store from which on registrations may have lapsed; a
+single connection that was cut is no outage. They lapse after three missed reports, each
+of which is due after more than a second."""
+
 REMOVAL_MEMORY_SECONDS = 60.0
 """Time for which the revision of a removal is remembered; three times the history that
 the store keeps, so longer than a watch can lag behind."""
@@ -139,22 +144,23 @@
         self._usable: dict[ServiceId, tuple[Upstream, ...]] = {}
         self._usable_until = math.inf
         self._leaving_unregistered: frozenset[UpstreamRun] | None = None
-        self._recovered_at: float | None = None
-        self._store_lost = False
+        self._lost_at: float | None = None
+        self._recovered_at = -math.inf
         self.revision = 0
         self._listed_revision = 0
         self._list_grace_end = -math.inf
         self.loaded = False
 
-    def on_store_lost(self) -> None:
+    def on_store_lost(self, now: float) -> None:
         """Start an outage of the store."""
-        self._store_lost = True
+        if self._lost_at is None:
+            self._lost_at = now
 
     def on_store_recovered(self, now: float) -> None:
         """End an outage of the store."""
-        if self._store_lost:
-            self._store_lost = False
+        if self._lost_at is not None and now >= self._lost_at + MIN_OUTAGE_SECONDS:
             self._recovered_at = now
+        self._lost_at = None
 
     def replace(
         self,
@@ -186,6 +192,8 @@
         if removals is None:
             removals = RemovalGrace(self._lapse_deadline(now) - now)
         self._list_grace_end = now + removals.unnamed_s
+        for name in missing:
+            self._remember_removal(now, revision, name)
         removed = [
             entry
             for name in missing
@@ -258,9 +266,21 @@
         """Return the seconds for which a lapsed entry is kept; 0 without one."""
         return max(0.0, self._lapse_deadlines.get(name, now) - now)
 
-    def lapsing(self) -> tuple[UpstreamId, ...]:
-        """Return the names of the entries that were removed and are still kept."""
-        return tuple(self._lapse_deadlines)
+    def lapsing(self) -> tuple[tuple[UpstreamId, int], ...]:
+        """Return name and revision of the removals whose entries are still kept."""
+        return tuple(
+            (name, removal.revision)
+            for name, removal in self._removals.items()
+            if name in self._lapse_deadlines
+        )
+
+    def removals(self) -> tuple[tuple[UpstreamId, int], ...]:
+        """Return name and revision of the removals in the last minute, kept or not."""
+        return tuple(
+            (name, removal.revision)
+            for name, removal in self._removals.items()
+            if name in self._lapse_deadlines or name not in self._entries
+        )
 
     def list_grace_left(self, now: float) -> float:
         """Return the seconds for which entries missing in the last list are kept."""
@@ -385,7 +405,10 @@
             return None
         if entry.state is UpstreamState.READY and deadline > now:
             self._forget_results()
-            self._lapse_deadlines.setdefault(name, deadline)
+            known = self._lapse_deadlines.get(name, deadline)
+            is_outage = self._lost_at is not None or now < self._reregistered_at
+            # A VM that does not know of the outage would end the use too early.
+            self._lapse_deadlines[name] = known if is_outage else min(known, deadline)
             return None
         self._lapse_deadlines.pop(name, None)
         return self._drop(name)
@@ -400,9 +423,11 @@
         return entry
 
     def _lapse_deadline(self, now: float) -> float:
-        if self._store_lost:
+        if self._lost_at is not None:
             return now + REREGISTRATION_SECONDS
-        grace_end = now + self._grace_s
-        if self._recovered_at is None:
-            return grace_end
-        return max(grace_end, self._recovered_at + REREGISTRATION_SECONDS)
+        return max(now + self._grace_s, self._reregistered_at)
+
+    @property
+    def _reregistered_at(self) -> float:
+        """Time by which registrations that lapsed in the last outage are renewed."""
+        return self._recovered_at + REREGISTRATION_SECONDS
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -122,7 +122,7 @@
         """
         read_at = now() if read_at is None else read_at
         if isinstance(event, StoreCallFailed):
-            self._on_call_failed(event)
+            self._on_call_failed(event, read_at)
             return
         self._on_call_succeeded(event.kind, read_at)
         if event.kind == configuration.KIND:
@@ -146,25 +146,24 @@
         since = req.revision
         log = self._upstream_records
         is_partial = log.is_complete_since(since)
-        removed = log.removed_since(since if is_partial else 0)
-        if not is_partial:
-            removed += self._lapsing_removals()
+        directory = self._view.directory
+        if is_partial:
+            # The VM may have read a removal later, and so keep the entry longer.
+            removed = dict(log.removed_since(since)) | dict(directory.lapsing())
+        else:
+            removed = dict(directory.removals())
         return StoreSnapshot(
             configuration=self._configuration_record if is_newer else None,
-            revision=self._view.directory.revision,
+            revision=directory.revision,
             upstreams=log.changed_since(since) if is_partial else log.records(),
             since=since if is_partial else 0,
             removed=tuple(
-                (name, revision, self._grace_ms(name)) for name, revision in removed
+                (name, revision, self._grace_ms(name))
+                for name, revision in removed.items()
             ),
-            list_grace_ms=round(self._view.directory.list_grace_left(now()) * 1000),
+            list_grace_ms=round(directory.list_grace_left(now()) * 1000),
         )
 
-    def _lapsing_removals(self) -> tuple[tuple[str, int], ...]:
-        """Return name and revision of the removed upstreams that are still kept."""
-        directory = self._view.directory
-        return tuple((name, directory.revision) for name in directory.lapsing())
-
     def _grace_ms(self, name: str) -> int:
         """Return the milliseconds for which a removed upstream is still kept."""
         left_s = self._view.directory.grace_left(now(), UpstreamId(name))
@@ -206,7 +205,7 @@
             )
         self._view.directory.advance(snapshot.revision)
 
-    def _on_call_failed(self, event: StoreCallFailed) -> None:
+    def _on_call_failed(self, event: StoreCallFailed, failed_at: float) -> None:
         self._metrics.store_events.labels(event.kind, event.failure.error.value).inc()
         if event.kind not in self._lost_kinds:
             failure = event.failure
@@ -220,7 +219,7 @@
         self._read_kinds.discard(event.kind)
         self._update_reads_store()
         if event.kind == upstreams.KIND:
-            self._view.directory.on_store_lost()
+            self._view.directory.on_store_lost(failed_at)
 
     def _on_call_succeeded(self, kind: str, read_at: float) -> None:
         self._metrics.store_events.labels(kind, "answered").inc()
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -19,6 +19,7 @@
 from oleandershift.records import Changes, Record, Snapshot
 
 UPSTREAMS, CONFIGURATION = "servers", "config"
+OUTAGE_SECONDS = 4.0
 
 
 class SilentLog:
@@ -256,6 +257,7 @@
     reader, follower = make_reader_and_follower(grace_s=1.0)
     failure = StoreFailure(StoreError.OUTCOME_UNKNOWN, "away")
     reader[0].on_event(StoreCallFailed(UPSTREAMS, failure))
+    clock.instant += OUTAGE_SECONDS
     reader[0].on_event(changed(9, (Record("u1", 5, None), True)))
     catch_up(follower[0], reader[0])
     follower[1].directory.expire(clock.instant + 1.5)
