Announce all leaving upstreams in turn, ahead of schedule only from hubs

With more than 64 leaving upstreams most VMs were never told of the others, and each VM that was told of one sent a digest at once to all VMs of its data centre.

Cause: a digest named the first 64 each time; and the change was reported before the run counted as told.

Evidence: test_all_leaving_upstreams_are_announced_in_time and test_only_a_hub_schedules_a_digest_when_it_is_told_of_a_leaving_upstream failed before.

Measured: both pass.

--- a/src/oleandershift/summaries.py
+++ b/src/oleandershift/summaries.py
@@ -25,6 +25,9 @@
 MAX_DIGEST_PARTS = 8
 """Limit of the parts of a digest. Entries beyond it, the smallest, are omitted."""
 
+MAX_LEAVING_IN_DIGEST = MAX_LEAVING_ENTRIES * MAX_DIGEST_PARTS
+"""Limit of the leaving upstreams in all parts of a digest."""
+
 _Entry = TypeVar("_Entry")
 
 
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -7,7 +7,12 @@
 from oleandershift.ids import Incarnation, Seq
 from oleandershift.neighbours import Peer
 from oleandershift.state import FleetState, LeavingReport, LeavingSource
-from oleandershift.summaries import Summary, SummaryPart, summarise
+from oleandershift.summaries import (
+    MAX_LEAVING_IN_DIGEST,
+    Summary,
+    SummaryPart,
+    summarise,
+)
 
 HUB_DISCOVERY_INTERVAL_DIGESTS = 10
 """Every this many digests, a hub also sends its summary to all VMs of the data centres
@@ -104,7 +109,8 @@
         """
         self._sent_prefill_tokens = self._prefill_tokens(now)
         self._sent_absent = self._absent(now)
-        leaving = self._sent_leaving = self._leaving()
+        self._sent_leaving = self._leaving()
+        leaving = self._window(self._sent_leaving)
         self._seq += 1
         local_peers = self._peers.local_peers(now)
         self._due_at = now + min(
@@ -129,12 +135,12 @@
 
     def receive(self, now: float, digest: Digest) -> list[Peer]:
         """Store another VM's digest; return the peers to which it is forwarded."""
+        if digest.leaving and not self._peers.is_hub(now):
+            # Its sender has told this data centre already.
+            self._sent_leaving |= frozenset(digest.leaving)
         for run in digest.leaving:
             report = LeavingReport(run, LeavingSource.DIGEST, digest.vm)
             self._state.record_leaving(report)
-        if not self._peers.is_hub(now):
-            # Its sender has told this data centre already.
-            self._sent_leaving |= frozenset(digest.leaving)
         is_new_summary = self._peers.merge(now, digest)
         if is_new_summary and self._peers.is_hub(now):
             return self._peers.local_peers(now)
@@ -163,6 +169,14 @@
         """
         return self._state.view.directory.leaving_unregistered()
 
+    def _window(self, runs: frozenset[UpstreamRun]) -> frozenset[UpstreamRun]:
+        """Return as many runs as a digest names, others with each digest."""
+        if len(runs) <= MAX_LEAVING_IN_DIGEST:
+            return runs
+        ordered = sorted(runs)
+        start = self._seq * MAX_LEAVING_IN_DIGEST % len(ordered)
+        return frozenset((ordered[start:] + ordered)[:MAX_LEAVING_IN_DIGEST])
+
     def _address(
         self, scope: Scope, summary: Summary, peers: list[Peer]
     ) -> list[AddressedDigest]:
