Book what a response says for the run that was asked

After an upstream had restarted at its address, `Server-Leaving` and `Retry-After` on a kept connection were booked for its earlier run.

Cause: a connection remembered the run for which it had been opened.

Evidence: test_response_on_a_reused_connection_speaks_for_the_registered_run failed before.

Measured: the test passes.

--- a/src/oleandershift/io/pool.py
+++ b/src/oleandershift/io/pool.py
@@ -70,6 +70,8 @@
         """
         reused = self._reuse(upstream, repeatable)
         if reused is not None:
+            # Another run may be registered at the address by now.
+            reused.on_response = partial(self.on_response, upstream)
             return reused
         loop = asyncio.get_running_loop()
         self.opened_count += 1
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -186,11 +186,12 @@
     Parameters
     ----------
     on_response : callable
-        Called with the head of every response, also interim and late ones.
+        Called with the head of every response, also interim and late ones. It may be
+        replaced between two exchanges.
     """
 
     def __init__(self, on_response: Callable[[ResponseHead], None]) -> None:
-        self._on_response = on_response
+        self.on_response = on_response
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: Headers = []
@@ -317,7 +318,7 @@
     def on_headers_complete(self) -> None:
         """Pass a final response head to the exchange that it matches."""
         head = ResponseHead(self._parser.get_status_code(), self._headers)
-        self._on_response(head)
+        self.on_response(head)
         if head.status < 200 or self._exchange is None:
             return
         self._skipping = not self._exchange.matches(head)
