Serve a request by the upstream that restarted since its choice

A request got 503 although its only upstream had restarted and was registered.

Cause: the upstreams that a request had tried were remembered by name, so that the later run counted as tried.

Evidence: test_request_chosen_before_its_only_upstream_restarted_is_served failed before. In test_request_chosen_before_its_upstream_was_replaced_is_not_sent_to_it the later run has another address now, as a request may be sent to it.

Measured: both tests pass.

--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -4,8 +4,8 @@
 from enum import Enum
 
 from oleandershift.demand import AdmittedRequest
+from oleandershift.directory import UpstreamRun
 from oleandershift.eventframes import EventFramer
-from oleandershift.ids import UpstreamId
 from oleandershift.io.callers import CallerRequest, Headers
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
@@ -83,7 +83,7 @@
     prompt: Prompt | None
     last_event_id: int
     configuration_version: int
-    tried_upstreams: set[UpstreamId] = field(default_factory=set)
+    tried_runs: set[UpstreamRun] = field(default_factory=set)
     first_byte_at: float = 0.0
     choice: Choice | None = None
     chosen_at: float = 0.0
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -278,7 +278,7 @@
         usable = self._eligibility.eligible(now(), call.service.name)
         ejected = self._outliers.ejected()
         absent = self._state.absent(now())
-        untried = [item for item in usable if item.name not in call.tried_upstreams]
+        untried = [item for item in usable if item.run not in call.tried_runs]
         present = [item for item in untried if item.run not in absent]
         healthy = [item for item in present if item.name not in ejected]
         return self._placement.choose(
@@ -315,7 +315,7 @@
     ) -> AttemptOutcome:
         upstream = choice.upstream
         call.choice, call.chosen_at = choice, now()
-        call.tried_upstreams.add(upstream.name)
+        call.tried_runs.add(upstream.run)
         in_flight = self._loads.begin(now(), upstream, call.prompt)
         self._state.on_load_change()
         conn = None
