--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -20,6 +20,7 @@
 from oleandershift.ids import Incarnation
 from oleandershift.io.clock import now, remaining
 from oleandershift.io.decisionlog import DecisionLog
+from oleandershift.io.listener import Listener
 from oleandershift.neighbours import Peer
 from oleandershift.state import FleetState
 from oleandershift.telling import DigestExchange
@@ -37,6 +38,10 @@
 
 MAX_REQUEST_BYTES = 64
 
+SNAPSHOT_BACKLOG = 512
+"""Connections of other VMs that wait to be accepted; several times the VMs of a data
+centre, which all ask at once after a change."""
+
 _LENGTH_BYTES = 4
 
 _WHOLE_SNAPSHOT = SnapshotRequest(configuration=0, revision=0)
@@ -80,7 +85,7 @@
         self._urgent_timer: asyncio.TimerHandle | None = None
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
-        self._server: asyncio.Server | None = None
+        self._listener: Listener | None = None
 
     @property
     def omitted_entries(self) -> int:
@@ -106,14 +111,20 @@
                 self._log.warning("snapshot.not-sent", reason=repr(exc))
             writer.close()
 
-        self._server = await asyncio.start_server(serve, *local_address)
+        self._listener = Listener(
+            self._address,
+            lambda: asyncio.StreamReaderProtocol(asyncio.StreamReader(), serve),
+            self._log,
+            SNAPSHOT_BACKLOG,
+        )
+        self._listener.open()
 
     def close(self) -> None:
         """Close the sockets."""
         if self._transport is not None:
             self._transport.close()
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
 
     def on_load_change(self) -> None:
         """Schedule an early digest if the load has changed significantly."""
--- a/tests/contract/test_snapshots.py
+++ b/tests/contract/test_snapshots.py
@@ -5,10 +5,12 @@
 import os
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
 import msgspec
 import pytest
+import uvloop
 
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import (
@@ -28,6 +30,8 @@
 
 LENGTH_BYTES = 4
 LATE_ITERATION_SECONDS = 0.35
+BUSY_ITERATION_SECONDS = 0.1
+FOLLOWERS = 31
 FIELDS_OF_EARLIER_BUILD = list(StoreSnapshot.__annotations__).index("since")
 SNAPSHOT = StoreSnapshot(None, 9, (Record("u", 9, {}),), 7, (("v", 8, 250),))
 _numbers = itertools.count(1)
@@ -107,8 +111,8 @@
 
 
 @contextmanager
-def other_vm():
-    """Run another VM that sends snapshots, in a thread of its own."""
+def other_vm(iteration_s=0.0):
+    """Run another VM that sends snapshots, in a thread of its own, with a late loop."""
     peer = make_vm("other")
     requests = []
     started, stopped = threading.Event(), threading.Event()
@@ -122,10 +126,15 @@
 
         await transport.open(snapshot)
         started.set()
-        await asyncio.to_thread(stopped.wait)
+        with late_event_loop(iteration_s):
+            await asyncio.to_thread(stopped.wait)
         transport.close()
 
-    thread = threading.Thread(target=lambda: asyncio.run(serve()))
+    def run():
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve())
+
+    thread = threading.Thread(target=run)
     thread.start()
     started.wait()
     try:
@@ -144,6 +153,19 @@
         assert asyncio.run(fetch_while_late(peer)) == SNAPSHOT
 
 
+def test_reader_with_a_late_event_loop_answers_all_its_followers(transport):
+    async def fetch_by_all(peer):
+        # As many threads as followers, which are processes of their own.
+        executor = ThreadPoolExecutor(FOLLOWERS)
+        asyncio.get_running_loop().set_default_executor(executor)
+        req = SnapshotRequest(3, 7)
+        fetches = [transport.fetch_snapshot(peer, req) for _ in range(FOLLOWERS)]
+        return await asyncio.gather(*fetches)
+
+    with other_vm(BUSY_ITERATION_SECONDS) as (peer, _):
+        assert asyncio.run(fetch_by_all(peer)) == [SNAPSHOT] * FOLLOWERS
+
+
 def test_vm_with_a_late_event_loop_sends_only_what_was_asked_for(transport, vm):
     requests = []
 
