--- a/tests/integration/test_gateway_soak.py
+++ b/tests/integration/test_gateway_soak.py
@@ -3,14 +3,14 @@
 import pytest
 
 from standins.gateway_fleet import GatewayResponse
-from standins.gateway_soak import (
+from standins.gateway_soak import run
+from standins.modelengine import ExecutedRequest
+from standins.soak_judge import (
     CRASHING_PART,
     GatewayCall,
     SoakHistory,
     find_violations,
-    run,
 )
-from standins.modelengine import ExecutedRequest
 
 SECONDS = 6.0
 
