Record each request that reaches the stand-in upstream, with its run

The soak's judge counts arrivals of one run, executed or not, and needs to know what the response said: leaving, or Retry-After until an instant. A restart begins another run that says neither; it can now be asked for without a crash.

--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -110,6 +110,32 @@
     parts: tuple[str, ...] = ()
 
 
+@dataclass
+class ReceivedRequest:
+    """A request that reached an upstream, executed or not.
+
+    Parameters
+    ----------
+    attempt_id : str
+        Attempt id from the request.
+    received_at : float
+        Time at which the request was received, by the monotonic clock.
+    run : int
+        Number of the upstream's run that received it, from 1.
+    says_leaving : bool
+        Whether the response says that the upstream leaves.
+    refused_at, away_until : float or None
+        Time at which it was refused with `Retry-After`, and the end of that time.
+    """
+
+    attempt_id: str
+    received_at: float
+    run: int = 1
+    says_leaving: bool = False
+    refused_at: float | None = None
+    away_until: float | None = None
+
+
 def _prompt_parts(exchange: Exchange) -> tuple[str, ...]:
     prefix = exchange.headers.get(PROMPT_PREFIX_HEADER, "")
     return tuple(entry.partition(":")[0] for entry in prefix.split(",") if entry)
@@ -135,12 +161,14 @@
         Response to requests for which none is queued.
     queued_behaviours : list of Behaviour
         Responses to the next requests.
+    run : int
+        Number of its run, from 1; each restart begins another one.
     is_leaving : bool
-        Whether its responses say that it leaves.
+        Whether its responses say that it leaves; a restart ends it.
     retry_after : str or None
         Value of the header `Retry-After` when it refuses a request.
-    arrivals : list of float
-        Time of each request that reached it, by the monotonic clock.
+    received : list of ReceivedRequest
+        Requests that reached it.
     padding : bytes
         Appended to the body of a plain response.
     crashing_part : str or None
@@ -164,6 +192,7 @@
     ) -> None:
         self._server = Server(ip, 0, self._handle)
         self.name = name
+        self.run = 1
         self.started_at_ms = int(time.time() * 1000)
         self.address = f"{ip}:{self._server.port}"
         self.port = self._server.port
@@ -179,13 +208,18 @@
         self.queued_behaviours: list[Behaviour] = []
         self.is_leaving = False
         self.retry_after: str | None = None
-        self.arrivals: list[float] = []
+        self.received: list[ReceivedRequest] = []
         self.padding = b""
         self._event_count = events
         self._pause_seconds = pause_seconds
         self._lock = threading.Lock()
         self._ledger: list[ExecutedRequest] = []
 
+    @property
+    def arrivals(self) -> list[float]:
+        """Time of each request that reached it, by the monotonic clock."""
+        return [req.received_at for req in self.received]
+
     def start(self) -> None:
         """Accept connections."""
         self._is_up = True
@@ -199,14 +233,19 @@
         if was_up:
             self._server.stop()
 
-    def _crash(self) -> None:
-        """Stop as a process that ends, and restart later; once for several calls."""
+    def restart(self) -> bool:
+        """End as a process does, and run again later; return False if it is down."""
         with self._lock:
             was_up, self._is_up = self._is_up, False
-            if was_up:
-                self.crashed_at.append(time.monotonic())
         if was_up:
             threading.Thread(target=self._restart, daemon=True).start()
+        return was_up
+
+    def _crash(self) -> None:
+        """Restart because of a crash; once for several calls."""
+        crashed_at = time.monotonic()
+        if self.restart():
+            self.crashed_at.append(crashed_at)
 
     def _restart(self) -> None:
         self._server.stop()
@@ -214,6 +253,9 @@
         if self._is_stopped:
             return
         self._server = Server(self._ip, self.port, self._handle)
+        self.run += 1
+        self.is_leaving = False
+        self.queued_behaviours = []
         self.started_at_ms = int(time.time() * 1000)
         self.start()
         self.on_restart(self)
@@ -242,23 +284,22 @@
         return Counter(executed.attempt_id for executed in self.ledger())
 
     def _handle(self, exchange: Exchange) -> None:
-        if self.is_leaving:
+        attempt_id = exchange.headers.get(ATTEMPT_HEADER, "")
+        req = ReceivedRequest(attempt_id, time.monotonic(), self.run, self.is_leaving)
+        if req.says_leaving:
             exchange.extra_headers = {LEAVING_HEADER: "1"}
         with self._lock:
-            self.arrivals.append(time.monotonic())
+            self.received.append(req)
             behaviour = (
                 self.queued_behaviours.pop(0)
                 if self.queued_behaviours
                 else self.behaviour
             )
         expected_instance = exchange.headers.get("Oleandershift-Expect-Instance")
-        attempt_id = exchange.headers.get(ATTEMPT_HEADER, "")
         if expected_instance is not None and expected_instance != self.name:
             exchange.send_json(421, {}, {"Oleandershift-Instance-Id": self.name})
         elif behaviour is Behaviour.REFUSE:
-            away = {} if self.retry_after is None else {"Retry-After": self.retry_after}
-            refusal = {NOT_EXECUTED_HEADER: "1", ATTEMPT_HEADER: attempt_id, **away}
-            exchange.send_json(503, {}, refusal)
+            self._refuse(exchange, req)
         elif behaviour is Behaviour.CUT_BEFORE:
             exchange.abort()
         elif behaviour is Behaviour.ENDLESS_REFUSAL:
@@ -266,6 +307,15 @@
         else:
             self._execute(exchange, attempt_id, behaviour)
 
+    def _refuse(self, exchange: Exchange, req: ReceivedRequest) -> None:
+        retry_after = self.retry_after
+        away = {} if retry_after is None else {"Retry-After": retry_after}
+        headers = {NOT_EXECUTED_HEADER: "1", ATTEMPT_HEADER: req.attempt_id, **away}
+        exchange.send_json(503, {}, headers)
+        if retry_after is not None:
+            req.refused_at = time.monotonic()
+            req.away_until = req.refused_at + float(retry_after)
+
     def _execute(
         self, exchange: Exchange, attempt_id: str, behaviour: Behaviour
     ) -> None:
