Let the soak's upstreams say that they leave or want no work

The soak drew one kind of leaving, by the store, and judged it by the executed requests. It now draws leaving said in responses before the store says so, after it and without it, removals without draining, 503 with and without Retry-After, and restarts at the same address, whose run starts clean.

The judge counts what reached each run of an upstream, by the gateway that the caller used: after the drain time nothing from a gateway that had passed on Server-Leaving, or that was in touch when the store said draining or removed the run; while a run wants no work, two requests at most. Disturbances are kept by gateway, as one of another gateway excuses none.

The test of the drain check now gives the request as received instead of executed, and the run that drained: the check reads those.

--- a/standins/gateway_soak.py
+++ b/standins/gateway_soak.py
@@ -13,8 +13,8 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Sequence
-from functools import partial
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
 from pathlib import Path
 
 from standins.gateway_fleet import (
@@ -25,17 +25,19 @@
     running_fleet,
 )
 from standins.metastore import StoreMode
-from standins.modelengine import Behaviour, ModelEngine
+from standins.modelengine import Behaviour
 from standins.proxy import Proxy
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 from standins.soak_judge import (
     CRASHING_PART,
     DEADLINE_SECONDS,
     MAX_FREEZE_SECONDS,
+    STORE,
     GatewayCall,
     SoakHistory,
     find_violations,
 )
+from standins.soak_upstreams import SoakUpstreams
 
 PATHS = (
     "/stream/resumable/x",
@@ -49,6 +51,9 @@
 CRASHING_FRACTION = 0.01
 """Fraction of the streams whose prompt has a part that crashes upstreams."""
 
+CATCH_UP_SECONDS = 4.0
+"""Time after a disturbance in which a gateway may still know too little."""
+
 
 class _Callers:
     """Threads that call gateways on persistent connections."""
@@ -130,13 +135,15 @@
     def __init__(
         self,
         fleet: GatewayFleet,
-        proxies: list[Proxy],
+        proxies: dict[str, Proxy],
         history: SoakHistory,
+        upstreams: SoakUpstreams,
         rng: random.Random,
     ) -> None:
         self._fleet = fleet
         self._proxies = proxies
         self._history = history
+        self._upstreams = upstreams
         self._rng = rng
         self._version = 1
         self.injected: Counter[str] = Counter()
@@ -151,7 +158,13 @@
             self._store_link,
             self._forget,
             self._configure,
-            self._leave,
+            self._upstreams.drain,
+            self._upstreams.say_leaving,
+            self._upstreams.say_leaving_and_drain,
+            self._upstreams.drain_and_say_leaving,
+            self._upstreams.remove,
+            self._upstreams.restart,
+            self._upstreams.turn_away,
         )
 
     def run(self, until: float) -> None:
@@ -170,25 +183,27 @@
             thread.join()
 
     def _freeze(self) -> None:
-        process = self._rng.choice(self._fleet.gateways).process
-        with self._disturbance():
-            process.freeze()
+        gateway = self._rng.choice(self._fleet.gateways)
+        with self._disturbance(gateway.name), self._interruption(gateway.name):
+            gateway.process.freeze()
             time.sleep(self._rng.uniform(0.1, MAX_FREEZE_SECONDS))
-            process.thaw()
+            gateway.process.thaw()
 
     def _kill(self) -> None:
-        process = self._rng.choice(self._fleet.gateways).process
-        with self._disturbance():
-            process.kill()
-            process.start()
+        gateway = self._rng.choice(self._fleet.gateways)
+        with self._disturbance(gateway.name), self._interruption(gateway.name):
+            gateway.process.kill()
+            gateway.process.start()
 
     def _stop(self) -> None:
-        process = self._rng.choice(self._fleet.gateways).process
-        process.terminate()
-        if process.wait(9.0) is None:
-            process.kill()
-        if not process.is_running():
-            process.start()
+        gateway = self._rng.choice(self._fleet.gateways)
+        process = gateway.process
+        with self._interruption(gateway.name):
+            process.terminate()
+            if process.wait(9.0) is None:
+                process.kill()
+            if not process.is_running():
+                process.start()
 
     def _hang_up(self) -> None:
         import signal
@@ -200,11 +215,14 @@
         engine.queued_behaviours = self._rng.choices(list(Behaviour)[1:], k=5)
 
     def _link(self) -> None:
-        self._disturb_link(self._rng.choice(self._proxies))
+        name = self._rng.choice(list(self._proxies))
+        with self._interruption(name):
+            self._disturb_link(self._proxies[name])
 
     def _store_link(self) -> None:
-        with self._disturbance():
-            self._disturb_link(self._rng.choice(self._fleet.gateways).store_proxy)
+        gateway = self._rng.choice(self._fleet.gateways)
+        with self._disturbance(gateway.name):
+            self._disturb_link(gateway.store_proxy)
 
     def _disturb_link(self, proxy: Proxy) -> None:
         stage = self._rng.choice(list(CutStage))
@@ -216,7 +234,7 @@
 
     def _store(self) -> None:
         modes = list(StoreMode)[1:]
-        with self._disturbance():
+        with self._disturbance(STORE):
             self._fleet.store.set_mode(self._rng.choice(modes))
             time.sleep(self._rng.uniform(0.2, 2.0))
             self._fleet.store.set_mode(StoreMode.SERVE)
@@ -228,71 +246,51 @@
         self._version += self._rng.randint(1, 5)
         self._fleet.store.put("config", "main", configuration(self._version))
 
-    def _leave(self) -> None:
-        draining = set(self._history.drain_started_at)
-        active = [name for name in self._fleet.engines if name not in draining]
-        if len(active) < 3:
-            return
-        name = self._rng.choice(active)
-        engine = self._fleet.engines[name]
-        entry = engine.entry("model", "one", "draining")
-        self._fleet.store.put("servers", name, entry)
-        self._history.drain_started_at[name] = time.monotonic()
-
-    def _disturbance(self) -> "_Disturbance":
-        return _Disturbance(self._history)
-
-
-class _Disturbance:
-    """Records the interval of a disturbance and of the catch-up after it."""
-
-    CATCH_UP_SECONDS = 4.0
-
-    def __init__(self, history: SoakHistory) -> None:
-        self._history = history
-        self._started_at = 0.0
-
-    def __enter__(self) -> None:
-        self._started_at = time.monotonic()
-
-    def __exit__(self, *_: object) -> None:
-        finish = time.monotonic() + self.CATCH_UP_SECONDS
-        self._history.disturbances.append((self._started_at, finish))
-
+    @contextmanager
+    def _disturbance(self, name: str) -> Iterator[None]:
+        """Record a disturbance of a gateway or the store, and the catch-up."""
+        started_at = time.monotonic()
+        yield
+        self._history.disturbances.setdefault(name, []).append(
+            (started_at, time.monotonic() + CATCH_UP_SECONDS)
+        )
 
-def _register_again(
-    fleet: GatewayFleet, history: SoakHistory, engine: ModelEngine
-) -> None:
-    """Register an upstream after a crash, in the state that it had."""
-    state = "draining" if engine.name in history.drain_started_at else "ready"
-    entry = engine.entry("model", "one", state)
-    fleet.store.put("servers", engine.name, entry)
+    @contextmanager
+    def _interruption(self, name: str) -> Iterator[None]:
+        """Record the interval in which a gateway, or a link, is interrupted."""
+        started_at = time.monotonic()
+        yield
+        self._history.interruptions.setdefault(name, []).append(
+            (started_at, time.monotonic())
+        )
 
 
 def run(seed: int, seconds: float, folder: Path, gateways: int = 3) -> list[str]:
     """Run a soak test, print its statuses and faults, and return the violations."""
     history = SoakHistory()
     rng = random.Random(seed)
-    proxies: list[Proxy] = []
+    proxies: dict[str, Proxy] = {}
     with running_fleet(folder, gateways, engines=0) as fleet:
+        upstreams = SoakUpstreams(fleet, history, rng)
         for number in range(5):
             engine = fleet.add_engine(f"e{number + 1}")
             proxy = Proxy("127.0.0.1", engine.port)
             proxy.start()
-            proxies.append(proxy)
+            proxies[engine.name] = proxy
             engine.address = f"127.0.0.1:{proxy.port}"
             engine.crashing_part = CRASHING_PART
-            engine.on_restart = partial(_register_again, fleet, history)
-            fleet.store.put("servers", engine.name, engine.entry("model", "one"))
+            engine.on_restart = upstreams.register
+            upstreams.register(engine)
         callers = _Callers(fleet, history, seed)
-        injector = _FaultInjector(fleet, proxies, history, rng)
+        injector = _FaultInjector(fleet, proxies, history, upstreams, rng)
         callers.start()
         injector.run(time.monotonic() + seconds)
         callers.stop()
         for name, engine in fleet.engines.items():
             history.arrivals[name] = engine.ledger()
+            history.received[name] = list(engine.received)
             history.crashed_at += engine.crashed_at
-    for proxy in proxies:
+    for proxy in proxies.values():
         proxy.stop()
     statuses = Counter(
         "closed" if call.response is None else str(call.response.status)
--- a/standins/soak_judge.py
+++ b/standins/soak_judge.py
@@ -1,10 +1,13 @@
 """Judge of the soak of gateways: finds the guarantees that a run has violated."""
 
-from collections import Counter
+import math
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from typing import TypeAlias
 
 from standins.gateway_fleet import KEY, GatewayResponse
-from standins.modelengine import ExecutedRequest
+from standins.modelengine import SEAL_HEADER, ExecutedRequest, ReceivedRequest
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 """Statuses which guarantee that the request has not been and will not be executed."""
@@ -16,7 +19,13 @@
 """Longest freeze of a process; callers' deadlines are longer."""
 
 DRAIN_SECONDS = 2.5
-"""A draining upstream gets no new request after this time (`drainMs` of the fleet)."""
+"""An upstream that leaves gets no new request after this time (`drainMs` of the fleet).
+"""
+
+AWAY_NOTICE_SECONDS = 0.5
+MAX_REQUESTS_WHILE_AWAY = 2
+"""After the notice time, so many requests of a gateway may reach an upstream that has
+turned it away with `Retry-After`, until the end of that time."""
 
 DEADLINE_SECONDS = 4.0
 
@@ -27,6 +36,14 @@
 """After so many crashes and the contact time, so many more requests with the part may
 reach upstreams."""
 
+Run: TypeAlias = tuple[str, int]
+"""Name of an upstream and number of its run."""
+
+Interval: TypeAlias = tuple[float, float]
+
+STORE = "store"
+"""Name of the store in the disturbances."""
+
 
 @dataclass(frozen=True)
 class GatewayCall:
@@ -51,19 +68,34 @@
     arrivals : dict
         Requests that each upstream executed, by name of the upstream.
     drain_started_at : dict
-        Monotonic time at which each upstream started to drain.
-    disturbances : list of tuple
-        Start and end of the intervals in which a gateway was frozen or killed, or the
-        store disturbed, including the time to catch up.
+        Monotonic time at which the store had registered each run as draining.
+    disturbances : dict
+        Start and end of the intervals in which a gateway was frozen, killed or cut off
+        from the store, by its name, or in which the store was disturbed, by `STORE`;
+        including the time to catch up.
     crashed_at : list of float
         Time of each crash of an upstream under a prompt.
+    removed_at : dict
+        Monotonic time at which the store had removed each run.
+    received : dict
+        Requests that reached each upstream, by name of the upstream.
+    interruptions : dict
+        Start and end of the intervals in which a gateway was frozen or restarted, or
+        the link to an upstream disturbed, by name of the gateway or upstream.
     """
 
     calls: list[GatewayCall] = field(default_factory=list)
     arrivals: dict[str, list[ExecutedRequest]] = field(default_factory=dict)
-    drain_started_at: dict[str, float] = field(default_factory=dict)
-    disturbances: list[tuple[float, float]] = field(default_factory=list)
+    drain_started_at: dict[Run, float] = field(default_factory=dict)
+    disturbances: dict[str, list[Interval]] = field(default_factory=dict)
     crashed_at: list[float] = field(default_factory=list)
+    removed_at: dict[Run, float] = field(default_factory=dict)
+    received: dict[str, list[ReceivedRequest]] = field(default_factory=dict)
+    interruptions: dict[str, list[Interval]] = field(default_factory=dict)
+
+    def was_interrupted(self, name: str, start: float, end: float) -> bool:
+        """Return whether a gateway or link was interrupted within an interval."""
+        return _overlaps(self.interruptions.get(name, ()), start, end)
 
 
 def find_violations(history: SoakHistory) -> list[str]:
@@ -80,7 +112,13 @@
         for attempt_id in executions
         if attempt_id not in sent
     ]
-    return violations + _drain_violations(history) + _crash_violations(history)
+    return [
+        *violations,
+        *_crash_violations(history),
+        *_store_violations(history),
+        *_leaving_violations(history),
+        *_away_violations(history),
+    ]
 
 
 def _call_violations(call: GatewayCall, executions: int) -> list[str]:
@@ -111,19 +149,109 @@
     return res.body.endswith(b" ran " + call.attempt_id.encode())
 
 
-def _drain_violations(history: SoakHistory) -> list[str]:
-    violations = []
-    for name, started_at in history.drain_started_at.items():
-        for req in history.arrivals.get(name, ()):
-            drained_at = started_at + DRAIN_SECONDS
-            if req.received_at > drained_at and not _was_disturbed(
-                history, started_at, req.received_at
+def _store_violations(history: SoakHistory) -> Iterator[str]:
+    """Find late requests to upstreams that the store had said to leave.
+
+    A request to a draining upstream counts by its arrival. One to a removed upstream
+    counts by its caller's send, as the removal is used with a delay and a disturbed
+    link may hold the request.
+    """
+    calls = {call.attempt_id: call for call in history.calls}
+    for run, req in _received(history):
+        call = calls.get(req.attempt_id)
+        gateway = call.gateway if call is not None else "unknown"
+        sent_at = call.sent_at if call is not None else req.received_at
+        drained_at = history.drain_started_at.get(run, math.inf)
+        removed_at = history.removed_at.get(run, math.inf)
+        for word, left_at, at in (
+            ("draining", drained_at, req.received_at),
+            ("removed", removed_at, sent_at),
+        ):
+            if at > left_at + DRAIN_SECONDS and not _was_disturbed(
+                history, (gateway, STORE), left_at, req.received_at
             ):
-                delay = req.received_at - started_at
-                violations.append(
-                    f"{req.attempt_id} reached draining {name} after {delay:.1f} s"
+                delay = req.received_at - left_at
+                yield (
+                    f"{req.attempt_id} reached {word} {run} from {gateway} "
+                    f"after {delay:.1f} s"
                 )
-    return violations
+
+
+def _leaving_violations(history: SoakHistory) -> Iterator[str]:
+    """Find late requests to upstreams whose own word that they leave was passed on."""
+    calls = {call.attempt_id: call for call in history.calls}
+    passed_on = _passed_on_leaving(history, calls)
+    for run, req in _received(history):
+        call = calls.get(req.attempt_id)
+        if call is None:
+            continue
+        for heard, heard_at in passed_on.get((call.gateway, run), ()):
+            if call.sent_at > heard_at + DRAIN_SECONDS and not history.was_interrupted(
+                call.gateway, heard.sent_at, req.received_at
+            ):
+                delay = req.received_at - heard_at
+                yield (
+                    f"{req.attempt_id} reached {run} from {call.gateway} {delay:.1f} s "
+                    f"after the response to {heard.attempt_id} had said that it leaves"
+                )
+                break
+
+
+def _passed_on_leaving(
+    history: SoakHistory, calls: dict[str, GatewayCall]
+) -> dict[tuple[str, Run], list[tuple[GatewayCall, float]]]:
+    """Return the responses that say that a run leaves, with their times, by gateway."""
+    passed_on = defaultdict(list)
+    for run, req in _received(history):
+        call = calls.get(req.attempt_id)
+        if not req.says_leaving or call is None or call.response is None:
+            continue
+        seal = call.response.headers.get(SEAL_HEADER.lower(), "")
+        if seal == f"{run[0]}.{req.attempt_id}":
+            heard_at = call.sent_at + call.response.seconds
+            passed_on[call.gateway, run].append((call, heard_at))
+    return passed_on
+
+
+def _away_violations(history: SoakHistory) -> Iterator[str]:
+    """Find upstreams that got too much from a gateway that they had turned away."""
+    gateways = {call.attempt_id: call.gateway for call in history.calls}
+    by_pair = defaultdict(list)
+    for run, req in _received(history):
+        if gateway := gateways.get(req.attempt_id):
+            by_pair[gateway, run].append(req)
+    for (gateway, run), requests in by_pair.items():
+        for refused in requests:
+            early = _received_while_away(requests, refused)
+            if len(early) <= MAX_REQUESTS_WHILE_AWAY or refused.refused_at is None:
+                continue
+            interval = (refused.refused_at, early[MAX_REQUESTS_WHILE_AWAY].received_at)
+            if not any(
+                history.was_interrupted(name, *interval) for name in (gateway, run[0])
+            ):
+                yield (
+                    f"{len(early)} requests reached {run} from {gateway} while it was "
+                    f"away after {refused.attempt_id}, the first {early[0].attempt_id}"
+                )
+
+
+def _received_while_away(
+    requests: list[ReceivedRequest], refused: ReceivedRequest
+) -> list[ReceivedRequest]:
+    """Return the requests from the notice time after a refusal to its end."""
+    if refused.refused_at is None or refused.away_until is None:
+        return []
+    start = refused.refused_at + AWAY_NOTICE_SECONDS
+    return sorted(
+        (req for req in requests if start < req.received_at < refused.away_until),
+        key=lambda req: req.received_at,
+    )
+
+
+def _received(history: SoakHistory) -> Iterator[tuple[Run, ReceivedRequest]]:
+    for name, requests in history.received.items():
+        for req in requests:
+            yield (name, req.run), req
 
 
 def _crash_violations(history: SoakHistory) -> list[str]:
@@ -138,7 +266,10 @@
         if CRASHING_PART in req.parts
         and req.received_at > known_at
         and not _was_disturbed(
-            history, req.received_at - CONTACT_SECONDS, req.received_at
+            history,
+            history.disturbances,
+            req.received_at - CONTACT_SECONDS,
+            req.received_at,
         )
     ]
     if len(late) <= MAX_LATE_CRASHES:
@@ -146,8 +277,15 @@
     return [f"{len(late)} requests crashed upstreams late: {', '.join(late)}"]
 
 
-def _was_disturbed(history: SoakHistory, start: float, end: float) -> bool:
-    """Return whether a disturbance overlaps an interval."""
+def _was_disturbed(
+    history: SoakHistory, names: Iterable[str], start: float, end: float
+) -> bool:
+    """Return whether a disturbance of any of some names overlaps an interval."""
     return any(
-        begin <= end and finish >= start for begin, finish in history.disturbances
+        _overlaps(history.disturbances.get(name, ()), start, end) for name in names
     )
+
+
+def _overlaps(intervals: Iterable[Interval], start: float, end: float) -> bool:
+    """Return whether any of some intervals overlaps another one."""
+    return any(begin <= end and finish >= start for begin, finish in intervals)
--- /dev/null
+++ b/standins/soak_upstreams.py
@@ -0,0 +1,143 @@
+"""What the upstreams of the gateways' soak say of themselves, and the store of them."""
+
+import random
+import threading
+import time
+
+from standins.gateway_fleet import GatewayFleet
+from standins.modelengine import Behaviour, ModelEngine
+from standins.soak_judge import SoakHistory
+
+MIN_STAYING_UPSTREAMS = 2
+MAX_NOTICE_GAP_SECONDS = 1.5
+"""Longest time between an upstream's own word that it leaves and that of the store."""
+
+AWAY_SECONDS = (0.3, 3.0)
+"""Shortest and longest `Retry-After`."""
+
+MAX_REFUSALS = 8
+DRAINING_AGAIN_FRACTION = 0.3
+"""Fraction of the runs after a drain that register as draining again."""
+
+
+class SoakUpstreams:
+    """Changes of the upstreams' states, recorded in the history.
+
+    An upstream that leaves stays up until it is restarted, so that late requests reach
+    it and are recorded.
+
+    Parameters
+    ----------
+    fleet : GatewayFleet
+        Fleet with the upstreams and the store.
+    history : SoakHistory
+        History of the run.
+    rng : random.Random
+        Source of the draws.
+    """
+
+    def __init__(
+        self, fleet: GatewayFleet, history: SoakHistory, rng: random.Random
+    ) -> None:
+        self._fleet = fleet
+        self._history = history
+        self._rng = rng
+        self._lock = threading.Lock()
+
+    def register(self, engine: ModelEngine) -> None:
+        """Register a new run, unless it already leaves; some drain from the start."""
+        with self._lock:
+            if self._leaves(engine):
+                return
+            was_draining = (
+                engine.name,
+                engine.run - 1,
+            ) in self._history.drain_started_at
+            if was_draining and self._rng.random() < DRAINING_AGAIN_FRACTION:
+                self._drain(engine)
+            else:
+                self._put(engine, "ready")
+
+    def drain(self) -> None:
+        """Let the store alone say that an upstream leaves."""
+        if engine := self._staying_upstream():
+            self._drain_run(engine, engine.run)
+
+    def say_leaving(self) -> None:
+        """Let an upstream alone say that it leaves."""
+        if engine := self._staying_upstream():
+            engine.is_leaving = True
+
+    def say_leaving_and_drain(self) -> None:
+        """Let an upstream say that it leaves before the store does."""
+        if engine := self._staying_upstream():
+            run = engine.run
+            engine.is_leaving = True
+            self._pause()
+            self._drain_run(engine, run)
+
+    def drain_and_say_leaving(self) -> None:
+        """Let an upstream say that it leaves after the store does."""
+        if engine := self._staying_upstream():
+            run = engine.run
+            self._drain_run(engine, run)
+            self._pause()
+            engine.is_leaving = engine.run == run
+
+    def remove(self) -> None:
+        """Remove a registration without draining; the upstream goes on serving."""
+        if engine := self._staying_upstream():
+            with self._lock:
+                run = (engine.name, engine.run)
+                self._fleet.store.delete("servers", engine.name)
+                self._history.removed_at[run] = time.monotonic()
+
+    def restart(self) -> None:
+        """Let an upstream run again at its address, those that leave first."""
+        engines = list(self._fleet.engines.values())
+        leaving = [engine for engine in engines if self._leaves(engine)]
+        engine = self._rng.choice(leaving or engines)
+        engine.restart_seconds = self._rng.uniform(0.1, 1.5)
+        engine.restart()
+
+    def turn_away(self) -> None:
+        """Let an upstream refuse some requests, with or without `Retry-After`."""
+        engine = self._rng.choice(list(self._fleet.engines.values()))
+        retry_after = f"{self._rng.uniform(*AWAY_SECONDS):.2f}"
+        engine.retry_after = self._rng.choice((None, retry_after))
+        refusals = self._rng.randint(1, MAX_REFUSALS)
+        engine.queued_behaviours = [Behaviour.REFUSE] * refusals
+
+    def _leaves(self, engine: ModelEngine) -> bool:
+        run = (engine.name, engine.run)
+        history = self._history
+        return (
+            engine.is_leaving
+            or run in history.drain_started_at
+            or run in history.removed_at
+        )
+
+    def _staying_upstream(self) -> ModelEngine | None:
+        engines = self._fleet.engines.values()
+        staying = [engine for engine in engines if not self._leaves(engine)]
+        if len(staying) <= MIN_STAYING_UPSTREAMS:
+            return None
+        return self._rng.choice(staying)
+
+    def _pause(self) -> None:
+        time.sleep(self._rng.uniform(0.1, MAX_NOTICE_GAP_SECONDS))
+
+    def _drain_run(self, engine: ModelEngine, run: int) -> None:
+        """Register a run as draining unless a later one has begun."""
+        with self._lock:
+            if engine.run == run:
+                self._drain(engine)
+
+    def _drain(self, engine: ModelEngine) -> None:
+        run = (engine.name, engine.run)
+        self._put(engine, "draining")
+        self._history.drain_started_at[run] = time.monotonic()
+
+    def _put(self, engine: ModelEngine, state: str) -> None:
+        entry = engine.entry("model", "one", state)
+        self._fleet.store.put("servers", engine.name, entry)
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -3,9 +3,10 @@
 import pytest
 
 from standins.gateway_fleet import GatewayResponse
-from standins.modelengine import ExecutedRequest
+from standins.modelengine import ExecutedRequest, ReceivedRequest
 from standins.soak_judge import (
     CRASHING_PART,
+    STORE,
     GatewayCall,
     SoakHistory,
     find_violations,
@@ -29,6 +30,10 @@
     return ExecutedRequest("a", "/stream/once/x", "team", b"a", received_at, 1, parts)
 
 
+def received(received_at, run=1):
+    return {"e1": [ReceivedRequest("a", received_at, run)]}
+
+
 CRASHED_LATE = [crashing_request(20.0 + number) for number in range(4)]
 VIOLATIONS = [
     SoakHistory([call()], {"e1": CRASHED_LATE}, crashed_at=[1.0] * 5),
@@ -37,7 +42,7 @@
     SoakHistory([call(res=response(200, b"e1 ran b"))], {"e1": [executed_request()]}),
     SoakHistory([call(res=response(504, seconds=9.0))], {}),
     SoakHistory([], {"e1": [executed_request()]}),
-    SoakHistory([call()], {"e1": [executed_request(received_at=9.0)]}, {"e1": 1.0}),
+    SoakHistory([call()], {}, {("e1", 1): 1.0}, received=received(9.0)),
 ]
 
 
@@ -47,16 +52,149 @@
 
 
 def test_disturbed_drain_and_broken_response_are_allowed():
-    drain_started_at = {"e1": 1.0}
-    disturbances = [(2.0, 5.0)]
-    disturbed = SoakHistory(
-        [call()],
-        {"e1": [executed_request(received_at=4.0)]},
-        drain_started_at,
-        disturbances,
-    )
-    assert not find_violations(disturbed)
+    for name in ("vm", STORE):
+        disturbed = SoakHistory(
+            [call()],
+            {},
+            {("e1", 1): 1.0},
+            {name: [(2.0, 5.0)]},
+            received=received(4.0),
+        )
+        assert not find_violations(disturbed)
     broken = SoakHistory(
         [call(res=response(200, b"e1", whole=False))], {"e1": [executed_request()]}
     )
     assert not find_violations(broken)
+
+
+def sent(attempt_id, sent_at, gateway="vm", seal=None):
+    """Return a call; `seal` names the upstream whose response was passed on."""
+    headers = {"oleandershift-response-seal": f"{seal}.{attempt_id}"} if seal else {}
+    res = GatewayResponse(500, headers, b"", True, 0.1)
+    return GatewayCall(attempt_id, "/read/x", gateway, sent_at, res)
+
+
+def arrived(attempt_id, received_at, run=1, **fields):
+    return ReceivedRequest(attempt_id, received_at, run, **fields)
+
+
+def drained_history(**fields):
+    return SoakHistory([call()], {}, {("e1", 1): 1.0}, received=received(4.0), **fields)
+
+
+def test_disturbance_of_another_gateway_does_not_excuse_a_drain():
+    assert find_violations(drained_history(disturbances={"other": [(2.0, 5.0)]}))
+
+
+def removed_history(sent_at, received_at, run=1, **fields):
+    """Return a history in which the store removes the first run at 1.0."""
+    requests = {"e1": [arrived("a", received_at, run)]}
+    return SoakHistory(
+        [sent("a", sent_at)], removed_at={("e1", 1): 1.0}, received=requests, **fields
+    )
+
+
+def test_late_request_to_a_removed_upstream_is_found():
+    assert find_violations(removed_history(3.6, 3.7))
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        removed_history(3.4, 3.7),
+        removed_history(3.6, 3.7, run=2),
+        removed_history(3.6, 3.7, disturbances={"vm": [(2.0, 2.5)]}),
+        removed_history(3.6, 3.7, disturbances={STORE: [(0.0, 1.5)]}),
+    ],
+    ids=["sent before", "later run", "gateway disturbed", "store disturbed"],
+)
+def test_request_to_a_removed_upstream_is_allowed(history):
+    assert find_violations(history) == []
+
+
+def leaving_history(sent_at, gateway="vm", seal="e1", run=1, **fields):
+    """Return a history in which `vm` passes on a leaving response at 1.1."""
+    return SoakHistory(
+        [sent("first", 1.0, seal=seal), sent("late", sent_at, gateway)],
+        received={
+            "e1": [
+                arrived("first", 1.05, says_leaving=True),
+                arrived("late", sent_at + 0.1, run),
+            ]
+        },
+        **fields,
+    )
+
+
+def test_late_request_to_an_upstream_that_said_that_it_leaves_is_found():
+    assert find_violations(leaving_history(3.7))
+
+
+@pytest.mark.parametrize(
+    "excuse",
+    [
+        {"disturbances": {"vm": [(0.0, 9.0)], STORE: [(0.0, 9.0)]}},
+        {"interruptions": {"other": [(2.0, 2.5)]}},
+        {"interruptions": {"vm": [(0.0, 0.5)]}},
+    ],
+    ids=["out of touch", "another gateway", "before"],
+)
+def test_only_a_restart_or_freeze_since_then_excuses_a_late_request(excuse):
+    assert find_violations(leaving_history(3.7, **excuse))
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        leaving_history(3.5),
+        leaving_history(3.7, gateway="other"),
+        leaving_history(3.7, seal=None),
+        leaving_history(3.7, run=2),
+        leaving_history(3.7, interruptions={"vm": [(2.0, 2.5)]}),
+    ],
+    ids=["in time", "another gateway", "not passed on", "later run", "interrupted"],
+)
+def test_request_to_an_upstream_that_said_that_it_leaves_is_allowed(history):
+    assert find_violations(history) == []
+
+
+def away_history(arrival_times, gateway="vm", run=1, **fields):
+    """Return a history in which `vm` is turned away from 1.0 to 3.0."""
+    refused = arrived("refused", 0.9, refused_at=1.0, away_until=3.0)
+    later = [arrived(f"a{at}", at, run) for at in arrival_times]
+    calls = [sent(req.attempt_id, req.received_at, gateway) for req in later]
+    return SoakHistory(
+        [sent("refused", 0.8), *calls], received={"e1": [refused, *later]}, **fields
+    )
+
+
+def test_third_request_while_an_upstream_is_away_is_found():
+    assert find_violations(away_history([1.6, 2.0, 2.9]))
+
+
+@pytest.mark.parametrize(
+    "excuse",
+    [
+        {"interruptions": {"other": [(1.5, 2.0)], "e2": [(1.5, 2.0)]}},
+        {"disturbances": {STORE: [(0.0, 9.0)]}},
+    ],
+    ids=["other gateway and link", "store"],
+)
+def test_disturbances_elsewhere_excuse_no_requests_while_away(excuse):
+    assert find_violations(away_history([1.6, 2.0, 2.9], **excuse))
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        away_history([1.1, 1.2, 1.3, 1.4, 1.6, 2.9]),
+        away_history([2.0, 2.9, 3.1, 3.2]),
+        away_history([1.6, 2.0, 2.9], gateway="other"),
+        away_history([1.6, 2.0, 2.9], run=2),
+        away_history([1.6, 2.0, 2.9], interruptions={"vm": [(1.5, 1.8)]}),
+        away_history([1.6, 2.0, 2.9], interruptions={"e1": [(1.5, 1.8)]}),
+    ],
+    ids=["notice", "end", "another gateway", "later run", "interrupted", "link"],
+)
+def test_requests_while_an_upstream_is_away_are_allowed(history):
+    assert find_violations(history) == []
