Test the soak's judge with words unsaid and interruptions after a request

Two mutations of the judge survived its tests: taking any response for one that says leaving, and taking an interruption after the request for an excuse.

--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -112,13 +112,13 @@
     assert find_violations(history) == []
 
 
-def leaving_history(sent_at, gateway="vm", seal="e1", run=1, **fields):
+def leaving_history(sent_at, gateway="vm", seal="e1", run=1, says=True, **fields):
     """Return a history in which `vm` passes on a leaving response at 1.1."""
     return SoakHistory(
         [sent("first", 1.0, seal=seal), sent("late", sent_at, gateway)],
         received={
             "e1": [
-                arrived("first", 1.05, says_leaving=True),
+                arrived("first", 1.05, says_leaving=says),
                 arrived("late", sent_at + 0.1, run),
             ]
         },
@@ -136,8 +136,9 @@
         {"disturbances": {"vm": [(0.0, 9.0)], STORE: [(0.0, 9.0)]}},
         {"interruptions": {"other": [(2.0, 2.5)]}},
         {"interruptions": {"vm": [(0.0, 0.5)]}},
+        {"interruptions": {"vm": [(8.0, 9.0)]}},
     ],
-    ids=["out of touch", "another gateway", "before"],
+    ids=["out of touch", "another gateway", "before", "after"],
 )
 def test_only_a_restart_or_freeze_since_then_excuses_a_late_request(excuse):
     assert find_violations(leaving_history(3.7, **excuse))
@@ -150,9 +151,17 @@
         leaving_history(3.7, gateway="other"),
         leaving_history(3.7, seal=None),
         leaving_history(3.7, run=2),
+        leaving_history(3.7, says=False),
         leaving_history(3.7, interruptions={"vm": [(2.0, 2.5)]}),
     ],
-    ids=["in time", "another gateway", "not passed on", "later run", "interrupted"],
+    ids=[
+        "in time",
+        "another gateway",
+        "not passed on",
+        "later run",
+        "unsaid",
+        "interrupted",
+    ],
 )
 def test_request_to_an_upstream_that_said_that_it_leaves_is_allowed(history):
     assert find_violations(history) == []
