--- a/standins/gateway_soak.py
+++ b/standins/gateway_soak.py
@@ -17,6 +17,7 @@
 from contextlib import contextmanager
 from pathlib import Path
 
+from standins.behaviours import Behaviour
 from standins.gateway_fleet import (
     Gateway,
     GatewayFleet,
@@ -25,7 +26,6 @@
     running_fleet,
 )
 from standins.metastore import StoreMode
-from standins.modelengine import Behaviour
 from standins.proxy import Proxy
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 from standins.soak_judge import (
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -5,8 +5,14 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from enum import Enum
 
+from standins.behaviours import (
+    ENDLESS_BYTES,
+    SLOW_BYTES,
+    SLOW_BYTES_SECONDS,
+    UNFRAMED_STREAMS,
+    Behaviour,
+)
 from standins.server import Exchange, Server
 
 ATTEMPT_HEADER = "Oleandershift-Attempt-Id"
@@ -16,71 +22,6 @@
 PROMPT_PREFIX_HEADER = "Oleandershift-Prompt-Prefix"
 
 
-class Behaviour(Enum):
-    """Response of an upstream to a request.
-
-    `REFUSE`, `ENDLESS_REFUSAL` and `CUT_BEFORE` do not execute the request.
-    `CUT_BEFORE`, `CUT_AFTER`, `CUT_MIDWAY` and `CUT_LATE` reset the connection before
-    the execution, after it, within the response and before its last byte. `LEFTOVER`
-    sends another response first; `UNFRAMED` sends no length. `END_IN_EVENT` and
-    `END_EMPTY` also end a stream without a length within its second event and before
-    its first. `ENDLESS_…` send bytes until the caller closes.
-    """
-
-    ANSWER = "answer"
-    REFUSE = "refuse"
-    FAIL = "fail"
-    CUT_BEFORE = "cut-before"
-    CUT_AFTER = "cut-after"
-    CUT_MIDWAY = "cut-midway"
-    CUT_LATE = "cut-late"
-    GARBAGE = "garbage"
-    LEFTOVER = "leftover"
-    UNFRAMED = "unframed"
-    END_IN_EVENT = "end-in-event"
-    END_EMPTY = "end-empty"
-    ENDLESS_HEADER = "endless-header"
-    ENDLESS_HEADERS = "endless-headers"
-    ENDLESS_INTERIM = "endless-interim"
-    ENDLESS_OTHER = "endless-other"
-    ENDLESS_ERROR = "endless-error"
-    ENDLESS_CHUNK = "endless-chunk"
-    ENDLESS_REFUSAL = "endless-refusal"
-    ENCODED = "encoded"
-    HANG = "hang"
-
-
-SLOW_BYTES = 100
-SLOW_BYTES_SECONDS = 0.02
-"""Pause after the repeated bytes if they are few."""
-
-_ENDLESS_BYTES = {
-    Behaviour.ENDLESS_HEADER: (b"HTTP/1.1 200 OK\r\nx: ", b"x" * 4096),
-    Behaviour.ENDLESS_HEADERS: (b"HTTP/1.1 200 OK\r\n", b"x: y\r\n" * 1000),
-    Behaviour.ENDLESS_INTERIM: (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 200),
-    Behaviour.ENDLESS_OTHER: (
-        b"HTTP/1.1 200 OK\r\nOleandershift-Attempt-Id: other\r\n\r\n",
-        b"x" * 65_536,
-    ),
-    Behaviour.ENDLESS_ERROR: (
-        b"HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n",
-        b"1000\r\n%b\r\n" % (b"x" * 4096),
-    ),
-    Behaviour.ENDLESS_CHUNK: (
-        b"HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n1;",
-        b"x" * 4096,
-    ),
-    Behaviour.ENDLESS_REFUSAL: (
-        b"HTTP/1.1 503 Busy\r\nOleandershift-Not-Executed: 1\r\n"
-        b"Transfer-Encoding: chunked\r\n\r\n",
-        b"1\r\nx\r\n",
-    ),
-}
-"""Start of a response that never ends, and the bytes that are sent again and again."""
-
-_UNFRAMED_STREAMS = (Behaviour.UNFRAMED, Behaviour.END_IN_EVENT, Behaviour.END_EMPTY)
-
-
 @dataclass(frozen=True)
 class ExecutedRequest:
     """A request that an upstream executed.
@@ -347,7 +288,7 @@
             exchange.send_json(500, {"error": "failed"}, headers)
         elif behaviour is Behaviour.CUT_AFTER:
             exchange.abort()
-        elif behaviour in _ENDLESS_BYTES:
+        elif behaviour in ENDLESS_BYTES:
             self._send_without_end(exchange, behaviour)
         elif behaviour is Behaviour.GARBAGE:
             exchange.write(b"this is no answer\r\n\r\n")
@@ -363,7 +304,7 @@
         exchange.write(b"id: 1\ndata: x\n\n")
 
     def _send_without_end(self, exchange: Exchange, behaviour: Behaviour) -> None:
-        start, repeated = _ENDLESS_BYTES[behaviour]
+        start, repeated = ENDLESS_BYTES[behaviour]
         pause_seconds = SLOW_BYTES_SECONDS if len(repeated) < SLOW_BYTES else 0.0
         try:
             exchange.write(start)
@@ -408,7 +349,7 @@
         first_event: int,
         behaviour: Behaviour,
     ) -> None:
-        is_unframed = behaviour in _UNFRAMED_STREAMS
+        is_unframed = behaviour in UNFRAMED_STREAMS
         framing = (
             {"Connection": "close"} if is_unframed else {"Transfer-Encoding": "chunked"}
         )
--- a/standins/soak_upstreams.py
+++ b/standins/soak_upstreams.py
@@ -6,8 +6,9 @@
 import time
 from collections import Counter
 
+from standins.behaviours import Behaviour
 from standins.gateway_fleet import GatewayFleet
-from standins.modelengine import Behaviour, ModelEngine
+from standins.modelengine import ModelEngine
 from standins.soak_judge import DRAIN_SECONDS, Run, SoakHistory
 
 MIN_STAYING_UPSTREAMS = 2
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -10,6 +10,7 @@
 import pytest
 
 from oleandershift.logcauses import find_cause, find_entries, summarise_causes
+from standins.behaviours import Behaviour
 from standins.gateway_fleet import (
     GatewayFleet,
     call_on,
@@ -19,7 +20,6 @@
     wait_until,
 )
 from standins.metastore import StoreMode
-from standins.modelengine import Behaviour
 from standins.proxy_faults import CutStage, ProxyFaults, ProxyMode
 
 
--- a/tests/integration/test_gateway_endless.py
+++ b/tests/integration/test_gateway_endless.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from standins.behaviours import Behaviour
 from standins.gateway_fleet import GatewayFleet, running_fleet, wait_until
-from standins.modelengine import Behaviour
 from standins.processes import resident_bytes
 
 ENDLESS = [item for item in Behaviour if item.value.startswith("endless")]
--- a/tests/integration/test_gateway_restarted_upstream.py
+++ b/tests/integration/test_gateway_restarted_upstream.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from standins.behaviours import Behaviour
 from standins.gateway_fleet import running_fleet, wait_until
-from standins.modelengine import Behaviour
 from standins.soak_judge import (
     AWAY_NOTICE_SECONDS,
     DRAIN_SECONDS,
