Let hubs tell in their digests which upstreams drain

Followers of an overloaded reader, or of one that could not be fetched from, did not learn that an upstream drains for up to 2.95 s (batch 0.5, digest 0.25, check 0.6, a failed fetch 1.0, check 0.6; worked out), where 2.5 s are allowed on the small deployments.

Evidence: test_hub_announces_upstreams_that_the_store_lists_as_draining failed before. test_leaving_upstream_is_announced_until_the_store_lists_it now asks a VM that is no hub, which is what it holds for.

Change: a hub names draining upstreams among the leaving ones while they are registered.

Measured: the tests pass.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -96,7 +96,8 @@
         number are divided. `vms` is 0 but in the first.
     leaving : tuple of UpstreamRun
         Upstreams that said in a response that they leave, though the store lists them
-        as ready. VMs of an earlier version do not send it.
+        as ready; from a hub also those that the store lists as draining. VMs of an
+        earlier version do not send it.
     """
 
     vm: VmId
--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -143,7 +143,9 @@
         # Results that are kept until a change, as each request asks for them.
         self._usable: dict[ServiceId, tuple[Upstream, ...]] = {}
         self._usable_until = math.inf
-        self._leaving_unregistered: frozenset[UpstreamRun] | None = None
+        self._leaving: tuple[frozenset[UpstreamRun], frozenset[UpstreamRun]] | None = (
+            None
+        )
         self._lost_at: float | None = None
         self._recovered_at = -math.inf
         self.revision = 0
@@ -338,13 +340,21 @@
 
     def leaving_unregistered(self) -> frozenset[UpstreamRun]:
         """Return the runs that leave although the store lists them as ready."""
-        if self._leaving_unregistered is None:
-            self._leaving_unregistered = frozenset(
-                entry.run
-                for entry in self._entries.values()
-                if entry.state is UpstreamState.READY and entry.run in self._departed
-            )
-        return self._leaving_unregistered
+        return self._leaving_runs()[0]
+
+    def leaving_registered(self) -> frozenset[UpstreamRun]:
+        """Return the runs that the store lists as draining."""
+        return self._leaving_runs()[1]
+
+    def _leaving_runs(self) -> tuple[frozenset[UpstreamRun], frozenset[UpstreamRun]]:
+        if self._leaving is None:
+            departed = [
+                entry for entry in self._entries.values() if entry.run in self._departed
+            ]
+            ready = {item.run for item in departed if item.state is UpstreamState.READY}
+            runs = frozenset(item.run for item in departed)
+            self._leaving = frozenset(ready), runs - ready
+        return self._leaving
 
     def leaving_count(self, now: float) -> int:
         """Return the number of registered upstreams that accept no new requests."""
@@ -376,7 +386,7 @@
 
     def _forget_results(self) -> None:
         self._usable.clear()
-        self._leaving_unregistered = None
+        self._leaving = None
 
     def _depart(self, run: UpstreamRun) -> None:
         self._forget_results()
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -91,7 +91,7 @@
         return (
             change >= URGENT_CHANGE_TOKENS
             or not self._absent(now) <= self._sent_absent
-            or not self._leaving() <= self._sent_leaving
+            or not self._leaving(now) <= self._sent_leaving
         )
 
     def sums_peers(self, now: float) -> bool:
@@ -109,7 +109,7 @@
         """
         self._sent_prefill_tokens = self._prefill_tokens(now)
         self._sent_absent = self._absent(now)
-        self._sent_leaving = self._leaving()
+        self._sent_leaving = self._leaving(now)
         leaving = self._window(self._sent_leaving)
         self._seq += 1
         local_peers = self._peers.local_peers(now)
@@ -162,12 +162,17 @@
             return own
         return self._peers.data_centre_absent(now, own)
 
-    def _leaving(self) -> frozenset[UpstreamRun]:
+    def _leaving(self, now: float) -> frozenset[UpstreamRun]:
         """Return the leaving upstreams that this VM announces.
 
-        Each VM passes on what it was told, until the store lists it as well.
+        Each VM passes on what it was told, until the store lists it as well. A hub
+        announces what the store lists, too: followers then need no snapshot to stop
+        sending to an upstream that drains.
         """
-        return self._state.view.directory.leaving_unregistered()
+        directory = self._state.view.directory
+        if self._peers.is_hub(now):
+            return directory.leaving_unregistered() | directory.leaving_registered()
+        return directory.leaving_unregistered()
 
     def _window(self, runs: frozenset[UpstreamRun]) -> frozenset[UpstreamRun]:
         """Return as many runs as a digest names, others with each digest."""
