Ask another VM at once when one does not respond, and not the same ones again

Followers of two readers that did not answer learned nothing: each fetch cost a second and a pause, and they alternated between the two.

Cause: only the VM that had failed last was remembered, and after a failure the next check came 0.6 s later.

Change: a VM that did not respond is asked for 3 s only for want of another, and the next one after 0.1 s.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import time
+from collections.abc import Collection
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -64,6 +65,13 @@
 """Interval of checks for changes that the store did not deliver to this VM. Longer than
 the feeds' `BATCH_DELAY_SECONDS`, so that a batched change doesn't count as missed."""
 
+CATCH_UP_RETRY_SECONDS = 0.1
+"""Pause before another VM is asked in place of one that did not respond."""
+
+UNREACHABLE_SECONDS = 3.0
+"""Time for which a VM that did not respond is asked only for want of another; enough to
+ask three others."""
+
 FIRST_DIGESTS_SECONDS = 1.0
 """Time after the start of the process in which digests of the other VMs arrive."""
 
@@ -397,9 +405,13 @@
         row, as changes reach VMs at different times.
         """
         previous_vm: VmId | None = None
-        unreachable: VmId | None = None
+        unreachable_until: dict[VmId, float] = {}
+        delay_s = CATCH_UP_INTERVAL_SECONDS
         while True:
-            await asyncio.sleep(CATCH_UP_INTERVAL_SECONDS)
+            await asyncio.sleep(delay_s)
+            delay_s = CATCH_UP_INTERVAL_SECONDS
+            instant = now()
+            unreachable = [vm for vm, t in unreachable_until.items() if t > instant]
             peer = self._find_fresher_peer(unreachable)
             if peer is None or (
                 peer.vm != previous_vm and not self._store_sync.relies_on_peers
@@ -410,11 +422,14 @@
             snapshot = await self._peer_transport.fetch_snapshot(
                 peer, self._store_sync.request()
             )
-            unreachable = peer.vm if snapshot is None else None
-            if snapshot is not None:
-                self._store_sync.apply_snapshot(snapshot, peer.vm, asked_at)
+            if snapshot is None:
+                unreachable_until[peer.vm] = now() + UNREACHABLE_SECONDS
+                delay_s = CATCH_UP_RETRY_SECONDS
+                continue
+            unreachable_until.pop(peer.vm, None)
+            self._store_sync.apply_snapshot(snapshot, peer.vm, asked_at)
 
-    def _find_fresher_peer(self, unreachable: VmId | None) -> Peer | None:
+    def _find_fresher_peer(self, unreachable: Collection[VmId]) -> Peer | None:
         """Return a VM that has read a newer revision or configuration, if any."""
         cfg = self._view.configuration
         version = cfg.version if cfg else 0
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -1,7 +1,7 @@
 """Digests and addresses of the other VMs, and recipients of this VM's digests."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from copy import copy
 from dataclasses import dataclass
 from enum import Enum
@@ -262,7 +262,7 @@
         now: float,
         configuration: int,
         revision: int,
-        unreachable: VmId | None = None,
+        unreachable: Collection[VmId] = (),
     ) -> Peer | None:
         """Return a live peer whose copy of the store is newer than this VM's, if any.
 
@@ -274,9 +274,9 @@
             Version of the configuration in force at this VM.
         revision : int
             Store revision of this VM's list of upstreams.
-        unreachable : VmId or None
-            VM that did not respond the last time; it is returned only if no other VM
-            is ahead.
+        unreachable : collection of VmId
+            VMs that did not respond lately; one is returned only if no other VM is
+            ahead.
         """
         candidates = [
             digest
@@ -286,7 +286,7 @@
         ]
         if not candidates:
             return None
-        reachable = [digest for digest in candidates if digest.vm != unreachable]
+        reachable = [digest for digest in candidates if digest.vm not in unreachable]
         freshest = max(reachable or candidates, key=self._freshness)
         return self._peers[freshest.vm]
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -234,7 +234,9 @@
 
 def test_vm_that_does_not_respond_is_asked_again_only_for_want_of_another(table):
     table.merge(0.0, make_digest("a", revision=9))
-    assert table.fresher_peer(0.1, 1, 1, unreachable=VmId("a")).vm == "a"
+    assert table.fresher_peer(0.1, 1, 1, unreachable=[VmId("a")]).vm == "a"
     table.merge(0.0, make_digest("b", revision=8))
     assert table.fresher_peer(0.1, 1, 1).vm == "a"
-    assert table.fresher_peer(0.1, 1, 1, unreachable=VmId("a")).vm == "b"
+    assert table.fresher_peer(0.1, 1, 1, unreachable=[VmId("a")]).vm == "b"
+    table.merge(0.0, make_digest("c", revision=7))
+    assert table.fresher_peer(0.1, 1, 1, unreachable=["a", "b"]).vm == "c"
