Stop the gateway of a failed test, and start callers when it listens

Cause: the tests of an overloaded gateway waited for `Gateway.ready`, which is true once the store has answered. The sockets may open later, and callers were refused then. The test failed with its gateway running; its listening socket outlived the event loop, and the next gateway in that worker, at the same address, could not open it. The error of that gateway's task was read by nobody but the garbage collector. If that ran within pytest's own `ast.parse`, the traceback it logged called `ast.parse` again, which Python 3.11.7 answers with a SystemError.

Change: `running` starts a gateway, waits for its readiness probe as the load balancer does, and stops it after failed tests too; an error of the gateway is raised in its test. Each gateway gets a loopback address that is reserved against all other processes of tests (`free_ip`); addresses by process id modulo 250 collide between runs side by side.

--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -1,10 +1,7 @@
 """Gateway processes on loopback addresses, with a metadata store and upstreams."""
 
-import functools
 import http.client
 import itertools
-import os
-import socket
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -13,18 +10,19 @@
 
 from standins.metastore import MetaStore
 from standins.modelengine import ModelEngine
+from standins.ports import free_ip
 from standins.processes import ChildProcess, stop_all
 from standins.proxy import Proxy
 
 WAIT_TIMEOUT_SECONDS = 20.0
 HOST = "caller.example"
 KEY = "key-of-the-team"
+NETWORK = "127.31"
+"""First two numbers of the VMs' addresses."""
+
 METRICS_PORT = 9464
 """Default port of the gateway's metrics."""
 
-SUBNETS = 250
-CLAIM_PORT = 7400
-
 _vm_numbers = itertools.count(1)
 
 SETTINGS = """\
@@ -54,26 +52,6 @@
 """
 
 
-@functools.cache
-def _claim() -> socket.socket:
-    """Return a socket whose address shows that its subnet is in use."""
-    for number in range(SUBNETS):
-        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        try:
-            sock.bind((f"127.31.{(os.getpid() + number) % SUBNETS}.251", CLAIM_PORT))
-        except OSError:
-            sock.close()
-            continue
-        return sock
-    raise RuntimeError("all subnets are in use")
-
-
-def _claimed_subnet() -> str:
-    """Return the third number of addresses that no other process uses."""
-    ip, _ = _claim().getsockname()
-    return str(ip).split(".")[2]
-
-
 def wait_until(condition: Callable[[], bool], description: str) -> None:
     """Wait until a condition holds; fail with its description after the timeout."""
     deadline = time.monotonic() + WAIT_TIMEOUT_SECONDS
@@ -226,8 +204,7 @@
     def add_gateway(self, zone: str = "one") -> Gateway:
         """Start a gateway on its own address, behind a proxy to the store."""
         number = next(_vm_numbers)
-        network, host = divmod(number, 250)
-        ip = f"127.{31 + network}.{_claimed_subnet()}.{host + 1}"
+        ip = free_ip(NETWORK)
         name = f"vm-{number}"
         path = self.folder / f"{name}.toml"
         proxy = Proxy("127.0.0.1", self.store.port)
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,4 +1,4 @@
-"""Free TCP ports for the processes that tests and stand-ins start."""
+"""Free addresses and TCP ports for the processes that tests and stand-ins start."""
 
 import itertools
 import os
@@ -7,8 +7,12 @@
 FIRST_PORT = 10_000
 PORT_COUNT = 20_000
 PID_STRIDE = 997
+HOSTS_PER_SUBNET = 250
+RESERVATION_PORT = 9
+"""UDP port that reserves an IP address; no process of a fleet uses it."""
 
 _port_offsets = itertools.count(os.getpid() * PID_STRIDE)
+_host_offsets = itertools.count(os.getpid() * PID_STRIDE)
 _reservations: list[socket.socket] = []
 
 
@@ -37,3 +41,28 @@
 def free_ports(count: int) -> list[int]:
     """Return distinct free ports."""
     return [free_port() for _ in range(count)]
+
+
+def free_ip(network: str) -> str:
+    """Return a loopback address of which no other test process uses any port.
+
+    Processes that listen on fixed ports need an address of their own. It is reserved as
+    the ports are, for the lifetime of this process.
+
+    Parameters
+    ----------
+    network : str
+        First two numbers of the address.
+    """
+    for _ in range(HOSTS_PER_SUBNET**2):
+        subnet, host = divmod(next(_host_offsets), HOSTS_PER_SUBNET)
+        ip = f"{network}.{subnet % HOSTS_PER_SUBNET}.{host + 1}"
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            reservation.bind((ip, RESERVATION_PORT))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return ip
+    raise OSError(f"no address of {network} is free")
--- a/tests/contract/conftest.py
+++ b/tests/contract/conftest.py
@@ -1,7 +1,5 @@
 """Fixtures: a gateway in the process of the test, with a store and an upstream."""
 
-import os
-
 import pytest
 
 from oleandershift.io.decisionlog import DecisionLog
@@ -10,8 +8,9 @@
 from standins.gateway_fleet import METRICS_PORT, SETTINGS, configuration
 from standins.metastore import MetaStore
 from standins.modelengine import ModelEngine
+from standins.ports import free_ip
 
-IP = f"127.37.{os.getpid() % 250}.1"
+NETWORK = "127.37"
 
 
 @pytest.fixture
@@ -33,11 +32,16 @@
 
 
 @pytest.fixture
-def settings_path(tmp_path, store):
+def ip():
+    return free_ip(NETWORK)
+
+
+@pytest.fixture
+def settings_path(tmp_path, store, ip):
     path = tmp_path / "vm.toml"
     address = f"127.0.0.1:{store.port}"
     path.write_text(
-        SETTINGS.format(name="vm", ip=IP, zone="one", store=address, max_fds=4096)
+        SETTINGS.format(name="vm", ip=ip, zone="one", store=address, max_fds=4096)
     )
     return path
 
@@ -48,6 +52,11 @@
 
 
 @pytest.fixture
-def gateway(engine, settings_path, vm_settings):
+def make_gateway(engine, settings_path, vm_settings):
     log = DecisionLog(vm_settings.vm, "ERROR")
-    return Gateway(vm_settings, settings_path, METRICS_PORT, log)
+    return lambda: Gateway(vm_settings, settings_path, METRICS_PORT, log)
+
+
+@pytest.fixture
+def gateway(make_gateway):
+    return make_gateway()
--- a/tests/contract/test_gateway_departures.py
+++ b/tests/contract/test_gateway_departures.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import http.client
-import signal
 import time
 
 import pytest
+from gateways import running
 
 from oleandershift.io.pool import ConnectionPool
-from standins.gateway_fleet import call_on, is_ready
+from standins.gateway_fleet import call_on
 from standins.modelengine import ModelEngine
 
 TIMEOUT_SECONDS = 10.0
@@ -58,23 +58,18 @@
             "acquire",
             lambda pool, upstream, repeatable: held.acquire(pool, upstream, repeatable),
         )
-        serving = asyncio.create_task(gateway.run())
-        probed, address = vm_settings.readiness_address, vm_settings.caller_address
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            while not await asyncio.to_thread(is_ready, probed.host, probed.port):
-                await asyncio.sleep(0.01)
+        address = vm_settings.caller_address
         conn = http.client.HTTPConnection(address.host, address.port, timeout=10.0)
-        answering = asyncio.create_task(
-            asyncio.to_thread(call_on, conn, "/read/x", "a1")
-        )
-        await asyncio.wait_for(held.is_held.wait(), TIMEOUT_SECONDS)
-        leave()
-        await until(is_known)
-        held.released.set()
-        answer = await answering
-        conn.close()
-        signal.raise_signal(signal.SIGTERM)
-        await serving
+        async with running(gateway, vm_settings):
+            answering = asyncio.create_task(
+                asyncio.to_thread(call_on, conn, "/read/x", "a1")
+            )
+            await asyncio.wait_for(held.is_held.wait(), TIMEOUT_SECONDS)
+            leave()
+            await until(is_known)
+            held.released.set()
+            answer = await answering
+            conn.close()
         return answer
 
     return lambda leave, is_known: asyncio.run(run(leave, is_known))
--- a/tests/contract/test_gateway_overload.py
+++ b/tests/contract/test_gateway_overload.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import http.client
-import signal
 import socket
 import time
 import zlib
@@ -12,6 +11,7 @@
 
 import pytest
 import uvloop
+from gateways import running
 
 from standins.gateway_fleet import call_on, configuration, route
 
@@ -44,19 +44,13 @@
         is_done = True
 
 
-def run_while_busy(gateway, iteration_s, call):
+def run_while_busy(gateway, vm_settings, iteration_s, call):
     """Run blocking calls beside a gateway with a busy loop; return their result."""
 
     async def serve():
-        serving = asyncio.create_task(gateway.run())
-        async with asyncio.timeout(TIMEOUT_SECONDS):
-            while not gateway.ready:
-                await asyncio.sleep(0.01)
-        with busy_loop(iteration_s):
-            result = await asyncio.to_thread(call)
-        signal.raise_signal(signal.SIGTERM)
-        await serving
-        return result
+        async with running(gateway, vm_settings):
+            with busy_loop(iteration_s):
+                return await asyncio.to_thread(call)
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         return runner.run(serve())
@@ -83,6 +77,7 @@
 ):
     seconds = run_while_busy(
         gateway,
+        vm_settings,
         ITERATION_SECONDS,
         lambda: time_to_answer_all(vm_settings.caller_address),
     )
@@ -143,6 +138,7 @@
 ):
     answers = run_while_busy(
         generating_gateway,
+        vm_settings,
         LATE_ITERATION_SECONDS,
         lambda: flood(vm_settings.caller_address),
     )
--- a/tests/contract/test_gateway_start.py
+++ b/tests/contract/test_gateway_start.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import http.client
-import signal
+import socket
 
-from standins.gateway_fleet import call_on, is_ready
+import pytest
+import uvloop
+from gateways import running
+
+from standins.gateway_fleet import call_on
 
 LISTEN_DELAY_SECONDS = 0.3
 TIMEOUT_SECONDS = 10.0
@@ -20,18 +24,9 @@
         return await super().create_server(*args, **kwargs)
 
 
-async def until_ready(vm_settings):
-    """Wait until a readiness probe succeeds."""
-    probed = vm_settings.readiness_address
-    async with asyncio.timeout(TIMEOUT_SECONDS):
-        while not await asyncio.to_thread(is_ready, probed.host, probed.port):
-            await asyncio.sleep(0.01)
-
-
 async def first_connection(vm_settings):
     """Return the exception of a caller that connects as soon as the VM is ready."""
     address = vm_settings.caller_address
-    await until_ready(vm_settings)
     async with asyncio.timeout(TIMEOUT_SECONDS):
         try:
             _, writer = await asyncio.open_connection(address.host, address.port)
@@ -43,11 +38,9 @@
 
 def test_vm_that_reports_ready_refuses_no_connection(gateway, vm_settings):
     async def start_and_stop():
-        serving = asyncio.create_task(gateway.run())
-        exc = await first_connection(vm_settings)
-        await asyncio.sleep(3 * LISTEN_DELAY_SECONDS)
-        signal.raise_signal(signal.SIGTERM)
-        await serving
+        async with running(gateway, vm_settings):
+            exc = await first_connection(vm_settings)
+            await asyncio.sleep(3 * LISTEN_DELAY_SECONDS)
         return exc
 
     with asyncio.Runner(loop_factory=SlowLoop) as runner:
@@ -57,7 +50,6 @@
 async def answer_to_short_deadline(vm_settings):
     """Return the answer to a request that is sent as soon as the VM is ready."""
     address = vm_settings.caller_address
-    await until_ready(vm_settings)
     conn = http.client.HTTPConnection(address.host, address.port, timeout=5.0)
     fields = {"Oleandershift-Deadline-Ms": SHORT_DEADLINE_MS}
     answer = await asyncio.to_thread(call_on, conn, "/read/x", "a1", **fields)
@@ -67,12 +59,41 @@
 
 def test_vm_that_has_just_started_does_not_take_requests_for_old(gateway, vm_settings):
     async def start_and_stop():
-        serving = asyncio.create_task(gateway.run())
-        answer = await answer_to_short_deadline(vm_settings)
-        signal.raise_signal(signal.SIGTERM)
-        await serving
-        return answer
+        async with running(gateway, vm_settings):
+            return await answer_to_short_deadline(vm_settings)
 
     with asyncio.Runner(loop_factory=SlowLoop) as runner:
         answer = runner.run(start_and_stop())
     assert answer.status == 200
+
+
+class FailedTestError(Exception):
+    """A failure of a test beside a running gateway."""
+
+
+def test_gateway_beside_a_failed_test_leaves_its_address(make_gateway, vm_settings):
+    async def fail():
+        async with running(make_gateway(), vm_settings):
+            raise FailedTestError
+
+    async def start_and_stop():
+        async with running(make_gateway(), vm_settings):
+            return await first_connection(vm_settings)
+
+    with pytest.raises(FailedTestError):
+        uvloop.run(fail())
+    assert uvloop.run(start_and_stop()) is None
+
+
+def test_error_of_a_gateway_is_raised_in_its_test(make_gateway, vm_settings):
+    address = vm_settings.caller_address
+
+    async def start():
+        async with running(make_gateway(), vm_settings):
+            raise FailedTestError
+
+    with (
+        socket.create_server((address.host, address.port)),
+        pytest.raises(OSError, match="in use"),
+    ):
+        uvloop.run(start())
--- a/tests/contract/test_snapshots.py
+++ b/tests/contract/test_snapshots.py
@@ -1,8 +1,6 @@
 """Transfer of store snapshots between VMs, also of different builds."""
 
 import asyncio
-import itertools
-import os
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -27,6 +25,7 @@
 from oleandershift.records import Record
 from oleandershift.state import FleetState
 from oleandershift.vmsettings import Address
+from standins.ports import free_ip
 
 LENGTH_BYTES = 4
 LATE_ITERATION_SECONDS = 0.35
@@ -34,7 +33,6 @@
 FOLLOWERS = 31
 FIELDS_OF_EARLIER_BUILD = list(StoreSnapshot.__annotations__).index("since")
 SNAPSHOT = StoreSnapshot(None, 9, (Record("u", 9, {}),), 7, (("v", 8, 250),))
-_numbers = itertools.count(1)
 
 
 class RecordingLog:
@@ -49,7 +47,7 @@
 
 
 def make_vm(name):
-    address = Address(f"127.36.{os.getpid() % 250}.{next(_numbers)}", 7400)
+    address = Address(free_ip("127.36"), 7400)
     return Peer(VmId(name), DataCentreId("one"), address)
 
 
