Let a planned stop wait for requests that are still arriving

Callers that were sending a request when their VM was stopped had their connection closed with no answer, although most of the grace period was left.

Cause: the drain ended once no request was being handled. Requests of which only a part had been read did not count, nor did accepted connections that the event loop had not opened yet, nor answers still in a connection's buffer.

Evidence: the three cases of test_stop_answers_a_request_whose_bytes_are_still_arriving failed before: the rest of the request came 0.5 s after the listener had closed and got no answer. The tests of waiting connections and of an answer of 900 kB that is read slowly passed before too, as the loop's shutdown and the kernel's buffers cover these; they stay as guards.

Change: the drain ends when no connection of a caller is left and none is opening, at the latest at its deadline. Idle connections are closed at once, as before, and timeouts of requests apply.

Measured: test_gateway_stop.py passes (6), as do the tests of listeners, callers' connections, SIGTERM and the short soaks of gateways.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -470,10 +470,18 @@
         while now() < deadline:
             for conn in list(self._caller_connections):
                 conn.close_if_idle()
-            if not self._relay.active_requests:
+            if self._is_drained():
                 break
             await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
 
+    def _is_drained(self) -> bool:
+        """Return whether no request is read or handled and no response is unsent."""
+        return not (
+            self._relay.active_requests
+            or self._caller_connections
+            or self._caller_listener.opening_count
+        )
+
 
 def _file_stamp(path: Path) -> tuple[int, int]:
     """Return the modification time in ns and the size; zeros when no file exists."""
--- a/src/oleandershift/io/listener.py
+++ b/src/oleandershift/io/listener.py
@@ -54,6 +54,11 @@
         self._opening: set[asyncio.Task[None]] = set()
         self.accepted_count = 0
 
+    @property
+    def opening_count(self) -> int:
+        """Return the number of accepted connections that have no protocol yet."""
+        return len(self._opening)
+
     def open(self) -> None:
         """Start to listen.
 
