Reject addresses of VMs that can't be sent to

One registration of a VM that named a host name, an IPv6 address or no address stopped the maintenance of every gateway of its data centre that read it: no digests reached the VMs after it, and expiry of upstreams, the quarantine, the store role, idle connections and the settings file were no longer looked after. Its ticks came 0.6 s apart, which counts as a pause, so that callers' deadlines were counted too early. A digest with such an address did the same.

Cause: addresses were not checked when they were read. uvloop's `sendto` raises ValueError for them, each time, in the middle of the maintenance, which was restarted and failed again. The event loop of asyncio closes the socket for datagrams at a port beyond 65,535.

Change: `Address.is_valid` is asked where registrations and digests are read.

--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -210,6 +210,10 @@
         if isinstance(message, CrashNotice):
             self._notice_exchange.receive(instant, message)
             return
+        if not Address(message.host, message.port).is_valid:
+            why = f"no address to send to: {message.host}:{message.port}"
+            self._log.warning("digest.damaged", sender=sender, why=why)
+            return
         forward_to = self._digest_exchange.receive(instant, message)
         if self._digest_exchange.sums_peers(instant):
             self.on_load_change()
--- a/src/oleandershift/platform/vms.py
+++ b/src/oleandershift/platform/vms.py
@@ -30,4 +30,7 @@
     except msgspec.ValidationError as exc:
         return Failure(Finding(f"{KIND}/{name}", "spec", str(exc)))
     address = Address(raw.ip, raw.port)
+    if not address.is_valid:
+        found = f"{raw.ip}:{raw.port}"
+        return Failure(Finding(f"{KIND}/{name}", found, "an IPv4 address and a port"))
     return Success(Peer(VmId(name), DataCentreId(raw.zone), address))
--- a/src/oleandershift/vmsettings.py
+++ b/src/oleandershift/vmsettings.py
@@ -1,9 +1,12 @@
 """Settings that a VM's process reads from its settings file."""
 
+import ipaddress
 from dataclasses import dataclass
 
 from oleandershift.ids import DataCentreId, RegionId, VmId
 
+MAX_PORT = 65_535
+
 
 @dataclass(frozen=True, slots=True)
 class Address:
@@ -12,6 +15,15 @@
     host: str
     port: int
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether messages can be sent to it: sockets raise errors otherwise."""
+        try:
+            ipaddress.IPv4Address(self.host)
+        except ValueError:
+            return False
+        return 0 < self.port <= MAX_PORT
+
 
 @dataclass(frozen=True, slots=True)
 class DeploymentBounds:
