Keep a gateway's maintenance running without its settings file

While the folder of the settings file could not be read, a gateway's maintenance failed each time it looked for a change: its ticks came 0.6 s apart, which counts as a pause, so that callers' deadlines were counted too early.

Cause: only a missing file was expected. A path that is no folder any more, a permission or an input error raised from the look at the file's time.

Change: each error of the look counts as a file without a time; the settings are then read, rejected and logged once, and read again when the file is back.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -484,10 +484,10 @@
 
 
 def _file_stamp(path: Path) -> tuple[int, int]:
-    """Return the modification time in ns and the size; zeros when no file exists."""
+    """Return the modification time in ns and the size; zeros if out of reach."""
     try:
         info = path.stat()
-    except FileNotFoundError:
+    except OSError:
         return 0, 0
     return info.st_mtime_ns, info.st_size
 
--- a/tests/contract/test_gateway_bad_messages.py
+++ b/tests/contract/test_gateway_bad_messages.py
@@ -105,6 +105,21 @@
     assert tick_errors == []
 
 
+def test_settings_file_that_is_out_of_reach_does_not_end_the_maintenance(
+    gateway, vm_settings, settings_path, tick_errors
+):
+    async def serve():
+        async with running(gateway, vm_settings):
+            folder = settings_path.parent
+            folder.rename(folder.with_name("moved"))
+            folder.write_text("")
+            await asyncio.sleep(1.5 * gateway_module.SETTINGS_POLL_SECONDS)
+            await maintained(gateway)
+
+    uvloop.run(serve())
+    assert tick_errors == []
+
+
 @pytest.mark.parametrize(
     "data",
     [b"\0\r\n\r\n", b"GET /%00\xff HTTP/1.1\r\nhost: \xff\r\n\r\n", b"x" * 100_000],
