Use no connection to an upstream again that may bring a late copy

A late second copy of a response without an attempt id was taken for the response to the next request on that connection. A caller got 404 for a path that exists; and a copy of a refusal (421) proved that the next request had not run, although the upstream had received it, so that one that must run once was sent elsewhere.

Cause: late responses are told apart by their attempt id, and some rejections carry none. Besides, what the event loop had not read yet of an idle connection was not looked at before it was used again, neither late bytes nor the upstream's close.

Evidence: of the six cases of test_late_copy_of_a_response_is_not_taken_for_the_next_one the four without an id failed before, the copy unread at the time of the next send or following it; test_connection_that_the_upstream_closed_unread_is_not_used_again failed too.

Change: a connection is closed after a response without an attempt id, and before it is used again a look at its socket has to find nothing. `peek` is shared with callers' connections.

What remains: an upstream that answers by id and later adds a response without one after the next send. Such a response can't be told from that of the request.

Measured: test_upstream_pool.py, test_upstream_connection.py and test_caller_connections.py pass (155). What refusals without an id cost in new connections was not measured.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -1,7 +1,6 @@
 """HTTP/1.1 server protocol for callers' connections."""
 
 import asyncio
-import socket
 from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -11,6 +10,7 @@
 import httptools
 
 from oleandershift.io.clock import now
+from oleandershift.io.peeking import peek
 from oleandershift.overhead import OverheadMeter
 from oleandershift.routing import Limits
 
@@ -224,19 +224,7 @@
 
     def _peek(self) -> bytes | None:
         """Return the next unread byte, nothing if the caller has left, else None."""
-        if self.closed or self._transport.is_closing():
-            return b""
-        fileno = self._transport.get_extra_info("socket").fileno()
-        # The transport's own socket object does not allow reading.
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM, fileno=fileno)
-        try:
-            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return None
-        except ConnectionError:
-            return b""
-        finally:
-            sock.detach()
+        return b"" if self.closed else peek(self._transport)
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed by the caller."""
--- a/src/oleandershift/io/pool.py
+++ b/src/oleandershift/io/pool.py
@@ -135,6 +135,7 @@
                 conn.reusable
                 and not conn.closed
                 and _idle_seconds(conn) <= idle_timeout_s
+                and conn.is_quiet()
             ):
                 if repeatable or _idle_seconds(conn) <= UNREPEATABLE_IDLE_SECONDS:
                     return conn
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -13,7 +13,9 @@
 
 from oleandershift.io.callers import Headers
 from oleandershift.io.clock import now
+from oleandershift.io.peeking import peek
 from oleandershift.overhead import OverheadMeter
+from oleandershift.platform import headers
 
 READ_HIGH_WATER_BYTES = 256 * 1024
 """Buffered response bytes above which the connection stops reading."""
@@ -181,7 +183,8 @@
     """Connection to an upstream; it carries one exchange at a time.
 
     Responses that don't match the current request are skipped. Bytes received outside
-    an exchange close the connection.
+    an exchange close the connection. After a response without an attempt id it is not
+    used again.
 
     Parameters
     ----------
@@ -254,6 +257,10 @@
         self.close()
         return None
 
+    def is_quiet(self) -> bool:
+        """Return whether nothing is unread: no bytes behind a response and no close."""
+        return not self.closed and peek(self._transport) is None
+
     def close(self) -> None:
         """Close immediately; during an exchange, reset to discard unsent bytes."""
         self.reusable = False
@@ -326,6 +333,9 @@
             return
         self._in_body = head.status not in _BODILESS_STATUSES
         self._read_keep_alive(head)
+        if head.get(headers.ATTEMPT_ID) is None:
+            # A late copy could not be told from the next response.
+            self.reusable = False
         self._exchange.on_head(head)
         if not self._expects_body:
             # The parser can't know that the announced body does not follow.
--- a/tests/contract/test_upstream_pool.py
+++ b/tests/contract/test_upstream_pool.py
@@ -1,6 +1,10 @@
 """Reuse of connections to upstreams: no byte of one response in another."""
 
 import asyncio
+import contextlib
+import os
+import socket
+import time
 from dataclasses import dataclass
 
 import pytest
@@ -169,6 +173,86 @@
     assert second == (200, SECOND_BODY)
 
 
+REFUSAL = (
+    b"HTTP/1.1 421 Misdirected Request\r\noleandershift-not-executed: 1\r\n"
+    b"content-length: 5\r\n\r\n"
+) + FIRST_BODY
+NOT_FOUND = b"HTTP/1.1 404 Not Found\r\ncontent-length: 5\r\n\r\n" + FIRST_BODY
+REPEATED = {"answer": WHOLE, "refusal without an id": REFUSAL, "404": NOT_FOUND}
+
+
+async def answer_and_repeat(reader, writer, response, writers):
+    """Answer the first request, and send its answer again before the next."""
+    writers.append(writer)
+    repeated = b""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while head := await reader.readuntil(b"\r\n\r\n"):
+            if SECOND_ID.encode() in head:
+                writer.write(repeated + make_response(SECOND_ID.encode(), SECOND_BODY))
+                continue
+            repeated = response
+            writer.write(response)
+    writer.close()
+
+
+async def second_of_two_exchanges(response, is_unread):
+    """Return the second response where the first comes twice.
+
+    Its copy waits to be read when the second request is sent, or follows that.
+    """
+    writers = []
+    server = await asyncio.start_server(
+        lambda reader, writer: answer_and_repeat(reader, writer, response, writers),
+        "127.0.0.1",
+        0,
+    )
+    upstream = make_upstream(port=server.sockets[0].getsockname()[1])
+    pool = ConnectionPool(max_idle=8)
+    try:
+        await exchange(pool, upstream, "a1", 1000, WHOLE_TIMEOUT_SECONDS)
+        if is_unread:
+            # The event loop does not run between this and the next request.
+            os.write(writers[0].get_extra_info("socket").fileno(), response)
+            time.sleep(0.02)
+        return await exchange(pool, upstream, SECOND_ID, 1000, WHOLE_TIMEOUT_SECONDS)
+    finally:
+        pool.close()
+        server.close()
+
+
+@pytest.mark.parametrize("is_unread", [True, False], ids=["unread", "after the send"])
+@pytest.mark.parametrize("response", REPEATED.values(), ids=REPEATED)
+def test_late_copy_of_a_response_is_not_taken_for_the_next_one(response, is_unread):
+    second = uvloop.run(second_of_two_exchanges(response, is_unread))
+    assert second == (200, SECOND_BODY)
+
+
+async def reused_after_close():
+    """Return whether a connection is used whose end has not been read yet."""
+    writers = []
+    server = await asyncio.start_server(
+        lambda reader, writer: answer_and_repeat(reader, writer, WHOLE, writers),
+        "127.0.0.1",
+        0,
+    )
+    upstream = make_upstream(port=server.sockets[0].getsockname()[1])
+    pool = ConnectionPool(max_idle=8)
+    await exchange(pool, upstream, "a1", 1000, WHOLE_TIMEOUT_SECONDS)
+    fileno = writers[0].get_extra_info("socket").fileno()
+    with socket.socket(fileno=os.dup(fileno)) as upstream_end:
+        upstream_end.shutdown(socket.SHUT_RDWR)
+    time.sleep(0.02)
+    opened_count = pool.opened_count
+    await pool.acquire(upstream, repeatable=False)
+    pool.close()
+    server.close()
+    return pool.opened_count == opened_count
+
+
+def test_connection_that_the_upstream_closed_unread_is_not_used_again():
+    assert not uvloop.run(reused_after_close())
+
+
 async def idle_counts(pool_size, connections):
     """Return how many connections are kept of some that were used at once."""
     server = await asyncio.start_server(
