Reset closing connections whose callers read nothing

A caller that stopped reading its response kept its connection, a descriptor and the unsent bytes of the gateway for as long as it wished, past its deadline and the idle timeout; a planned stop would now wait for it until its deadline.

Cause: a closing connection first sends what is left, without a limit of time.

Evidence: the four cases of test_caller_that_reads_nothing_does_not_keep_its_connection_for_ever failed before (with asyncio and uvloop, closing after the response and by the idle timeout).

Change: a closing connection that sends no byte for 10 s is reset. One whose caller reads slowly is not: what counts is progress, not the time the response takes.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -25,6 +25,9 @@
 BODY_READ_TIMEOUT_SECONDS = 10.0
 """Longest pause between two parts of a body; callers' deadlines are of this order."""
 
+UNSENT_TIMEOUT_SECONDS = 10.0
+"""Longest time for which a closing connection sends nothing of what is left."""
+
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -187,6 +190,7 @@
         self._queue: deque[CallerRequest] = deque()
         self._task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._unsent_timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
         self._reading_paused = False
         self._overhead = OverheadMeter(handler.limits().header_bytes + READ_BYTES)
@@ -208,6 +212,8 @@
         self.closed = True
         self._open_connections.discard(self)
         self._stop_timer()
+        if self._unsent_timer is not None:
+            self._unsent_timer.cancel()
         self.resume_writing()
         if self._task is not None:
             self._task.cancel()
@@ -251,9 +257,21 @@
             self._transport.write(data)
 
     def close(self) -> None:
-        """Close after the write buffer has been sent."""
+        """Close after the write buffer was sent, or if the caller stops reading."""
         if not self.closed:
             self._transport.close()
+            if self._unsent_timer is None:
+                self._watch_unsent()
+
+    def _watch_unsent(self, previous_bytes: int = 0) -> None:
+        """Abort if no byte was sent since the last look, else look again later."""
+        unsent_bytes = self._transport.get_write_buffer_size()
+        if unsent_bytes and unsent_bytes == previous_bytes:
+            self._transport.abort()
+        elif unsent_bytes:
+            self._unsent_timer = asyncio.get_running_loop().call_later(
+                UNSENT_TIMEOUT_SECONDS, self._watch_unsent, unsent_bytes
+            )
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes from the caller."""
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -8,6 +8,7 @@
 import pytest
 import uvloop
 
+from oleandershift.io import callers
 from oleandershift.io.callers import (
     READ_BYTES,
     CallerRequest,
@@ -16,6 +17,8 @@
 )
 from oleandershift.routing import Limits
 
+LARGE_BODY = b"x" * (16 << 20)
+UNSENT_SECONDS = 0.3
 LIMITS = Limits(
     header_bytes=2000, body_bytes=1000, header_timeout_ms=200, idle_timeout_ms=400
 )
@@ -46,6 +49,9 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
+        if req.target == b"/large":
+            res.send(200, [], LARGE_BODY)
+            return
         if req.target == b"/stream":
             res.start(200, [])
             res.write(b"one")
@@ -221,3 +227,66 @@
     response = exchange(echo, *parts, wait_s=2.0)
     assert b" 431 " not in response
     assert len(echo.requests) == count
+
+
+def unread_response(handler, read, run):
+    """Ask for a large response, close it with `read(caller)`, and return its result.
+
+    Also returns whether the connection has ended.
+    """
+
+    async def connect():
+        loop = asyncio.get_running_loop()
+        connections = set()
+        server = await loop.create_server(
+            protocol_factory(handler, connections), "127.0.0.1", 0
+        )
+        address = server.sockets[0].getsockname()
+        with socket.create_connection(address, 5.0) as caller:
+            caller.sendall(post(b"/large"))
+            result = await asyncio.to_thread(read, caller)
+            await asyncio.sleep(0.05)
+            has_ended = not connections
+        server.close()
+        return result, has_ended
+
+    return run(connect())
+
+
+RUNS = pytest.mark.parametrize(
+    "run", [asyncio.run, uvloop.run], ids=["asyncio", "uvloop"]
+)
+
+
+@pytest.fixture
+def short_unsent_timeout(monkeypatch):
+    monkeypatch.setattr(callers, "UNSENT_TIMEOUT_SECONDS", UNSENT_SECONDS)
+
+
+@RUNS
+@pytest.mark.parametrize("is_closing", [True, False], ids=["closing", "kept"])
+def test_caller_that_reads_nothing_does_not_keep_its_connection_for_ever(
+    echo, short_unsent_timeout, run, is_closing
+):
+    echo.is_closing = is_closing
+    wait_s = LIMITS.idle_timeout_ms / 1000 + 4 * UNSENT_SECONDS
+    _, has_ended = unread_response(echo, lambda caller: time.sleep(wait_s), run)
+    assert has_ended
+
+
+@RUNS
+def test_caller_that_reads_slowly_gets_its_whole_response(
+    echo, short_unsent_timeout, run
+):
+    echo.is_closing = True
+
+    def read_slowly(caller):
+        size = 0
+        while data := caller.recv(len(LARGE_BODY) // 20):
+            size += len(data)
+            time.sleep(UNSENT_SECONDS / 6)
+        return size
+
+    size, has_ended = unread_response(echo, read_slowly, run)
+    assert size > len(LARGE_BODY)
+    assert has_ended
