Test that running requests outlast a pause of their gateway

No fault was found. The tests of a gateway that stands still covered requests that arrive during the pause, and those of silent upstreams a gateway that runs. The new test freezes a gateway for 1.2 s while an upstream works on a plain request or a stream: the answer is whole and comes from one run.

--- a/tests/integration/test_gateway_pauses.py
+++ b/tests/integration/test_gateway_pauses.py
@@ -9,10 +9,20 @@
 
 import pytest
 
-from standins.gateway_fleet import HOST, KEY, Gateway, GatewayFleet, running_fleet
+from standins.gateway_fleet import (
+    HOST,
+    KEY,
+    Gateway,
+    GatewayFleet,
+    running_fleet,
+    wait_until,
+)
 
 DEADLINE_SECONDS = 0.4
 PAUSE_SECONDS = 1.2
+SLOW_SECONDS = 0.5
+LONG_DEADLINE_SECONDS = 4.0
+STREAM = b"".join(b"id: %d\ndata: kept\n\n" % number for number in range(1, 6))
 
 
 @pytest.fixture
@@ -26,14 +36,14 @@
     return fleet.gateways[0]
 
 
-def start_call(gateway, path, attempt):
+def start_call(gateway, path, attempt, deadline_s=DEADLINE_SECONDS):
     """Send a request without waiting for its response."""
     conn = http.client.HTTPConnection(gateway.ip, gateway.frontend_port, timeout=5)
     fields = {
         "Host": HOST,
         "Authorization": f"Bearer {KEY}",
         "Oleandershift-Attempt-Id": attempt,
-        "Oleandershift-Deadline-Ms": str(round(DEADLINE_SECONDS * 1000)),
+        "Oleandershift-Deadline-Ms": str(round(deadline_s * 1000)),
     }
     conn.request("POST", path, body=b"x", headers=fields)
     return conn
@@ -76,6 +86,31 @@
     assert [name for name in executed(fleet) if name.startswith("left")] == []
 
 
+@pytest.mark.parametrize(
+    ("path", "body"),
+    [
+        ("/write/x", b"slow ran kept"),
+        ("/read/x", b"slow ran kept"),
+        ("/stream/once/x", STREAM),
+        ("/stream/resumable/x", STREAM),
+    ],
+)
+def test_request_that_runs_outlasts_a_pause_of_the_gateway(fleet, gateway, path, body):
+    for name in fleet.engines:
+        fleet.store.delete("servers", name)
+    slow = fleet.add_engine("slow", pause_seconds=SLOW_SECONDS)
+    wait_until(lambda: "oleander_upstreams 1.0" in gateway.metrics(), "one upstream")
+    conn = start_call(gateway, path, "kept", LONG_DEADLINE_SECONDS)
+    wait_until(lambda: slow.runs()["kept"] == 1, "the request runs")
+    gateway.process.freeze()
+    time.sleep(PAUSE_SECONDS)
+    gateway.process.signal(signal.SIGCONT)
+    response = conn.getresponse()
+    assert (response.status, response.read()) == (200, body)
+    conn.close()
+    assert sum(engine.runs()["kept"] for engine in fleet.engines.values()) == 1
+
+
 def test_upstream_that_accepts_late_gets_no_request_past_its_deadline(fleet, gateway):
     for name in fleet.engines:
         fleet.store.delete("servers", name)
