Reject addresses whose port is out of range

An upstream that was registered with a port such as 99999, and settings files with one, were accepted. Where requests for it went is inferred only: uvloop reported a refused connection in place of an error, as if it took the port modulo 65,536.

Cause: the port of an address had only to be a number.

Evidence: three more cases of test_malformed_registration_is_a_finding failed.

Change: an address needs a port from 1 to 65,535.

Measured: the tests of the platform's formats pass.

--- a/src/oleandershift/platform/settings.py
+++ b/src/oleandershift/platform/settings.py
@@ -9,7 +9,12 @@
 
 from oleandershift.exceptions import Finding
 from oleandershift.ids import DataCentreId, RegionId, VmId
-from oleandershift.vmsettings import Address, DeploymentBounds, VmSettings
+from oleandershift.vmsettings import (
+    MAX_PORT,
+    Address,
+    DeploymentBounds,
+    VmSettings,
+)
 
 PATH_VARIABLE = "OLEANDERSHIFT_NODE_FILE"
 DEFAULT_PATH = "/etc/oleandershift/local.toml"
@@ -106,7 +111,10 @@
         When the text is not an IPv4 address and a port.
     """
     host, _, port = text.rpartition(":")
-    return Address(str(ipaddress.IPv4Address(host)), int(port))
+    address = Address(str(ipaddress.IPv4Address(host)), int(port))
+    if not address.is_valid:
+        raise ValueError(f"{text!r} has no port from 1 to {MAX_PORT}")
+    return address
 
 
 def _to_vm_settings(file: _File) -> VmSettings:
