Pass objects with large numbers on to other VMs

A configuration with such a version, or an upstream with such a start time that was found absent, would have stopped the sending of digests.

Evidence: the three cases of test_large_number_in_an_object_does_not_keep_it_from_other_vms failed before, and one case each of the malformed registrations and configurations.

Change: such integers of an object become floating-point numbers when the store is read, as in other readers of JSON. A version or a start time has to fit.

--- a/src/oleandershift/platform/configuration.py
+++ b/src/oleandershift/platform/configuration.py
@@ -1,10 +1,13 @@
 """Decoder of the operator's configuration in the platform's store."""
 
+from typing import Annotated
+
 import msgspec
 from returns.result import Failure, Result, Success
 
 from oleandershift.exceptions import Finding
 from oleandershift.ids import RouteId, ServiceId, TeamId
+from oleandershift.records import MAX_INTEGER
 from oleandershift.routing import (
     Configuration,
     Limits,
@@ -66,7 +69,8 @@
 
 
 class _Configuration(msgspec.Struct, rename="camel"):
-    version: int
+    # Sent in digests.
+    version: Annotated[int, msgspec.Meta(le=MAX_INTEGER)]
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/src/oleandershift/platform/store.py
+++ b/src/oleandershift/platform/store.py
@@ -9,7 +9,13 @@
 
 from oleandershift.io.jsoncalls import JsonClient
 from oleandershift.objects import StoreError, StoreFailure
-from oleandershift.records import Changes, Record, Snapshot
+from oleandershift.records import (
+    MAX_INTEGER,
+    MIN_INTEGER,
+    Changes,
+    Record,
+    Snapshot,
+)
 from oleandershift.vmsettings import Address
 
 MAX_CONNECTIONS = 4
@@ -177,12 +183,31 @@
     except msgspec.DecodeError:
         return Record(_decode_name(raw), 0, None)
     try:
-        spec = msgspec.json.decode(decoded.spec)
+        spec = _to_transferable(msgspec.json.decode(decoded.spec))
     except msgspec.DecodeError:
         spec = None
     return Record(decoded.metadata.name, decoded.metadata.revision, spec)
 
 
+def _to_transferable(spec: object) -> object:
+    """Return a value that MessagePack can carry to other VMs."""
+    try:
+        msgspec.msgpack.encode(spec)
+    except OverflowError:
+        return _round_large_integers(spec)
+    return spec
+
+
+def _round_large_integers(value: object) -> object:
+    if isinstance(value, dict):
+        return {key: _round_large_integers(item) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_round_large_integers(item) for item in value]
+    if isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
+        return float(value)
+    return value
+
+
 class _Named(msgspec.Struct):
     metadata: _Metadata
 
--- a/src/oleandershift/platform/upstreams.py
+++ b/src/oleandershift/platform/upstreams.py
@@ -1,5 +1,7 @@
 """Decoder of upstream registrations in the platform's store."""
 
+from typing import Annotated
+
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -7,6 +9,7 @@
 from oleandershift.exceptions import Finding
 from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
 from oleandershift.platform.settings import parse_address
+from oleandershift.records import MAX_INTEGER
 
 KIND = "servers"
 
@@ -17,8 +20,8 @@
     zone: str
     slots: int
     state: UpstreamState
-    # Start time of the upstream's process, in Unix milliseconds.
-    born: int = 0
+    # Start time of the upstream's process, in Unix milliseconds; sent in digests.
+    born: Annotated[int, msgspec.Meta(le=MAX_INTEGER)] = 0
 
 
 def decode(name: str, spec: object) -> Result[Upstream, Finding]:
--- a/src/oleandershift/records.py
+++ b/src/oleandershift/records.py
@@ -4,6 +4,9 @@
 
 import msgspec
 
+MIN_INTEGER, MAX_INTEGER = -(1 << 63), (1 << 63) - 1
+"""Smallest and largest integer that messages between VMs may contain."""
+
 
 class Record(msgspec.Struct, array_like=True, frozen=True):
     """An object from the store or from another VM's snapshot.
--- a/tests/contract/test_snapshots.py
+++ b/tests/contract/test_snapshots.py
@@ -22,9 +22,11 @@
 from oleandershift.io.peers import PeerTransport
 from oleandershift.neighbours import Peer, PeerTable
 from oleandershift.placement import LoadTracker
+from oleandershift.platform.store import StoreClient
 from oleandershift.records import Record
 from oleandershift.state import FleetState
 from oleandershift.vmsettings import Address
+from standins.metastore import MetaStore
 from standins.ports import free_ip
 
 LENGTH_BYTES = 4
@@ -238,3 +240,30 @@
             return await transport.fetch_snapshot(vm, SnapshotRequest(1, 1))
 
     assert asyncio.run(client()) == whole
+
+
+@pytest.mark.parametrize(
+    "number",
+    [1 << 64, -(1 << 63) - 1, 10**300],
+    ids=["above", "below", "300 digits"],
+)
+def test_large_number_in_an_object_does_not_keep_it_from_other_vms(
+    transport, vm, number
+):
+    store = MetaStore()
+    store.start()
+    store.put("servers", "e1", {"slots": 8, "unknown": [{"number": number}]})
+    store.put("servers", "e2", {"slots": 8})
+    records = StoreClient(Address("127.0.0.1", store.port)).snapshot("servers")
+    store.stop()
+    read = StoreSnapshot(None, 9, records.unwrap().records)
+
+    async def client():
+        await transport.open(lambda req: read)
+        try:
+            return await transport.fetch_snapshot(vm, SnapshotRequest(0, 0))
+        finally:
+            transport.close()
+
+    assert asyncio.run(client()) == read
+    assert [record.spec["slots"] for record in read.upstreams] == [8, 8]
--- a/tests/test_platform_configuration.py
+++ b/tests/test_platform_configuration.py
@@ -76,7 +76,9 @@
     assert cfg.limits.idle_timeout_ms == 15000
 
 
-@pytest.mark.parametrize("spec", [None, "text", {}, {"version": "x", "routes": 3}])
+@pytest.mark.parametrize(
+    "spec", [None, "text", {}, {"version": "x", "routes": 3}, {"version": 1 << 64}]
+)
 def test_invalid_configuration_is_a_finding_with_its_place(spec):
     result = configuration.decode(spec)
     assert isinstance(result, Failure)
--- a/tests/test_platform_upstreams.py
+++ b/tests/test_platform_upstreams.py
@@ -36,6 +36,7 @@
         {"address": "10.1.1.1:70000"},
         {"address": "10.1.1.1:0"},
         {"address": "10.1.1.1:-1"},
+        {"born": 1 << 64},
         {"slots": "many"},
         {"service": None},
         {"zone": 7},
