Ask readers elsewhere when those of the own data centre do not respond

A follower whose readers did not answer asked one VM of its data centre after the other, which had read no more, and never a hub elsewhere that would have answered.

Cause: of VMs that are equally ahead those of the own data centre came first.

Change: once as many VMs of the data centre as it has readers have not responded, VMs elsewhere come first.

--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -287,6 +287,13 @@
         if not candidates:
             return None
         reachable = [digest for digest in candidates if digest.vm not in unreachable]
+        failed = sum(peer.vm in unreachable for peer in self.local_peers(now))
+        if failed >= STORE_READERS:
+            # The readers of this data centre may all be out of reach.
+            elsewhere = [
+                item for item in reachable if item.data_centre != self._data_centre
+            ]
+            reachable = elsewhere or reachable
         freshest = max(reachable or candidates, key=self._freshness)
         return self._peers[freshest.vm]
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -240,3 +240,12 @@
     assert table.fresher_peer(0.1, 1, 1, unreachable=[VmId("a")]).vm == "b"
     table.merge(0.0, make_digest("c", revision=7))
     assert table.fresher_peer(0.1, 1, 1, unreachable=["a", "b"]).vm == "c"
+
+
+def test_vm_asks_another_data_centre_when_the_readers_of_its_own_do_not_respond(table):
+    for name in ("a", "b", "c"):
+        table.merge(0.0, make_digest(name, revision=9))
+    table.merge(0.0, make_digest("x", REMOTE, scope=Scope.DATA_CENTRE, revision=8))
+    assert table.fresher_peer(0.1, 1, 1, unreachable=["a"]).data_centre == LOCAL
+    assert table.fresher_peer(0.1, 1, 1, unreachable=["a", "b"]).vm == "x"
+    assert table.fresher_peer(0.1, 1, 8, unreachable=["a", "b"]).vm == "c"
