--- a/tests/contract/test_gateway_stop.py
+++ b/tests/contract/test_gateway_stop.py
@@ -117,10 +117,11 @@
     conns = []
 
     def close_while_a_caller_waits(listener):
-        conn = socket.create_connection((address.host, address.port))
-        conn.settimeout(TIMEOUT_SECONDS)
-        conn.sendall(make_request())
-        conns.append(conn)
+        if listener is gateway._caller_listener:
+            conn = socket.create_connection((address.host, address.port))
+            conn.settimeout(TIMEOUT_SECONDS)
+            conn.sendall(make_request())
+            conns.append(conn)
         close(listener)
 
     close = Listener.close
