--- a/tests/contract/test_gateway_departures.py
+++ b/tests/contract/test_gateway_departures.py
@@ -115,3 +115,18 @@
     answer = leave_while_held(leave, lambda: "e2" in known_upstreams(gateway))
     assert answer.status == 200
     assert engine.arrivals == []
+
+
+def test_request_chosen_before_its_only_upstream_restarted_is_served(
+    gateway, engine, store, leave_while_held
+):
+    born = int(time.time() * 1000) + 1
+
+    def restart():
+        store.put("servers", "e1", engine.entry("model", "one") | {"born": born})
+
+    def is_known():
+        return gateway._view.directory.get("e1").incarnation == born
+
+    answer = leave_while_held(restart, is_known)
+    assert answer.status == 200
--- a/tests/contract/test_gateway_overload.py
+++ b/tests/contract/test_gateway_overload.py
@@ -7,11 +7,12 @@
 import zlib
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import ExitStack, contextmanager
+from contextlib import ExitStack
 
 import pytest
 import uvloop
 from gateways import running
+from loops import busy_loop
 
 from standins.gateway_fleet import call_on, configuration, route
 
@@ -26,24 +27,6 @@
 REQUEST_TOKENS = 1000
 
 
-@contextmanager
-def busy_loop(iteration_s):
-    """Let each iteration of the running loop take some time."""
-    loop = asyncio.get_running_loop()
-    is_done = False
-
-    def keep_busy():
-        time.sleep(iteration_s)
-        if not is_done:
-            loop.call_soon(keep_busy)
-
-    keep_busy()
-    try:
-        yield
-    finally:
-        is_done = True
-
-
 def run_while_busy(gateway, vm_settings, iteration_s, call):
     """Run blocking calls beside a gateway with a busy loop; return their result."""
 
--- a/tests/contract/test_snapshots.py
+++ b/tests/contract/test_snapshots.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import threading
-import time
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import contextmanager
 
 import msgspec
 import pytest
 import uvloop
+from loops import busy_loop
 
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import (
@@ -92,24 +92,6 @@
     return requests, asyncio.run(run())
 
 
-@contextmanager
-def late_event_loop(iteration_s):
-    """Let each iteration of the running loop take some time."""
-    loop = asyncio.get_running_loop()
-    is_done = False
-
-    def keep_busy():
-        time.sleep(iteration_s)
-        if not is_done:
-            loop.call_soon(keep_busy)
-
-    keep_busy()
-    try:
-        yield
-    finally:
-        is_done = True
-
-
 @contextmanager
 def other_vm(iteration_s=0.0):
     """Run another VM that sends snapshots, in a thread of its own, with a late loop."""
@@ -126,7 +108,7 @@
 
         await transport.open(snapshot)
         started.set()
-        with late_event_loop(iteration_s):
+        with busy_loop(iteration_s):
             await asyncio.to_thread(stopped.wait)
         transport.close()
 
@@ -146,7 +128,7 @@
 
 def test_vm_with_a_late_event_loop_still_reads_what_another_vm_has_read(transport):
     async def fetch_while_late(peer):
-        with late_event_loop(LATE_ITERATION_SECONDS):
+        with busy_loop(LATE_ITERATION_SECONDS):
             return await transport.fetch_snapshot(peer, SnapshotRequest(3, 7))
 
     with other_vm() as (peer, _):
@@ -175,7 +157,7 @@
 
     async def serve_while_late():
         await transport.open(snapshot)
-        with other_vm() as (peer, _), late_event_loop(LATE_ITERATION_SECONDS):
+        with other_vm() as (peer, _), busy_loop(LATE_ITERATION_SECONDS):
             req = SnapshotRequest(3, 7)
             client = make_transport(peer, RecordingLog())
             await asyncio.to_thread(asyncio.run, client.fetch_snapshot(vm, req))
--- a/tests/contract/test_upstream_pool.py
+++ b/tests/contract/test_upstream_pool.py
@@ -5,7 +5,7 @@
 import os
 import socket
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import pytest
 import uvloop
@@ -278,3 +278,46 @@
 
 def test_idle_connections_are_limited_in_total():
     assert uvloop.run(idle_counts(pool_size=3, connections=5)) == (3, 3)
+
+
+EMPTY_RESPONSE = (
+    b"HTTP/1.1 200 OK\r\noleandershift-attempt-id: %b\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+@pytest.fixture
+def upstream_port():
+    """Run an upstream in the loop of the test; return a function that starts it."""
+
+    async def serve(reader, writer):
+        while request := await reader.readuntil(b"\r\n\r\n"):
+            writer.write(EMPTY_RESPONSE % request.split()[1])
+
+    async def start():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        return server, server.sockets[0].getsockname()[1]
+
+    return start
+
+
+def test_response_on_a_reused_connection_speaks_for_the_registered_run(upstream_port):
+    async def run():
+        server, port = await upstream_port()
+        pool, responses = ConnectionPool(4), []
+        pool.on_response = lambda upstream, head: responses.append(upstream.run)
+        earlier = make_upstream(port=port)
+        later = replace(earlier, incarnation=2)
+        for name, upstream in ((b"a1", earlier), (b"a2", later)):
+            conn = await pool.acquire(upstream, True)
+            request = b"GET %b HTTP/1.1\r\n\r\n" % name
+            exchange = conn.send(request, response_matcher(name.decode()))
+            await exchange.head
+            assert await exchange.read() == b""
+            pool.release(upstream, conn)
+        pool.close()
+        server.close()
+        assert pool.opened_count == 1
+        return responses, [earlier.run, later.run]
+
+    responses, expected = asyncio.run(asyncio.wait_for(run(), WHOLE_TIMEOUT_SECONDS))
+    assert responses == expected
--- a/tests/test_review_departures.py
+++ b/tests/test_registrations.py
@@ -1,10 +1,11 @@
-"""Tests of upstreams that leave, restart or are overwritten, found in a review."""
+"""Tests of registrations that are late, foreign, removed or listed anew."""
 
 import threading
 from dataclasses import replace
 
 import pytest
 from returns.result import Failure, Success
+from storereaders import UPSTREAMS, ManualClock, Vm, registration
 from upstreams import make_upstream
 
 from oleandershift.demand import DemandMeter
@@ -12,10 +13,7 @@
 from oleandershift.directory import REREGISTRATION_SECONDS, Directory
 from oleandershift.eligibility import Eligibility
 from oleandershift.fleetview import FleetView
-from oleandershift.ids import Incarnation, ServiceId, VmId
-from oleandershift.io.feed import ChangesRead, SnapshotRead, StoreCallFailed
-from oleandershift.io.gatewaymetrics import GatewayMetrics
-from oleandershift.io.storesync import StoreSync
+from oleandershift.ids import Incarnation, VmId
 from oleandershift.neighbours import Peer, PeerTable, StoreRole
 from oleandershift.objects import StoreError, StoreFailure
 from oleandershift.placement import LoadTracker
@@ -25,32 +23,11 @@
 from oleandershift.telling import DigestExchange
 from oleandershift.vmsettings import Address
 
-UPSTREAMS = "servers"
 DRAIN_SECONDS = 2.5
 GRACE_SECONDS = 1.5
 WAIT_SECONDS = 5.0
 
 
-class SilentLog:
-    """Log that drops its lines."""
-
-    def info(self, event, **fields):
-        """Drop a line."""
-
-    warning = info
-
-
-class ManualClock:
-    """Clock that tests set."""
-
-    def __init__(self):
-        self.instant = 100.0
-
-    def __call__(self):
-        """Return the time that was set."""
-        return self.instant
-
-
 @pytest.fixture
 def clock(monkeypatch):
     manual_clock = ManualClock()
@@ -58,55 +35,6 @@
     return manual_clock
 
 
-class Vm:
-    """What one VM knows of the store."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.view = FleetView(GRACE_SECONDS)
-        self.sync = StoreSync(
-            self.view, lambda name: None, SilentLog(), GatewayMetrics()
-        )
-
-    def read_list(self, revision, *records):
-        """Read a complete list from the store."""
-        self.sync.on_event(SnapshotRead(UPSTREAMS, Snapshot(revision, records)))
-
-    def read_changes(self, revision, *records, deleted=False):
-        """Read changes from the store."""
-        events = tuple((record, deleted) for record in records)
-        self.sync.on_event(ChangesRead(UPSTREAMS, Changes(revision, events)))
-
-    def fail(self):
-        """Let a call to the store fail, such as a watch that is cut off."""
-        failure = StoreFailure(StoreError.OUTCOME_UNKNOWN, "connection closed")
-        self.sync.on_event(StoreCallFailed(UPSTREAMS, failure))
-
-    def catch_up(self, peer):
-        """Fetch what another VM has read, as after its digest."""
-        if peer.view.directory.revision > self.view.directory.revision:
-            snapshot = peer.sync.snapshot(self.sync.request())
-            self.sync.apply_snapshot(snapshot, "peer", self.clock.instant)
-
-    def usable(self):
-        """Return name and start time of the upstreams that may get requests."""
-        usable = self.view.directory.usable(self.clock.instant, ServiceId("s"))
-        return {(entry.name, entry.incarnation) for entry in usable}
-
-
-def registration(name, revision, state="ready", born=1, sequence=1, **fields):
-    spec = {
-        "service": "s",
-        "address": "10.0.0.1:8000",
-        "zone": "z",
-        "slots": 4,
-        "state": state,
-        "born": born,
-        "sequence": sequence,
-    }
-    return Record(name, revision, spec | fields)
-
-
 def without_born(record):
     spec = {key: value for key, value in record.spec.items() if key != "born"}
     return Record(record.name, record.revision, spec)
@@ -114,10 +42,7 @@
 
 @pytest.fixture
 def vm(clock):
-    return Vm(clock)
-
-
-# A late report of an earlier run
+    return Vm(clock, GRACE_SECONDS)
 
 
 def test_late_report_of_an_unknown_earlier_run_does_not_shun_the_later(vm):
@@ -166,9 +91,6 @@
     assert vm.usable() == {("u1", 2)}
 
 
-# Entries of other writers
-
-
 @pytest.mark.parametrize(
     "foreign",
     [
@@ -198,7 +120,7 @@
 
 
 def test_follower_treats_an_unreadable_entry_as_its_reader_does(clock, vm):
-    follower = Vm(clock)
+    follower = Vm(clock, GRACE_SECONDS)
     vm.read_list(10, registration("u1", 10))
     follower.catch_up(vm)
     vm.read_changes(11, Record("u1", 11, None))
@@ -219,9 +141,6 @@
     assert eligibility.eligible(0.0, unknown.service) == [unknown]
 
 
-# Removals
-
-
 def test_late_report_of_a_removed_run_does_not_add_it_again(clock, vm):
     """The sequence number shows that it was sent before the last known report."""
     vm.read_list(10, registration("u1", 10, sequence=7))
@@ -247,7 +166,7 @@
 
 
 def test_earlier_end_of_use_at_the_reader_holds_for_a_vm_that_read_it_later(clock, vm):
-    standby = Vm(clock)
+    standby = Vm(clock, GRACE_SECONDS)
     for item in (vm, standby):
         item.read_list(10, registration("u1", 10), registration("u2", 10))
     gone = registration("u1", 10)
@@ -265,7 +184,7 @@
 def test_later_list_does_not_start_the_grace_of_a_dropped_upstream_anew(
     clock, vm, is_list
 ):
-    follower = Vm(clock)
+    follower = Vm(clock, GRACE_SECONDS)
     vm.read_list(10, registration("u1", 10), registration("u2", 10))
     follower.catch_up(vm)
     if is_list:
@@ -283,7 +202,7 @@
 
 def test_outage_that_only_the_hub_noticed_drops_nothing_at_the_others(clock, vm):
     """A standby's long watch may outlast an outage that cuts the network."""
-    standby, follower = Vm(clock), Vm(clock)
+    standby, follower = Vm(clock, GRACE_SECONDS), Vm(clock, GRACE_SECONDS)
     records = [registration("u1", 10), registration("u2", 10)]
     for item in (vm, standby):
         item.read_list(10, *records)
@@ -298,9 +217,6 @@
         assert item.usable() == {("u1", 1), ("u2", 1)}
 
 
-# Sound behaviour that no other test notices the loss of
-
-
 @pytest.mark.parametrize("is_list", [True, False])
 def test_removed_upstream_is_used_until_its_grace_ends(clock, vm, is_list):
     vm.read_list(10, registration("u1", 10))
@@ -322,7 +238,7 @@
 
 
 def test_later_list_does_not_extend_the_grace_of_a_removed_upstream(clock, vm):
-    follower = Vm(clock)
+    follower = Vm(clock, GRACE_SECONDS)
     vm.read_list(10, registration("u1", 10), registration("u2", 10))
     follower.catch_up(vm)
     vm.read_list(20, registration("u2", 10))
@@ -422,7 +338,7 @@
 
 def test_change_during_a_list_of_several_pages_reaches_the_followers(clock, vm):
     """The first page was read at 20; u1 changed at 21, u2 of a later page at 22."""
-    follower = Vm(clock)
+    follower = Vm(clock, GRACE_SECONDS)
     vm.read_list(20, registration("u1", 10), registration("u2", 22))
     follower.catch_up(vm)
     vm.read_changes(22, registration("u1", 21, state="draining"))
@@ -431,9 +347,6 @@
     assert follower.usable() == {("u2", 1)}
 
 
-# Digests
-
-
 def make_exchanges(*names):
     data_centre = make_upstream().data_centre
     peers = [Peer(VmId(name), data_centre, Address(name, 1)) for name in names]
