Judge late requests to removed upstreams by their arrival

The rule counts the arrival at the upstream; the soak's judge counted the caller's send, which let through what was held within a VM. A disturbed link to the upstream is excused instead, as it may hold a request that was sent in time.

--- a/standins/soak_judge.py
+++ b/standins/soak_judge.py
@@ -152,23 +152,23 @@
 def _store_violations(history: SoakHistory) -> Iterator[str]:
     """Find late requests to upstreams that the store had said to leave.
 
-    A request to a draining upstream counts by its arrival. One to a removed upstream
-    counts by its caller's send, as the removal is used with a delay and a disturbed
-    link may hold the request.
+    A disturbed link to a removed upstream excuses a request, as it may have held it.
     """
     calls = {call.attempt_id: call for call in history.calls}
     for run, req in _received(history):
         call = calls.get(req.attempt_id)
         gateway = call.gateway if call is not None else "unknown"
-        sent_at = call.sent_at if call is not None else req.received_at
         drained_at = history.drain_started_at.get(run, math.inf)
         removed_at = history.removed_at.get(run, math.inf)
-        for word, left_at, at in (
-            ("draining", drained_at, req.received_at),
-            ("removed", removed_at, sent_at),
+        was_held = history.was_interrupted(run[0], removed_at, req.received_at)
+        for word, left_at, is_excused in (
+            ("draining", drained_at, False),
+            ("removed", removed_at, was_held),
         ):
-            if at > left_at + DRAIN_SECONDS and not _was_disturbed(
-                history, (gateway, STORE), left_at, req.received_at
+            is_late = req.received_at > left_at + DRAIN_SECONDS
+            if is_late and not (
+                is_excused
+                or _was_disturbed(history, (gateway, STORE), left_at, req.received_at)
             ):
                 delay = req.received_at - left_at
                 yield (
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -94,19 +94,20 @@
     )
 
 
-def test_late_request_to_a_removed_upstream_is_found():
-    assert find_violations(removed_history(3.6, 3.7))
+@pytest.mark.parametrize("sent_at", [3.4, 3.6])
+def test_late_request_to_a_removed_upstream_is_found(sent_at):
+    assert find_violations(removed_history(sent_at, 3.7))
 
 
 @pytest.mark.parametrize(
     "history",
     [
-        removed_history(3.4, 3.7),
+        removed_history(3.4, 3.7, interruptions={"e1": [(3.4, 3.6)]}),
         removed_history(3.6, 3.7, run=2),
         removed_history(3.6, 3.7, disturbances={"vm": [(2.0, 2.5)]}),
         removed_history(3.6, 3.7, disturbances={STORE: [(0.0, 1.5)]}),
     ],
-    ids=["sent before", "later run", "gateway disturbed", "store disturbed"],
+    ids=["held by its link", "later run", "gateway disturbed", "store disturbed"],
 )
 def test_request_to_a_removed_upstream_is_allowed(history):
     assert find_violations(history) == []
