--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -411,8 +411,10 @@
             await asyncio.sleep(delay_s)
             delay_s = CATCH_UP_INTERVAL_SECONDS
             instant = now()
-            unreachable = [vm for vm, t in unreachable_until.items() if t > instant]
-            peer = self._find_fresher_peer(unreachable)
+            unreachable_until = {
+                vm: until for vm, until in unreachable_until.items() if until > instant
+            }
+            peer = self._find_fresher_peer(unreachable_until)
             if peer is None or (
                 peer.vm != previous_vm and not self._store_sync.relies_on_peers
             ):
