Find out once a digest whether this VM is the hub

Each change of load asked three times whether this VM ranks first among those of its data centre, once more since leaving upstreams are announced. Each question scans the digests of all its VMs where this one is the hub.

Change: it is asked once, and the parts of a digest are told. What is sent, and when, stays as it was.

--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -87,11 +87,13 @@
 
     def is_urgent(self, now: float) -> bool:
         """Return whether enough changed since the last digest to send one."""
-        change = abs(self._prefill_tokens(now) - self._sent_prefill_tokens)
+        # Asked at each change of load, and the rank among all VMs takes a scan.
+        is_hub = self._peers.is_hub(now)
+        change = abs(self._prefill_tokens(now, is_hub) - self._sent_prefill_tokens)
         return (
             change >= URGENT_CHANGE_TOKENS
-            or not self._absent(now) <= self._sent_absent
-            or not self._leaving(now) <= self._sent_leaving
+            or not self._absent(now, is_hub) <= self._sent_absent
+            or not self._leaving(is_hub) <= self._sent_leaving
         )
 
     def sums_peers(self, now: float) -> bool:
@@ -107,9 +109,10 @@
 
         Each may come in several parts.
         """
-        self._sent_prefill_tokens = self._prefill_tokens(now)
-        self._sent_absent = self._absent(now)
-        self._sent_leaving = self._leaving(now)
+        is_hub = self._peers.is_hub(now)
+        self._sent_prefill_tokens = self._prefill_tokens(now, is_hub)
+        self._sent_absent = self._absent(now, is_hub)
+        self._sent_leaving = self._leaving(is_hub)
         leaving = self._window(self._sent_leaving)
         self._seq += 1
         local_peers = self._peers.local_peers(now)
@@ -123,7 +126,7 @@
         own_summary = summarise(1, loads, rates, absent, leaving)
         self.omitted_entries += own_summary.omitted
         addressed = self._address(Scope.VM, own_summary, local_peers)
-        if self._peers.is_hub(now):
+        if is_hub:
             discover_hubs = self._seq % HUB_DISCOVERY_INTERVAL_DIGESTS == 0
             summary = self._peers.data_centre_summary(
                 now, loads, rates, absent, leaving
@@ -146,23 +149,23 @@
             return self._peers.local_peers(now)
         return []
 
-    def _prefill_tokens(self, now: float) -> int:
+    def _prefill_tokens(self, now: float, is_hub: bool) -> int:
         """Return the tokens awaiting prefill: of this VM, or of a hub's data centre."""
         own_tokens = sum(
             load.prefill_tokens for load in self._state.loads.local().values()
         )
-        if not self._peers.is_hub(now):
+        if not is_hub:
             return own_tokens
         return own_tokens + self._peers.data_centre_prefill_tokens(now)
 
-    def _absent(self, now: float) -> frozenset[UpstreamRun]:
+    def _absent(self, now: float, is_hub: bool) -> frozenset[UpstreamRun]:
         """Return the absences that this VM announces, on a hub its data centre's."""
         own = self._state.absences.absent(now)
-        if not self._peers.is_hub(now):
+        if not is_hub:
             return own
         return self._peers.data_centre_absent(now, own)
 
-    def _leaving(self, now: float) -> frozenset[UpstreamRun]:
+    def _leaving(self, is_hub: bool) -> frozenset[UpstreamRun]:
         """Return the leaving upstreams that this VM announces.
 
         Each VM passes on what it was told, until the store lists it as well. A hub
@@ -170,7 +173,7 @@
         sending to an upstream that drains.
         """
         directory = self._state.view.directory
-        if self._peers.is_hub(now):
+        if is_hub:
             return directory.leaving_unregistered() | directory.leaving_registered()
         return directory.leaving_unregistered()
 
