Share the tests' clock and silent log

The clock is a fixture of all tests now, the log stands beside the VM's view of the store. No check changes.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 
 import pytest
+from storereaders import ManualClock
 
 from oleandershift.ids import DataCentreId, Incarnation, RegionId, VmId
 from oleandershift.io.platform import PlatformClient
@@ -25,6 +26,14 @@
     return PlatformClient(platform.url)
 
 
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
+    """Return the clock of what VMs read of the store, which the test sets."""
+    manual_clock = ManualClock()
+    monkeypatch.setattr("oleandershift.io.storesync.now", manual_clock)
+    return manual_clock
+
+
 @pytest.fixture
 def make_member() -> Callable[..., Member]:
     """Return a factory of members, each with a unique address."""
--- a/tests/test_departure_times.py
+++ b/tests/test_departure_times.py
@@ -10,6 +10,7 @@
 
 import pytest
 from returns.result import Failure, Success
+from storereaders import SilentLog
 
 from oleandershift.demand import DemandMeter
 from oleandershift.fleetview import FleetView
@@ -69,15 +70,6 @@
         return []
 
 
-class SilentLog:
-    """Log that drops its lines."""
-
-    def info(self, event, **fields):
-        """Drop a line."""
-
-    warning = info
-
-
 class PendingCall(BaseException):
     """Carries a feed's blocking call to its driver."""
 
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -1,7 +1,7 @@
 """Tests of what VMs do with an upstream that leaves, however they learn of it."""
 
 import pytest
-from storereaders import ManualClock, Vm, registration
+from storereaders import Vm, registration
 
 from oleandershift.neighbours import StoreRole
 from oleandershift.records import Record
@@ -11,13 +11,6 @@
 TRANSFER_SECONDS = 0.9
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    manual_clock = ManualClock()
-    monkeypatch.setattr("oleandershift.io.storesync.now", manual_clock)
-    return manual_clock
-
-
 @pytest.fixture
 def reader(clock):
     vm = Vm(clock, GRACE_SECONDS)
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -5,7 +5,7 @@
 
 import pytest
 from returns.result import Failure, Success
-from storereaders import UPSTREAMS, ManualClock, Vm, registration
+from storereaders import UPSTREAMS, Vm, registration
 from upstreams import make_upstream
 
 from oleandershift.demand import DemandMeter
@@ -28,13 +28,6 @@
 WAIT_SECONDS = 5.0
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    manual_clock = ManualClock()
-    monkeypatch.setattr("oleandershift.io.storesync.now", manual_clock)
-    return manual_clock
-
-
 def without_born(record):
     spec = {key: value for key, value in record.spec.items() if key != "born"}
     return Record(record.name, record.revision, spec)
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import given, strategies as st
 from returns.result import Success
+from storereaders import SilentLog
 
 from oleandershift.digests import SnapshotRequest
 from oleandershift.fleetview import FleetView
@@ -22,15 +23,6 @@
 OUTAGE_SECONDS = 4.0
 
 
-class SilentLog:
-    """Log that drops its lines."""
-
-    def info(self, event, **fields):
-        """Drop a line."""
-
-    warning = info
-
-
 def make_sync(grace_s=0.0):
     view = FleetView(grace_s)
     sync = StoreSync(view, lambda name: None, SilentLog(), GatewayMetrics())
@@ -215,24 +207,6 @@
     assert names(view) == {"of-current"}
 
 
-class ManualClock:
-    """Clock that tests set."""
-
-    def __init__(self):
-        self.instant = 100.0
-
-    def __call__(self):
-        """Return the time that was set."""
-        return self.instant
-
-
-@pytest.fixture
-def clock(monkeypatch):
-    manual_clock = ManualClock()
-    monkeypatch.setattr("oleandershift.io.storesync.now", manual_clock)
-    return manual_clock
-
-
 def make_reader_and_follower(grace_s):
     """Return a reader that knows an upstream, and a follower that read it there."""
     reader, follower = make_sync(grace_s), make_sync(grace_s)
