--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -1,5 +1,6 @@
 """Stand-in for the platform's metadata store, with its published protocol."""
 
+import copy
 import threading
 import time
 from dataclasses import dataclass, field
@@ -14,6 +15,9 @@
 HISTORY_EVENTS = 1000
 """Number of changes kept for watches."""
 
+ERA_HEADER = "Store-Era"
+"""Names, in each answer, how often the store has come back from a copy."""
+
 
 class StoreMode(Enum):
     """How the store responds to requests."""
@@ -34,7 +38,9 @@
 
 
 @dataclass
-class _State:
+class StoreState:
+    """Objects of a store and its history of changes, as in a copy of it."""
+
     objects: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
     events: list[_Event] = field(default_factory=list)
     revision: int = 1
@@ -59,10 +65,11 @@
     ) -> None:
         self._server = Server(ip, port, self._handle)
         self._page_size = page_size
-        self._state = _State()
+        self._state = StoreState()
         self._changed = threading.Condition()
         self._mode = StoreMode.SERVE
         self._stopping = False
+        self.era = 1
         self.port = self._server.port
         self.start = self._server.start
         self.calls = 0
@@ -99,6 +106,22 @@
             self._state.dropped_revision = self._state.revision
             self._changed.notify_all()
 
+    def copy(self) -> StoreState:
+        """Return a copy of the content, from which the store can come back."""
+        with self._changed:
+            return copy.deepcopy(self._state)
+
+    def restore(self, state: StoreState) -> None:
+        """Come back from an earlier copy: what was acknowledged since is lost.
+
+        Revisions are given out again, and open connections are reset.
+        """
+        with self._changed:
+            self._state = copy.deepcopy(state)
+            self.era += 1
+            self._changed.notify_all()
+        self._server.abort_connections()
+
     def names(self, kind: str) -> list[str]:
         """Return the names of all objects of a kind."""
         with self._changed:
@@ -142,6 +165,7 @@
     def _handle(self, exchange: Exchange) -> None:
         self.calls += 1
         mode = self._mode
+        exchange.extra_headers = {ERA_HEADER: str(self.era)}
         if mode is StoreMode.BUSY:
             exchange.send_json(503, {"error": "busy"})
         elif mode is StoreMode.RESET:
@@ -197,7 +221,7 @@
         deadline = time.monotonic() + int(exchange.query.get("waitMs", 0)) / 1000
         with self._changed:
             while True:
-                if since < self._state.dropped_revision:
+                if not self._state.dropped_revision <= since <= self._state.revision:
                     return 410, {"error": "history is gone"}
                 events = [
                     {"object": event.object, "deleted": event.deleted}
