--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -20,7 +20,7 @@
     UpstreamId,
     VmId,
 )
-from oleandershift.records import Record
+from oleandershift.records import Record, StorePosition
 
 
 class Scope(Enum):
@@ -98,6 +98,9 @@
         Upstreams that said in a response that they leave, though the store lists them
         as ready; from a hub also those that the store lists as draining. VMs of an
         earlier version do not send it.
+    era : int
+        Era of the store in which `revision` was read. VMs of an earlier version do not
+        send it.
     """
 
     vm: VmId
@@ -117,6 +120,12 @@
     part: int = 0
     parts: int = 1
     leaving: tuple[UpstreamRun, ...] = ()
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return up to where in the store's history the sender has read upstreams."""
+        return StorePosition(self.era, self.revision)
 
 
 class CrashRecord(msgspec.Struct, array_like=True, frozen=True):
@@ -181,10 +190,18 @@
         Version of the configuration in force; 0 without one.
     revision : int
         Store revision of the list of upstreams.
+    era : int
+        Era of the store in which it was read.
     """
 
     configuration: int
     revision: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return up to where in the store's history the VM has read upstreams."""
+        return StorePosition(self.era, self.revision)
 
 
 class StoreSnapshot(msgspec.Struct, array_like=True, frozen=True):
@@ -208,6 +225,8 @@
     list_grace_ms : int
         Milliseconds for which the sender still keeps upstreams that its last list from
         the store lacked; -1 if unknown, from VMs of an earlier version.
+    era : int
+        Era of the store in which all revisions of the snapshot were read.
     """
 
     configuration: Record | None
@@ -216,6 +235,12 @@
     since: int = 0
     removed: tuple[tuple[str, int, int], ...] = ()
     list_grace_ms: int = -1
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Return the place in the store's history of the list of upstreams."""
+        return StorePosition(self.era, self.revision)
 
 
 PeerMessage: TypeAlias = Digest | CrashNotice | SnapshotRequest | StoreSnapshot
--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -4,9 +4,16 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
+from itertools import chain
 from typing import NamedTuple
 
 from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
+from oleandershift.records import START_OF_HISTORY, StorePosition
+
+CONFIRMATION_SECONDS = 5.0
+"""Time after which a registration that a restored store still holds is believed again,
+though its removal had been read. The store drops the registration of an upstream that
+is gone after three missed reports, each of which is due after more than a second."""
 
 MAX_DEPARTED_RUNS = 16_384
 """Limit of the runs that are remembered as leaving, the oldest of which are forgotten;
@@ -18,7 +25,7 @@
 of which is due after more than a second."""
 
 REMOVAL_MEMORY_SECONDS = 60.0
-"""Time for which the revision of a removal is remembered; three times the history that
+"""Time for which the position of a removal is remembered; three times the history that
 the store keeps, so longer than a watch can lag behind."""
 
 REREGISTRATION_SECONDS = 2.0
@@ -80,8 +87,12 @@
 
 
 class _Removal(NamedTuple):
-    revision: int
+    position: StorePosition
     forget_at: float
+    # None if the run was not known.
+    incarnation: int | None
+    # Removed by the store around an outage, perhaps only as its report was missed.
+    in_outage: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +129,11 @@
     later: a report that an upstream sent before may reach the store after it. A report
     of an earlier run does not replace a later one either.
 
+    A store that comes back from an older copy lacks what was registered since, which is
+    kept like the entries that lapse in an outage, and lists again what was removed
+    since. A removal that was read while the store was well is believed for
+    `CONFIRMATION_SECONDS`, unless the upstream reports anew.
+
     Parameters
     ----------
     grace_s : float
@@ -126,8 +142,8 @@
 
     Attributes
     ----------
-    revision : int
-        Store revision of the newest known change.
+    position : StorePosition
+        Place in the store's history of the newest known change.
     loaded : bool
         Whether a complete list has been received.
     """
@@ -135,8 +151,10 @@
     def __init__(self, grace_s: float = 0.0) -> None:
         self._grace_s = grace_s
         self._entries: dict[UpstreamId, Upstream] = {}
-        self._revisions: dict[UpstreamId, int] = {}
+        self._positions: dict[UpstreamId, StorePosition] = {}
         self._lapse_deadlines: dict[UpstreamId, float] = {}
+        # Until when a removal is believed rather than a restored store.
+        self._unconfirmed_until: dict[UpstreamId, float] = {}
         self._removals: dict[UpstreamId, _Removal] = {}
         # Runs that leave, in the order in which that was learned.
         self._departed: dict[UpstreamRun, None] = {}
@@ -148,8 +166,8 @@
         )
         self._lost_at: float | None = None
         self._recovered_at = -math.inf
-        self.revision = 0
-        self._listed_revision = 0
+        self.position = START_OF_HISTORY
+        self._listed_position = START_OF_HISTORY
         self._list_grace_end = -math.inf
         self.loaded = False
 
@@ -167,8 +185,8 @@
     def replace(
         self,
         now: float,
-        revision: int,
-        entries: Iterable[tuple[int, Upstream]],
+        position: StorePosition,
+        entries: Iterable[tuple[StorePosition, Upstream]],
         removals: RemovalGrace | None = None,
     ) -> tuple[Upstream, ...]:
         """Apply a complete list and return the entries that were removed immediately.
@@ -179,66 +197,76 @@
         ----------
         now : float
             Current time, seconds.
-        revision : int
-            Store revision of the list.
+        position : StorePosition
+            Place in the store's history at which the list was read.
         entries : iterable of tuple
-            Pairs of the revision of an entry's last change and the entry.
+            Pairs of the place of an entry's last change and the entry.
         removals : RemovalGrace or None
             For how long the VM that read the list still keeps what is missing in it;
             None if this VM read it.
         """
-        if self.loaded and revision < self.revision:
+        if self.loaded and position < self.position:
             return ()
+        is_restored = self.loaded and position.era > self.position.era
+        if is_restored:
+            # What the copy lacks is registered again as after an outage.
+            self._recovered_at = max(self._recovered_at, now)
         listed = {entry.name: (changed, entry) for changed, entry in entries}
         missing = [name for name in self._entries if name not in listed]
         if removals is None:
             removals = RemovalGrace(self._lapse_deadline(now) - now)
         self._list_grace_end = now + removals.unnamed_s
         for name in missing:
-            self._remember_removal(now, revision, name)
+            self._remember_removal(now, position, name)
         removed = [
             entry
             for name in missing
             if (entry := self._lapse(now, name, now + removals.left_s(name)))
         ]
         for changed, entry in listed.values():
-            if not self._is_superseded(entry):
-                self._store(changed, entry)
-        newest = max((changed for changed, _ in listed.values()), default=0)
-        # A missing entry is a change without a record that could carry its revision,
+            if self._is_superseded(entry):
+                continue
+            self._store(changed, entry)
+            if is_restored and self._was_removed(changed, entry):
+                self._unconfirmed_until[entry.name] = now + CONFIRMATION_SECONDS
+        newest = max(
+            (changed for changed, _ in listed.values()),
+            default=StorePosition(position.era, 0),
+        )
+        # A missing entry is a change without a record that could carry its position,
         # and later pages of a list may be newer than what is known of the first.
-        self.revision = max(
-            self.revision, revision if missing else min(newest, revision)
+        self.position = max(
+            self.position, position if missing else min(newest, position)
         )
-        self._listed_revision = revision
+        self._listed_position = position
         self.loaded = True
         return tuple(removed)
 
-    def update(self, revision: int, entry: Upstream) -> bool:
+    def update(self, position: StorePosition, entry: Upstream) -> bool:
         """Add or replace an entry; return False if the change is known already.
 
         A change from before the removal of an entry does not add it again.
         """
         removal = self._removals.get(entry.name)
-        known_revision = max(
-            self._listed_revision,
-            self._revisions.get(entry.name, 0),
-            removal.revision if removal is not None else 0,
+        known_position = max(
+            self._listed_position,
+            self._positions.get(entry.name, START_OF_HISTORY),
+            removal.position if removal is not None else START_OF_HISTORY,
         )
-        if revision <= known_revision or self._is_superseded(entry):
+        if position <= known_position or self._is_superseded(entry):
             return False
-        self._store(revision, entry)
-        self.revision = max(self.revision, revision)
+        self._store(position, entry)
+        self.position = max(self.position, position)
         return True
 
-    def advance(self, revision: int) -> None:
-        """Record that all changes up to a store revision are known."""
-        self.revision = max(self.revision, revision)
+    def advance(self, position: StorePosition) -> None:
+        """Record that all changes up to a place in the store's history are known."""
+        self.position = max(self.position, position)
 
     def remove(
         self,
         now: float,
-        revision: int,
+        position: StorePosition,
         name: UpstreamId,
         grace_s: float | None = None,
     ) -> bool:
@@ -248,19 +276,19 @@
         ----------
         now : float
             Current time, seconds.
-        revision : int
-            Revision of the removal; an entry that is newer stays.
+        position : StorePosition
+            Place of the removal; an entry that is newer stays.
         name : UpstreamId
             Id of the upstream.
         grace_s : float or None
             Seconds for which the VM that read the removal still keeps the entry; None
             if this VM read it.
         """
-        self.revision = max(self.revision, revision)
-        last_revision = self._revisions.get(name, 0)
-        if revision and revision < last_revision:
+        self.position = max(self.position, position)
+        last_position = self._positions.get(name, START_OF_HISTORY)
+        if position.revision and position < last_position:
             return False
-        self._remember_removal(now, max(revision, last_revision), name)
+        self._remember_removal(now, max(position, last_position), name)
         deadline = self._lapse_deadline(now) if grace_s is None else now + grace_s
         return self._lapse(now, name, deadline) is not None
 
@@ -268,18 +296,18 @@
         """Return the seconds for which a lapsed entry is kept; 0 without one."""
         return max(0.0, self._lapse_deadlines.get(name, now) - now)
 
-    def lapsing(self) -> tuple[tuple[UpstreamId, int], ...]:
-        """Return name and revision of the removals whose entries are still kept."""
+    def lapsing(self) -> tuple[tuple[UpstreamId, StorePosition], ...]:
+        """Return name and position of the removals whose entries are still kept."""
         return tuple(
-            (name, removal.revision)
+            (name, removal.position)
             for name, removal in self._removals.items()
             if name in self._lapse_deadlines
         )
 
-    def removals(self) -> tuple[tuple[UpstreamId, int], ...]:
-        """Return name and revision of the removals in the last minute, kept or not."""
+    def removals(self) -> tuple[tuple[UpstreamId, StorePosition], ...]:
+        """Return name and position of the removals in the last minute, kept or not."""
         return tuple(
-            (name, removal.revision)
+            (name, removal.position)
             for name, removal in self._removals.items()
             if name in self._lapse_deadlines or name not in self._entries
         )
@@ -295,6 +323,11 @@
         ]
         for name in expired:
             del self._lapse_deadlines[name]
+        self._unconfirmed_until = {
+            name: until
+            for name, until in self._unconfirmed_until.items()
+            if until > now
+        }
         while self._removals:
             oldest = next(iter(self._removals))
             if self._removals[oldest].forget_at > now:
@@ -307,7 +340,9 @@
         if now >= self._usable_until:
             self._forget_results()
         if not self._usable:
-            deadlines = self._lapse_deadlines.values()
+            deadlines = chain(
+                self._lapse_deadlines.values(), self._unconfirmed_until.values()
+            )
             self._usable_until = min(
                 (deadline for deadline in deadlines if deadline > now), default=math.inf
             )
@@ -316,7 +351,9 @@
             usable = self._usable[service] = tuple(
                 entry
                 for entry in self._entries.values()
-                if entry.service == service and not self.is_leaving(now, entry)
+                if entry.service == service
+                and not self.is_leaving(now, entry)
+                and not self.is_unconfirmed(now, entry)
             )
         return usable
 
@@ -331,6 +368,10 @@
             or self._lapse_deadlines.get(entry.name, math.inf) <= now
         )
 
+    def is_unconfirmed(self, now: float, entry: Upstream) -> bool:
+        """Return whether only a restored store holds a registration that had ended."""
+        return self._unconfirmed_until.get(entry.name, -math.inf) > now
+
     def on_leaving(self, run: UpstreamRun) -> bool:
         """Record that a run leaves, by its own word; return whether that is new."""
         if run in self._departed:
@@ -368,12 +409,34 @@
         """Return all entries, including draining and lapsed ones."""
         return tuple(self._entries.values())
 
-    def _remember_removal(self, now: float, revision: int, name: UpstreamId) -> None:
+    def _remember_removal(
+        self, now: float, position: StorePosition, name: UpstreamId
+    ) -> None:
         known = self._removals.pop(name, None)
+        entry = self._entries.get(name)
+        incarnation = entry.incarnation if entry is not None else None
         if known is not None:
-            revision = max(revision, known.revision)
+            position = max(position, known.position)
+            incarnation = known.incarnation if incarnation is None else incarnation
         # The dictionary stays in the order of the instants.
-        self._removals[name] = _Removal(revision, now + REMOVAL_MEMORY_SECONDS)
+        self._removals[name] = _Removal(
+            position, now + REMOVAL_MEMORY_SECONDS, incarnation, self._is_outage(now)
+        )
+
+    def _was_removed(self, changed: StorePosition, entry: Upstream) -> bool:
+        """Return whether an entry of a restored store had been removed for good."""
+        removal = self._removals.get(entry.name)
+        return (
+            removal is not None
+            and not removal.in_outage
+            and removal.position.era < changed.era
+            and removal.position.revision >= changed.revision
+            and removal.incarnation in (None, entry.incarnation)
+        )
+
+    def _is_outage(self, now: float) -> bool:
+        """Return whether registrations may be missing as reports did not arrive."""
+        return self._lost_at is not None or now < self._reregistered_at
 
     def _is_superseded(self, entry: Upstream) -> bool:
         """Return whether a later run of an upstream is known."""
@@ -394,7 +457,7 @@
         if len(self._departed) > MAX_DEPARTED_RUNS:
             del self._departed[next(iter(self._departed))]
 
-    def _store(self, revision: int, entry: Upstream) -> None:
+    def _store(self, position: StorePosition, entry: Upstream) -> None:
         known = self._entries.get(entry.name)
         # Runs without a start time can't be told apart, and another writer may have
         # stored an entry of another service under this name.
@@ -406,8 +469,9 @@
             self.on_leaving(entry.run)
         self._forget_results()
         self._entries[entry.name] = entry
-        self._revisions[entry.name] = revision
+        self._positions[entry.name] = position
         self._lapse_deadlines.pop(entry.name, None)
+        self._unconfirmed_until.pop(entry.name, None)
 
     def _lapse(self, now: float, name: UpstreamId, deadline: float) -> Upstream | None:
         entry = self._entries.get(name)
@@ -416,7 +480,7 @@
         if entry.state is UpstreamState.READY and deadline > now:
             self._forget_results()
             known = self._lapse_deadlines.get(name, deadline)
-            is_outage = self._lost_at is not None or now < self._reregistered_at
+            is_outage = self._is_outage(now)
             # A VM that does not know of the outage would end the use too early.
             self._lapse_deadlines[name] = known if is_outage else min(known, deadline)
             return None
@@ -425,7 +489,7 @@
 
     def _drop(self, name: UpstreamId) -> Upstream:
         self._forget_results()
-        self._revisions.pop(name, None)
+        self._positions.pop(name, None)
         entry = self._entries.pop(name)
         if not entry.incarnation:
             # A later run can't be told from this one.
--- a/src/oleandershift/eligibility.py
+++ b/src/oleandershift/eligibility.py
@@ -17,12 +17,15 @@
         It is not registered any more, or another run of it is.
     LEAVING
         It accepts no new requests for good.
+    UNCONFIRMED
+        Its registration had ended, and only a restored store lists it again.
     AWAY
         It wants no request of this VM for a while.
     """
 
     NOT_REGISTERED = "not registered"
     LEAVING = "leaving"
+    UNCONFIRMED = "unconfirmed"
     AWAY = "away"
 
 
@@ -55,6 +58,8 @@
             return Refusal.NOT_REGISTERED
         if self.directory.is_leaving(now, entry):
             return Refusal.LEAVING
+        if self.directory.is_unconfirmed(now, entry):
+            return Refusal.UNCONFIRMED
         if not self.standings.accepts(now, run):
             return Refusal.AWAY
         return None
--- a/src/oleandershift/io/feed.py
+++ b/src/oleandershift/io/feed.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from typing import Protocol, TypeAlias
 
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from oleandershift.neighbours import StoreRole
 from oleandershift.objects import StoreError, StoreFailure
-from oleandershift.records import Changes, Snapshot
+from oleandershift.records import Changes, Snapshot, StorePosition
 from oleandershift.retries import Backoff
 
 BATCH_DELAY_SECONDS = 0.5
@@ -60,6 +60,10 @@
 class WatchableStore(Protocol):
     """A store whose objects can be listed and watched by kind."""
 
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store that an answer has named."""
+
     def snapshot(self, kind: str) -> Result[Snapshot, StoreFailure]:
         """Return all objects of a kind."""
 
@@ -99,7 +103,9 @@
 class Feed:
     """Watches one kind of objects in a thread of its own and reports events.
 
-    On a follower it lists the objects once and then pauses until the role changes.
+    On a follower it lists the objects once and then pauses until the role changes. When
+    the store has come back from a copy, it lists them again, as a revision may have
+    been given out again.
 
     Parameters
     ----------
@@ -125,7 +131,7 @@
         self._deliver = deliver
         self._rng = rng
         self._stopped = threading.Event()
-        self._revision: int | None = None
+        self._position: StorePosition | None = None
         self._failures = 0
         self._watching = threading.Event()
         self._resuming = False
@@ -151,7 +157,7 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            if self._revision is not None and not self._watching.is_set():
+            if self._position is not None and not self._watching.is_set():
                 self._watching.wait()
                 self._resuming = True
             else:
@@ -170,9 +176,10 @@
             return
         failure = result.failure()
         if failure.error is StoreError.GONE:
-            self._revision = None
+            self._position = None
             return
         self._failures += 1
+        self._resuming = True
         self._deliver(StoreCallFailed(self._kind, failure))
         base_delay_s = self.timing.retry_base_delay_s
         backoff = Backoff(self._rng, base_delay_s, self.timing.max_retry_delay_s)
@@ -180,9 +187,9 @@
 
     def _call_store(self) -> Result[FeedEvent, StoreFailure]:
         try:
-            if self._revision is None:
+            if self._position is None or self._position.era < self._store.era:
                 return self._read_snapshot()
-            return self._watch(self._revision)
+            return self._watch(self._position)
         except Exception as exc:
             detail = f"{self._kind}: {exc!r}"
             return Failure(StoreFailure(StoreError.OUTCOME_UNKNOWN, detail))
@@ -191,15 +198,20 @@
         result = self._store.snapshot(self._kind)
         if isinstance(result, Failure):
             return Failure(result.failure())
-        self._revision = result.unwrap().revision
+        self._position = result.unwrap().position
         return result.map(lambda snapshot: SnapshotRead(self._kind, snapshot))
 
-    def _watch(self, revision: int) -> Result[FeedEvent, StoreFailure]:
-        # Other VMs rely on this one only after its first watch has succeeded.
+    def _watch(self, position: StorePosition) -> Result[FeedEvent, StoreFailure]:
+        # Other VMs rely on this one only after its first watch has succeeded, and only
+        # an answer tells that the store has come back from a copy.
         timeout_s = 0.0 if self._resuming else self.timing.watch_timeout_s
-        result = self._store.watch(self._kind, revision, timeout_s)
+        result = self._store.watch(self._kind, position.revision, timeout_s)
         if isinstance(result, Failure):
             return Failure(result.failure())
+        changes = result.unwrap()
+        if changes.era != position.era:
+            detail = f"{self._kind}: era {changes.era}, {position.era} before"
+            return Failure(StoreFailure(StoreError.GONE, detail))
         self._resuming = False
-        self._revision = result.unwrap().revision
-        return result.map(lambda changes: ChangesRead(self._kind, changes))
+        self._position = changes.position
+        return Success(ChangesRead(self._kind, changes))
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -259,7 +259,12 @@
         )
         self._settings_stamp = _file_stamp(path)
         self._registry = VmRegistry(
-            StoreClient(vm_settings.store_address), self._this_vm, self._peers, log
+            StoreClient(vm_settings.store_address),
+            self._this_vm,
+            self._peers,
+            log,
+            lambda: self._view.directory.position.era,
+            random.Random(),
         )
         self._probe_connections: set[CallerConnection] = set()
         self._stopping = asyncio.Event()
@@ -371,7 +376,8 @@
         values = {
             "configuration_version": cfg.version if cfg else 0,
             "reads_store": self._view.reads_store,
-            "upstreams_revision": directory.revision,
+            "upstreams_revision": directory.position.revision,
+            "store_era": directory.position.era,
             "upstreams": len(directory.entries()),
             "upstreams_ejected": len(self._outliers.ejected()),
             "vms": self._peers.live_count(instant),
@@ -432,11 +438,11 @@
             self._store_sync.apply_snapshot(snapshot, peer.vm, asked_at)
 
     def _find_fresher_peer(self, unreachable: Collection[VmId]) -> Peer | None:
-        """Return a VM that has read a newer revision or configuration, if any."""
+        """Return a VM that has read more of the store than this one, if any."""
         cfg = self._view.configuration
         version = cfg.version if cfg else 0
-        revision = self._view.directory.revision
-        return self._peers.fresher_peer(now(), version, revision, unreachable)
+        position = self._view.directory.position
+        return self._peers.fresher_peer(now(), version, position, unreachable)
 
     def _poll_settings(self) -> None:
         """Reload the settings if their file has changed."""
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -85,6 +85,7 @@
                 ("configuration_version", "Version in force."),
                 ("reads_store", "Whether this VM reads the store itself."),
                 ("upstreams_revision", "Store revision of the list of upstreams."),
+                ("store_era", "How often the store has come back from a copy."),
                 ("upstreams", "Upstreams believed in."),
                 ("upstreams_ejected", "Upstreams left out for failures."),
                 ("vms", "Live VMs, this one included."),
--- a/src/oleandershift/io/jsoncalls.py
+++ b/src/oleandershift/io/jsoncalls.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 import urllib3
 from returns.result import Failure, Result, Success
@@ -22,6 +23,15 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class JsonResponse:
+    """Status, body and headers of a response; names of headers in any case."""
+
+    status: int
+    body: bytes
+    headers: Mapping[str, str]
+
+
 class JsonClient:
     """Sends requests to one server over a pool of connections.
 
@@ -50,8 +60,8 @@
         deadline: float,
         body: bytes | None = None,
         headers: Mapping[str, str] | None = None,
-    ) -> Result[tuple[int, bytes], StoreFailure]:
-        """Send one request and return the status and body of the response.
+    ) -> Result[JsonResponse, StoreFailure]:
+        """Send one request and return its response.
 
         Parameters
         ----------
@@ -81,7 +91,7 @@
         deadline: float,
         body: bytes | None,
         headers: Mapping[str, str],
-    ) -> tuple[int, bytes]:
+    ) -> JsonResponse:
         remaining = max(MIN_TIMEOUT_SECONDS, deadline - time.monotonic())
         timeout = urllib3.Timeout(
             connect=min(remaining, CONNECT_TIMEOUT_SECONDS), total=remaining
@@ -101,7 +111,7 @@
             res.close()
             raise
         res.release_conn()
-        return res.status, data
+        return JsonResponse(res.status, data, res.headers)
 
 
 def _read_body(res: urllib3.BaseHTTPResponse, deadline: float) -> bytes:
--- a/src/oleandershift/io/platform.py
+++ b/src/oleandershift/io/platform.py
@@ -122,10 +122,10 @@
         result = self._client.request(method, path, monotonic_deadline, body, headers)
         if isinstance(result, Failure):
             return Failure(result.failure())
-        status, data = result.unwrap()
-        if status in (200, 201):
-            return _decode_body(data, response_type)
-        return Failure(_failure_of_status(status, data))
+        res = result.unwrap()
+        if res.status in (200, 201):
+            return _decode_body(res.body, response_type)
+        return Failure(_failure_of_status(res.status, res.body))
 
 
 def _object_path(kind: ObjectKind, name: str) -> str:
--- a/src/oleandershift/io/registry.py
+++ b/src/oleandershift/io/registry.py
@@ -1,6 +1,7 @@
 """Registers this VM in the store and discovers the other VMs."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Protocol, TypeVar
 
@@ -22,6 +23,10 @@
 ROLE_CHECK_SECONDS = 1.0
 """Interval at which a VM looks whether it has to read the registrations."""
 
+REREGISTRATION_SPREAD_SECONDS = 5.0
+"""Time over which the VMs register again when the store has come back from a copy;
+keeps the calls of 770 VMs within its rates."""
+
 REGISTRATION_TTL_SECONDS = 600.0
 """Time without a digest after which a registration is deleted; longer than it takes to
 replace a VM."""
@@ -36,14 +41,14 @@
     def snapshot(self, kind: str) -> Result[Snapshot, StoreFailure]:
         """Return all objects of a kind."""
 
-    def create(self, kind: str, name: str, spec: object) -> Result[None, StoreFailure]:
-        """Create an object."""
+    def create(self, kind: str, name: str, spec: object) -> Result[int, StoreFailure]:
+        """Create an object and return the store's era."""
 
-    def replace(self, kind: str, name: str, spec: object) -> Result[None, StoreFailure]:
-        """Replace an object."""
+    def replace(self, kind: str, name: str, spec: object) -> Result[int, StoreFailure]:
+        """Replace an object and return the store's era."""
 
-    def delete(self, kind: str, name: str) -> Result[None, StoreFailure]:
-        """Delete an object."""
+    def delete(self, kind: str, name: str) -> Result[int, StoreFailure]:
+        """Delete an object and return the store's era."""
 
 
 class VmRegistry:
@@ -59,6 +64,10 @@
         Table that the registered VMs are added to.
     log : DecisionLog
         Receives failed calls and rejected registrations.
+    known_era : callable
+        Returns the latest era of the store that this VM has heard of.
+    rng : random.Random
+        Jitter of registrations.
     """
 
     def __init__(
@@ -67,21 +76,33 @@
         this_vm: Peer,
         peers: PeerTable,
         log: DecisionLog,
+        known_era: Callable[[], int],
+        rng: random.Random,
     ) -> None:
         self.store = store
         self._this_vm = this_vm
         self._peers = peers
         self._log = log
+        self._known_era = known_era
+        self._rng = rng
         self._has_read = False
+        self._registered_era = 0
 
     async def run(self) -> None:
         """Register this VM, then refresh the peer table periodically.
 
-        Followers read the registrations once; their hub reaches the other VMs.
+        Followers read the registrations once; their hub reaches the other VMs. A store
+        that has come back from a copy may lack the registration, so it is repeated.
         """
         await self._call_until_success(self._register)
         next_read = now()
         while True:
+            if self._known_era() > self._registered_era:
+                await asyncio.sleep(
+                    self._rng.uniform(0.0, REREGISTRATION_SPREAD_SECONDS)
+                )
+                await self._call_until_success(self._register)
+                self._log.info("registry.renewed", era=self._registered_era)
             is_follower = self._peers.store_role(now()) is StoreRole.FOLLOWER
             if now() >= next_read and not (is_follower and self._has_read):
                 await self._call_until_success(self._read_peers)
@@ -108,6 +129,7 @@
         if failure is not None and failure.error is StoreError.CONFLICT:
             result = self.store.replace(vms.KIND, self._this_vm.vm, spec)
             failure = _failure_of(result)
+        self._registered_era = result.value_or(self._registered_era)
         return failure
 
     def _read_peers(self) -> StoreFailure | None:
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -24,7 +24,7 @@
 from oleandershift.neighbours import StoreRole
 from oleandershift.platform import configuration, upstreams
 from oleandershift.recordlog import RecordLog
-from oleandershift.records import Record
+from oleandershift.records import Record, StorePosition
 
 KINDS = (configuration.KIND, upstreams.KIND)
 
@@ -129,21 +129,22 @@
             self._apply_configuration_records(event)
         elif isinstance(event, SnapshotRead):
             snapshot = event.snapshot
-            self._apply_upstream_list(read_at, snapshot.revision, snapshot.records)
+            self._apply_upstream_list(read_at, snapshot.position, snapshot.records)
         else:
             self._apply_upstream_changes(event, read_at)
 
     def request(self) -> SnapshotRequest:
         """Return what this VM knows, to ask another VM for what is newer."""
         cfg = self._view.configuration
-        revision = self._view.directory.revision
-        return SnapshotRequest(cfg.version if cfg else 0, revision)
+        position = self._view.directory.position
+        version = cfg.version if cfg else 0
+        return SnapshotRequest(version, position.revision, position.era)
 
     def snapshot(self, req: SnapshotRequest) -> StoreSnapshot:
         """Return what the requesting VM has not read, as far as this VM has."""
         cfg = self._view.configuration
         is_newer = cfg is not None and cfg.version > req.configuration
-        since = req.revision
+        since = req.position
         log = self._upstream_records
         is_partial = log.is_complete_since(since)
         directory = self._view.directory
@@ -154,14 +155,15 @@
             removed = dict(directory.removals())
         return StoreSnapshot(
             configuration=self._configuration_record if is_newer else None,
-            revision=directory.revision,
+            revision=directory.position.revision,
             upstreams=log.changed_since(since) if is_partial else log.records(),
-            since=since if is_partial else 0,
+            since=since.revision if is_partial else 0,
             removed=tuple(
-                (name, revision, self._grace_ms(name))
-                for name, revision in removed.items()
+                (name, position.revision, self._grace_ms(name))
+                for name, position in removed.items()
             ),
             list_grace_ms=round(directory.list_grace_left(now()) * 1000),
+            era=directory.position.era,
         )
 
     def _grace_ms(self, name: str) -> int:
@@ -187,23 +189,24 @@
         self._log.info(
             "snapshot.taken",
             peer=peer,
+            era=snapshot.era,
             revision=snapshot.revision,
             since=snapshot.since,
         )
         if snapshot.configuration is not None:
             self._apply_configuration(snapshot.configuration)
-        if snapshot.revision <= self._view.directory.revision:
+        if snapshot.position <= self._view.directory.position:
             return
         if snapshot.since:
             self._apply_missed_changes(snapshot, asked_at)
         else:
             self._apply_upstream_list(
                 asked_at,
-                snapshot.revision,
+                snapshot.position,
                 snapshot.upstreams,
                 _removal_grace(snapshot),
             )
-        self._view.directory.advance(snapshot.revision)
+        self._view.directory.advance(snapshot.position)
 
     def _on_call_failed(self, event: StoreCallFailed, failed_at: float) -> None:
         self._metrics.store_events.labels(event.kind, event.failure.error.value).inc()
@@ -261,13 +264,22 @@
     def _apply_upstream_list(
         self,
         instant: float,
-        revision: int,
+        position: StorePosition,
         records: tuple[Record, ...],
         removals: RemovalGrace | None = None,
     ) -> None:
         directory = self._view.directory
-        if directory.loaded and revision < directory.revision:
+        if directory.loaded and position < directory.position:
             return
+        previous_era = directory.position.era
+        if directory.loaded and position.era > previous_era:
+            self._log.warning(
+                "store.restored",
+                era=position.era,
+                previous_era=previous_era,
+                revision=position.revision,
+                previous_revision=directory.position.revision,
+            )
         listed = []
         for record in records:
             result = upstreams.decode(record.name, record.spec)
@@ -276,55 +288,64 @@
                 continue
             entry = result.unwrap()
             self._detect_restart(entry)
-            listed.append((record.revision, entry))
-        directory.replace(instant, revision, listed, removals)
-        self._upstream_records.replace(revision, records)
-        self._log.info("upstreams.listed", revision=revision, count=len(listed))
+            listed.append((record.position, entry))
+        directory.replace(instant, position, listed, removals)
+        self._upstream_records.replace(position, records)
+        self._log.info(
+            "upstreams.listed", revision=position.revision, count=len(listed)
+        )
 
     def _apply_upstream_changes(self, event: ChangesRead, read_at: float) -> None:
-        revision = event.changes.revision
+        position = event.changes.position
         for record, deleted in event.changes.records:
             if deleted:
-                self._remove_upstream(read_at, record.name, record.revision, revision)
+                self._remove_upstream(read_at, record.name, record.position, position)
             else:
-                self._update_upstream(read_at, record, revision)
+                self._update_upstream(read_at, record, position)
 
     def _apply_missed_changes(self, snapshot: StoreSnapshot, asked_at: float) -> None:
         for name, revision, grace_ms in snapshot.removed:
             self._remove_upstream(
-                asked_at, name, revision, snapshot.revision, grace_ms / 1000
+                asked_at,
+                name,
+                StorePosition(snapshot.era, revision),
+                snapshot.position,
+                grace_ms / 1000,
             )
         for record in snapshot.upstreams:
-            self._update_upstream(asked_at, record, snapshot.revision)
+            self._update_upstream(asked_at, record, snapshot.position)
 
     def _remove_upstream(
         self,
         instant: float,
         name: str,
-        revision: int,
-        list_revision: int,
+        position: StorePosition,
+        read_position: StorePosition,
         grace_s: float | None = None,
     ) -> None:
-        """Apply a removal that was read with a list revision, not before it."""
-        self._upstream_records.remove(name, revision, list_revision)
-        self._view.directory.advance(list_revision)
+        """Apply a removal, read at a place in history that is not before it."""
+        self._upstream_records.remove(name, position, read_position)
+        self._view.directory.advance(read_position)
         upstream = UpstreamId(name)
-        removed = self._view.directory.remove(instant, revision, upstream, grace_s)
+        removed = self._view.directory.remove(instant, position, upstream, grace_s)
         self._log.info(
-            "upstream.removed", upstream=name, revision=revision, at_once=removed
+            "upstream.removed",
+            upstream=name,
+            revision=position.revision,
+            at_once=removed,
         )
 
     def _update_upstream(
-        self, instant: float, record: Record, list_revision: int
+        self, instant: float, record: Record, read_position: StorePosition
     ) -> None:
         result = upstreams.decode(record.name, record.spec)
         if isinstance(result, Failure):
             self._log.warning("upstream.rejected", why=str(result.failure()))
-            self._remove_upstream(instant, record.name, record.revision, list_revision)
+            self._remove_upstream(instant, record.name, record.position, read_position)
             return
         entry = result.unwrap()
         self._detect_restart(entry)
-        if not self._view.directory.update(record.revision, entry):
+        if not self._view.directory.update(record.position, entry):
             return
         self._upstream_records.put(record)
         self._log.info(
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -13,6 +13,7 @@
 from oleandershift.hashing import weight_of
 from oleandershift.ids import DataCentreId, TeamId, UpstreamId, VmId
 from oleandershift.placement import Load
+from oleandershift.records import StorePosition
 from oleandershift.summaries import Summary, summarise
 from oleandershift.vmsettings import Address
 
@@ -261,7 +262,7 @@
         self,
         now: float,
         configuration: int,
-        revision: int,
+        position: StorePosition,
         unreachable: Collection[VmId] = (),
     ) -> Peer | None:
         """Return a live peer whose copy of the store is newer than this VM's, if any.
@@ -272,8 +273,8 @@
             Current time, seconds.
         configuration : int
             Version of the configuration in force at this VM.
-        revision : int
-            Store revision of this VM's list of upstreams.
+        position : StorePosition
+            Place in the store's history of this VM's list of upstreams.
         unreachable : collection of VmId
             VMs that did not respond lately; one is returned only if no other VM is
             ahead.
@@ -281,7 +282,7 @@
         candidates = [
             digest
             for digest in self._live_digests(now)
-            if (digest.configuration > configuration or digest.revision > revision)
+            if (digest.configuration > configuration or digest.position > position)
             and digest.vm in self._peers
         ]
         if not candidates:
@@ -311,11 +312,11 @@
         for key in [key for key in self._vm_digests if key[0] == vm]:
             del self._vm_digests[key]
 
-    def _freshness(self, digest: Digest) -> tuple[int, int, bool, int]:
+    def _freshness(self, digest: Digest) -> tuple[int, StorePosition, bool, int]:
         """Return the order of preference; VMs that are equally fresh share the load."""
         is_local = digest.data_centre == self._data_centre
         preference = weight_of(self._vm, digest.vm)
-        return digest.configuration, digest.revision, is_local, preference
+        return digest.configuration, digest.position, is_local, preference
 
     def _live_members(self, now: float) -> set[VmId]:
         """Return the other live VMs of the data centre."""
--- a/src/oleandershift/platform/store.py
+++ b/src/oleandershift/platform/store.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's metadata store."""
 
+import threading
 import time
 from typing import TypeVar
 from urllib.parse import quote
@@ -15,6 +16,7 @@
     Changes,
     Record,
     Snapshot,
+    StorePosition,
 )
 from oleandershift.vmsettings import Address
 
@@ -27,6 +29,9 @@
 CALL_TIMEOUT_SECONDS = 2.0
 """Timeout of a call other than a watch."""
 
+ERA_HEADER = "Store-Era"
+"""Rises by one when the store has come back from an older copy."""
+
 _ERRORS = {
     404: StoreError.NOT_FOUND,
     409: StoreError.CONFLICT,
@@ -79,6 +84,13 @@
     def __init__(self, address: Address) -> None:
         url = f"http://{address.host}:{address.port}"
         self._client = JsonClient(url, MAX_CONNECTIONS)
+        self._era = 0
+        self._era_lock = threading.Lock()
+
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store that an answer has named."""
+        return self._era
 
     def close(self) -> None:
         """Close idle connections."""
@@ -87,18 +99,22 @@
     def snapshot(self, kind: str) -> Result[Snapshot, StoreFailure]:
         """Read all pages of a kind, with the revision of the first page."""
         records: list[Record] = []
-        revision = 0
+        first: StorePosition | None = None
         after = ""
         while True:
             result = self._read_page(kind, after)
             if isinstance(result, Failure):
                 return Failure(result.failure())
-            page = result.unwrap()
-            revision = revision or page.at
-            page_records = [_decode_record(raw) for raw in page.items]
+            page, era = result.unwrap()
+            if first is None:
+                first = StorePosition(era, page.at)
+            if era != first.era:
+                detail = f"{kind}: era {era} after {after!r}, {first.era} before"
+                return Failure(StoreFailure(StoreError.GONE, detail))
+            page_records = [_decode_record(raw, era) for raw in page.items]
             records.extend(page_records)
             if not page.has_more or not page_records:
-                return Success(Snapshot(revision, tuple(records)))
+                return Success(Snapshot(first.revision, tuple(records), first.era))
             after = page_records[-1].name
 
     def watch(
@@ -111,82 +127,95 @@
         result = self._get(path, timeout_s, _Events)
         if isinstance(result, Failure):
             return Failure(result.failure())
-        response = result.unwrap()
-        return Success(
-            Changes(
-                response.at,
-                tuple(
-                    (_decode_record(event.object), event.deleted)
-                    for event in response.events
-                ),
-            )
+        response, era = result.unwrap()
+        changes = tuple(
+            (_decode_record(event.object, era), event.deleted)
+            for event in response.events
         )
+        return Success(Changes(response.at, changes, era))
 
-    def create(self, kind: str, name: str, spec: object) -> Result[None, StoreFailure]:
-        """Create an object; fails with `CONFLICT` when it exists."""
+    def create(self, kind: str, name: str, spec: object) -> Result[int, StoreFailure]:
+        """Create an object and return the era; fails with `CONFLICT` if it exists."""
         body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
         return self._write("POST", f"/v1/objects/{kind}", body)
 
-    def replace(self, kind: str, name: str, spec: object) -> Result[None, StoreFailure]:
-        """Replace the `spec` of an object."""
+    def replace(self, kind: str, name: str, spec: object) -> Result[int, StoreFailure]:
+        """Replace the `spec` of an object and return the store's era."""
         body = msgspec.json.encode({"metadata": {"name": name}, "spec": spec})
         return self._write("PUT", _object_path(kind, name), body)
 
-    def delete(self, kind: str, name: str) -> Result[None, StoreFailure]:
-        """Delete an object."""
+    def delete(self, kind: str, name: str) -> Result[int, StoreFailure]:
+        """Delete an object and return the store's era."""
         return self._write("DELETE", _object_path(kind, name), None)
 
-    def _read_page(self, kind: str, after: str) -> Result[_Page, StoreFailure]:
+    def _read_page(
+        self, kind: str, after: str
+    ) -> Result[tuple[_Page, int], StoreFailure]:
         query = f"?after={quote(after, safe='')}" if after else ""
         return self._get(f"/v1/objects/{kind}{query}", CALL_TIMEOUT_SECONDS, _Page)
 
     def _get(
         self, path: str, timeout_s: float, response_type: type[_T]
-    ) -> Result[_T, StoreFailure]:
+    ) -> Result[tuple[_T, int], StoreFailure]:
+        """Return the decoded body of an answer, and the era that it is from."""
         result = self._exchange("GET", path, timeout_s, None)
         if isinstance(result, Failure):
             return Failure(result.failure())
+        body, era = result.unwrap()
         try:
-            return Success(msgspec.json.decode(result.unwrap(), type=response_type))
+            return Success((msgspec.json.decode(body, type=response_type), era))
         except msgspec.DecodeError as exc:
             detail = f"GET {path}: invalid response body: {exc}"
             return Failure(StoreFailure(StoreError.OUTCOME_UNKNOWN, detail))
 
     def _write(
         self, method: str, path: str, body: bytes | None
-    ) -> Result[None, StoreFailure]:
+    ) -> Result[int, StoreFailure]:
         return self._exchange(method, path, CALL_TIMEOUT_SECONDS, body).map(
-            lambda _: None
+            lambda answer: answer[1]
         )
 
     def _exchange(
         self, method: str, path: str, timeout_s: float, body: bytes | None
-    ) -> Result[bytes, StoreFailure]:
+    ) -> Result[tuple[bytes, int], StoreFailure]:
         deadline = time.monotonic() + timeout_s
         result = self._client.request(method, path, deadline, body)
         if isinstance(result, Failure):
             return Failure(result.failure())
-        status, data = result.unwrap()
-        if 200 <= status < 300:
-            return Success(data)
-        error = _ERRORS.get(status, StoreError.OUTCOME_UNKNOWN)
-        return Failure(StoreFailure(error, f"{method} {path}: status {status}"))
+        res = result.unwrap()
+        era = self._advance_era(res.headers.get(ERA_HEADER))
+        if era < self._era:
+            detail = f"{method} {path}: era {era} in the answer, {self._era} in others"
+            return Failure(StoreFailure(StoreError.OUTCOME_UNKNOWN, detail))
+        if 200 <= res.status < 300:
+            return Success((res.body, era))
+        error = _ERRORS.get(res.status, StoreError.OUTCOME_UNKNOWN)
+        return Failure(StoreFailure(error, f"{method} {path}: status {res.status}"))
+
+    def _advance_era(self, header: str | None) -> int:
+        """Return the era of an answer; one that names none is of the latest."""
+        with self._era_lock:
+            if header is None or not header.isdecimal() or int(header) > MAX_INTEGER:
+                return self._era
+            era = int(header)
+            self._era = max(self._era, era)
+            return era
 
 
 def _object_path(kind: str, name: str) -> str:
     return f"/v1/objects/{kind}/{quote(name, safe='')}"
 
 
-def _decode_record(raw: msgspec.Raw) -> Record:
+def _decode_record(raw: msgspec.Raw, era: int) -> Record:
     try:
         decoded = msgspec.json.decode(raw, type=_Object)
     except msgspec.DecodeError:
-        return Record(_decode_name(raw), 0, None)
+        return Record(_decode_name(raw), 0, None, era)
     try:
         spec = _to_transferable(msgspec.json.decode(decoded.spec))
     except msgspec.DecodeError:
         spec = None
-    return Record(decoded.metadata.name, decoded.metadata.revision, spec)
+    return Record(decoded.metadata.name, decoded.metadata.revision, spec, era)
 
 
 def _to_transferable(spec: object) -> object:
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -199,6 +199,7 @@
         self, scope: Scope, content: SummaryPart, part: int, parts: int
     ) -> Digest:
         cfg = self._state.view.configuration
+        position = self._state.view.directory.position
         return Digest(
             vm=self._this_vm.vm,
             data_centre=self._this_vm.data_centre,
@@ -207,7 +208,7 @@
             scope=scope,
             vms=content.vms,
             configuration=cfg.version if cfg else 0,
-            revision=self._state.view.directory.revision,
+            revision=position.revision,
             host=self._this_vm.address.host,
             port=self._this_vm.address.port,
             work=content.work,
@@ -217,4 +218,5 @@
             part=part,
             parts=parts,
             leaving=content.leaving,
+            era=position.era,
         )
--- a/standins/gateway_soak.py
+++ b/standins/gateway_soak.py
@@ -51,6 +51,9 @@
 CRASHING_FRACTION = 0.01
 """Fraction of the streams whose prompt has a part that crashes upstreams."""
 
+REPORT_LAPSE_SECONDS = 3.6
+"""Time without a report after which the store drops a registration."""
+
 CATCH_UP_SECONDS = 4.0
 """Time after a disturbance in which a gateway may still know too little."""
 
@@ -156,6 +159,7 @@
             self._store_link,
             self._forget,
             self._configure,
+            self._restore,
         )
 
     def run(self, until: float) -> None:
@@ -233,6 +237,26 @@
     def _forget(self) -> None:
         self._fleet.store.forget_history()
 
+    def _restore(self) -> None:
+        """Let the store come back from a copy that is up to two seconds old.
+
+        The operator and the upstreams write again what was lost. The registrations of
+        upstreams that are gone lapse anew.
+        """
+        store = self._fleet.store
+        copy = store.copy()
+        time.sleep(self._rng.uniform(0.0, 2.0))
+        with self._disturbance(STORE):
+            store.set_mode(StoreMode.RESET)
+            time.sleep(self._rng.uniform(0.1, 1.5))
+            returned = store.restore(copy, rewritten_kinds=("config", "servers"))
+            store.set_mode(StoreMode.SERVE)
+        time.sleep(REPORT_LAPSE_SECONDS)
+        objects = store.copy().objects
+        for key in returned:
+            if key in objects and objects[key]["spec"] == copy.objects[key]["spec"]:
+                store.delete(*key)
+
     def _configure(self) -> None:
         self._version += self._rng.randint(1, 5)
         self._fleet.store.put("config", "main", configuration(self._version))
--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -3,6 +3,7 @@
 import copy
 import threading
 import time
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -111,16 +112,35 @@
         with self._changed:
             return copy.deepcopy(self._state)
 
-    def restore(self, state: StoreState) -> None:
+    def restore(
+        self, state: StoreState, rewritten_kinds: Collection[str] = ()
+    ) -> list[tuple[str, str]]:
         """Come back from an earlier copy: what was acknowledged since is lost.
 
         Revisions are given out again, and open connections are reset.
+
+        Parameters
+        ----------
+        state : StoreState
+            The copy.
+        rewritten_kinds : collection of str
+            Kinds whose owners write again what was lost.
+
+        Returns
+        -------
+        list of tuple
+            Kind and name of the objects that had been deleted and are back.
         """
         with self._changed:
+            lost = self._state.objects
             self._state = copy.deepcopy(state)
             self.era += 1
+            for (kind, name), obj in lost.items():
+                if kind in rewritten_kinds:
+                    self._store(kind, name, obj["spec"])
             self._changed.notify_all()
         self._server.abort_connections()
+        return [key for key in state.objects if key not in lost]
 
     def names(self, kind: str) -> list[str]:
         """Return the names of all objects of a kind."""
--- a/tests/contract/test_store_client.py
+++ b/tests/contract/test_store_client.py
@@ -96,8 +96,8 @@
     )
     store.set_mode(StoreMode.SERVE)
     assert client.create("gateways", "vm1", {}).failure().error is StoreError.CONFLICT
-    assert client.replace("gateways", "vm1", {"a": 1}).unwrap() is None
-    assert client.delete("gateways", "vm1").unwrap() is None
+    assert client.replace("gateways", "vm1", {"a": 1}).unwrap() == store.era
+    assert client.delete("gateways", "vm1").unwrap() == store.era
     assert store.names("gateways") == []
 
 
@@ -106,3 +106,56 @@
     store.put("servers", "u2", {"a": 1})
     specs = [record.spec for record in client.snapshot("servers").unwrap().records]
     assert specs == ["text", {"a": 1}]
+
+
+def test_answers_name_the_era_of_the_store(store, client):
+    store.put("servers", "u1", 1)
+    copy = store.copy()
+    before = client.snapshot("servers").unwrap()
+    store.put("servers", "u2", 2)
+    store.restore(copy)
+    client.close()
+    after = client.snapshot("servers").unwrap()
+    assert before.era == store.era - 1
+    assert after.era == client.era == store.era
+    assert after.position > before.position
+    assert [record.era for record in after.records] == [store.era]
+
+
+def test_watch_from_a_revision_that_the_copy_lacks_fails_as_gone(store, client):
+    copy = store.copy()
+    store.put("servers", "u1", 1)
+    revision = client.snapshot("servers").unwrap().revision
+    store.restore(copy)
+    client.close()
+    failure = client.watch("servers", revision, 0.2).failure()
+    assert failure.error is StoreError.GONE
+    assert client.era == store.era
+
+
+def test_pages_of_different_eras_make_no_list(store, client):
+    for number in range(2 * PAGE_SIZE):
+        store.put("servers", f"u{number}", {"n": number})
+    read_page = client._read_page
+
+    def rise_after_the_first_page(kind, after):
+        result = read_page(kind, after)
+        store.era += 1
+        return result
+
+    client._read_page = rise_after_the_first_page
+    assert client.snapshot("servers").failure().error is StoreError.GONE
+
+
+def test_answer_of_an_earlier_era_that_arrives_late_is_not_used(store, client):
+    client.snapshot("servers")
+    store.era -= 1
+    assert isinstance(client.snapshot("servers"), Failure)
+    assert client.era == store.era + 1
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "9" * 30, "\u00b2"])
+def test_era_that_is_no_number_is_taken_for_the_latest(store, client, era):
+    client.snapshot("servers")
+    known, store.era = store.era, era
+    assert client.snapshot("servers").unwrap().era == known
--- a/tests/integration/test_gateway_restored_store.py
+++ b/tests/integration/test_gateway_restored_store.py
@@ -144,3 +144,22 @@
     wait_until(
         lambda: set(fleet.store.names("gateways")) == names, "all VMs are registered"
     )
+
+
+def test_vm_that_starts_beside_an_older_copy_learns_the_configuration_from_others(
+    fleet,
+):
+    copy = fleet.store.copy()
+    new = configuration(2, route("/new/", "idempotent"))
+    fleet.store.put("config", "main", new)
+    for gateway in fleet.gateways:
+        wait_until(
+            lambda gateway=gateway: gateway.call("/new/x", "a").status == 200,
+            f"{gateway.name} has the new route",
+        )
+    lose_changes(fleet, copy)
+    fleet.store.set_mode(StoreMode.SERVE)
+    started = fleet.add_gateway()
+    wait_until(started.is_ready, "the new VM is ready")
+    time.sleep(CONFIGURATION_APPLY_SECONDS)
+    assert started.call("/new/x", "b").status == 200
--- a/tests/storereaders.py
+++ b/tests/storereaders.py
@@ -6,11 +6,16 @@
 from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.storesync import StoreSync
 from oleandershift.objects import StoreError, StoreFailure
-from oleandershift.records import Changes, Record, Snapshot
+from oleandershift.records import Changes, Record, Snapshot, StorePosition
 
 UPSTREAMS = "servers"
 
 
+def at(revision, era=0):
+    """Return a place in the store's history."""
+    return StorePosition(era, revision)
+
+
 class SilentLog:
     """Log that drops its lines."""
 
@@ -60,7 +65,7 @@
 
     def catch_up(self, peer, transfer_s=0.0):
         """Fetch what another VM has read, as after its digest."""
-        if peer.view.directory.revision > self.view.directory.revision:
+        if peer.view.directory.position > self.view.directory.position:
             asked_at = self.clock.instant
             snapshot = peer.sync.snapshot(self.sync.request())
             self.clock.instant += transfer_s
--- a/tests/test_departure_times.py
+++ b/tests/test_departure_times.py
@@ -81,6 +81,8 @@
 class PreparedStore:
     """Store of a feed; returns what its driver has prepared."""
 
+    era = 0
+
     def __init__(self):
         self.result = None
 
@@ -314,7 +316,7 @@
         """Run a feed in virtual time, as its thread does."""
         await asyncio.sleep(self.fleet.rng.uniform(0.0, 0.5))
         while True:
-            if feed._revision is not None and not feed._watching.is_set():
+            if feed._position is not None and not feed._watching.is_set():
                 await feed._watching.wait()
                 feed._resuming = True
                 continue
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -5,6 +5,7 @@
 
 import pytest
 from hypothesis import given, settings, strategies as st
+from storereaders import at
 from upstreams import make_upstream
 
 from oleandershift.directory import MAX_DEPARTED_RUNS, Directory, UpstreamState
@@ -20,7 +21,7 @@
 @pytest.fixture
 def eligibility():
     created = Eligibility(Directory(), UpstreamStandings(random.Random(1)))
-    created.directory.replace(0.0, 2, [(1, FIRST), (2, SECOND)])
+    created.directory.replace(0.0, at(2), [(at(1), FIRST), (at(2), SECOND)])
     return created
 
 
@@ -33,7 +34,7 @@
     assert eligibility.eligible(1e6, SERVICE) == [SECOND]
     assert eligibility.refusal(1e6, FIRST.run) is Refusal.LEAVING
     reborn = replace(FIRST, incarnation=2)
-    directory.update(3, reborn)
+    directory.update(at(3), reborn)
     assert eligibility.eligible(0.0, SERVICE) == [reborn, SECOND]
     assert eligibility.refusal(0.0, reborn.run) is None
     assert eligibility.refusal(0.0, FIRST.run) is Refusal.NOT_REGISTERED
@@ -47,7 +48,7 @@
 
 def test_removed_and_turned_away_upstreams_are_refused_with_their_reason(eligibility):
     eligibility.standings.on_turned_away(0.0, SECOND.run, 5.0)
-    eligibility.directory.remove(0.0, 3, FIRST.name)
+    eligibility.directory.remove(0.0, at(3), FIRST.name)
     assert eligibility.eligible(0.0, SERVICE) == []
     assert eligibility.refusal(0.0, FIRST.run) is Refusal.NOT_REGISTERED
     assert eligibility.refusal(0.0, SECOND.run) is Refusal.AWAY
@@ -72,7 +73,7 @@
         )
         self.directory = self.eligibility.directory
         self.now, self.revision = 0.0, 1
-        self.directory.replace(self.now, self.revision, [])
+        self.directory.replace(self.now, at(self.revision), [])
         self.current, self.written = {}, []
         self.left, self.away_until, self.gone_at = set(), {}, {}
 
@@ -91,8 +92,8 @@
     def write(self, upstream):
         """Write an entry to the store, and read it."""
         self.revision += 1
-        self.written.append((self.revision, upstream))
-        self.directory.update(self.revision, upstream)
+        self.written.append((at(self.revision), upstream))
+        self.directory.update(at(self.revision), upstream)
 
     def start(self, name):
         """Start a run of an upstream."""
@@ -120,7 +121,7 @@
     def remove(self, name):
         """Remove an entry from the store."""
         self.revision += 1
-        self.directory.remove(self.now, self.revision, name)
+        self.directory.remove(self.now, at(self.revision), name)
         self.gone_at[self.current.pop(name).run] = self.now
 
     def replay(self, name):
@@ -148,12 +149,12 @@
         """Read a complete list that has what is registered."""
         self.revision += 1
         entries = [
-            (self.revision, replace(item, state=UpstreamState.DRAINING))
+            (at(self.revision), replace(item, state=UpstreamState.DRAINING))
             if item.run in self.left
-            else (self.revision, item)
+            else (at(self.revision), item)
             for item in self.current.values()
         ]
-        self.directory.replace(self.now, self.revision, entries)
+        self.directory.replace(self.now, at(self.revision), entries)
 
     def check(self):
         """Check what would get requests now."""
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from dataclasses import replace
 
 import pytest
 from returns.result import Failure, Success
@@ -16,7 +17,7 @@
 )
 from oleandershift.neighbours import StoreRole
 from oleandershift.objects import StoreError, StoreFailure
-from oleandershift.records import Changes, Record, Snapshot
+from oleandershift.records import Changes, Record, Snapshot, StorePosition
 
 UNAVAILABLE = Failure(StoreFailure(StoreError.OUTCOME_UNKNOWN, "away"))
 
@@ -24,6 +25,8 @@
 class FakeStore:
     """Store that returns prepared results and records the wait of each watch."""
 
+    era = 0
+
     def __init__(self):
         self.snapshots = []
         self.watches = []
@@ -157,3 +160,45 @@
     while sum(feed._stopped.pauses) < outage_s:
         feed._step()
     assert len(feed._stopped.pauses) <= outage_s
+
+
+def in_era(era, result):
+    """Return a result of the store as of an era."""
+    return Success(replace(result.unwrap(), era=era))
+
+
+def test_feed_lists_again_where_its_watch_succeeds_in_a_later_era(feed, store, events):
+    """The store has passed the watched revision again since it came back."""
+    store.snapshots = [
+        Success(Snapshot(100, ())),
+        in_era(1, Success(Snapshot(112, ()))),
+    ]
+    store.watches = [in_era(1, changes(112))]
+    for _ in range(3):
+        feed._step()
+    assert [type(event) for event in events] == [SnapshotRead, SnapshotRead]
+    assert events[-1].snapshot.position == StorePosition(1, 112)
+
+
+def test_feed_lists_again_when_another_call_has_named_a_later_era(feed, store, events):
+    store.snapshots = [
+        Success(Snapshot(100, ())),
+        in_era(1, Success(Snapshot(112, ()))),
+    ]
+    feed._step()
+    store.era = 1
+    feed._step()
+    assert store.waits == []
+    assert events[-1].snapshot.position == StorePosition(1, 112)
+
+
+def test_watch_after_a_failure_does_not_wait(feed, store):
+    store.snapshots = [Success(Snapshot(1, ()))]
+    store.watches = [UNAVAILABLE, changes(1), changes(1)]
+    for _ in range(4):
+        feed._step()
+    assert store.waits == [
+        feed.timing.watch_timeout_s,
+        0.0,
+        feed.timing.watch_timeout_s,
+    ]
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -1,6 +1,7 @@
 """Tests of the peer table: expiry and order of digests, sums, election of the hub."""
 
 import pytest
+from storereaders import at
 
 from oleandershift.demand import TeamRate
 from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
@@ -126,8 +127,8 @@
 
 def test_fresher_peer_has_a_newer_configuration(table):
     table.merge(0.0, make_digest("a", configuration=7))
-    assert table.fresher_peer(0.1, 7, 1) is None
-    assert table.fresher_peer(0.1, 6, 1).vm == "a"
+    assert table.fresher_peer(0.1, 7, at(1)) is None
+    assert table.fresher_peer(0.1, 6, at(1)).vm == "a"
 
 
 def test_team_rates_sum_over_vms(table):
@@ -219,7 +220,7 @@
         table = PeerTable(VmId(f"vm{number}"), LOCAL)
         for name in ("a", "b", "c"):
             table.merge(0.0, make_digest(name, revision=7))
-        chosen.add(table.fresher_peer(0.1, 1, 1).vm)
+        chosen.add(table.fresher_peer(0.1, 1, at(1)).vm)
     assert chosen == {"a", "b", "c"}
 
 
@@ -234,18 +235,18 @@
 
 def test_vm_that_does_not_respond_is_asked_again_only_for_want_of_another(table):
     table.merge(0.0, make_digest("a", revision=9))
-    assert table.fresher_peer(0.1, 1, 1, unreachable=[VmId("a")]).vm == "a"
+    assert table.fresher_peer(0.1, 1, at(1), unreachable=[VmId("a")]).vm == "a"
     table.merge(0.0, make_digest("b", revision=8))
-    assert table.fresher_peer(0.1, 1, 1).vm == "a"
-    assert table.fresher_peer(0.1, 1, 1, unreachable=[VmId("a")]).vm == "b"
+    assert table.fresher_peer(0.1, 1, at(1)).vm == "a"
+    assert table.fresher_peer(0.1, 1, at(1), unreachable=[VmId("a")]).vm == "b"
     table.merge(0.0, make_digest("c", revision=7))
-    assert table.fresher_peer(0.1, 1, 1, unreachable=["a", "b"]).vm == "c"
+    assert table.fresher_peer(0.1, 1, at(1), unreachable=["a", "b"]).vm == "c"
 
 
 def test_vm_asks_another_data_centre_when_the_readers_of_its_own_do_not_respond(table):
     for name in ("a", "b", "c"):
         table.merge(0.0, make_digest(name, revision=9))
     table.merge(0.0, make_digest("x", REMOTE, scope=Scope.DATA_CENTRE, revision=8))
-    assert table.fresher_peer(0.1, 1, 1, unreachable=["a"]).data_centre == LOCAL
-    assert table.fresher_peer(0.1, 1, 1, unreachable=["a", "b"]).vm == "x"
-    assert table.fresher_peer(0.1, 1, 8, unreachable=["a", "b"]).vm == "c"
+    assert table.fresher_peer(0.1, 1, at(1), unreachable=["a"]).data_centre == LOCAL
+    assert table.fresher_peer(0.1, 1, at(1), unreachable=["a", "b"]).vm == "x"
+    assert table.fresher_peer(0.1, 1, at(8), unreachable=["a", "b"]).vm == "c"
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -5,7 +5,7 @@
 
 import pytest
 from returns.result import Failure, Success
-from storereaders import UPSTREAMS, Vm, registration
+from storereaders import UPSTREAMS, Vm, at, registration
 from upstreams import make_upstream
 
 from oleandershift.demand import DemandMeter
@@ -127,10 +127,10 @@
     directory = Directory()
     eligibility = Eligibility(directory, UpstreamStandings())
     unknown = replace(make_upstream(), incarnation=0)
-    directory.replace(0.0, 1, [(1, unknown)])
+    directory.replace(0.0, at(1), [(at(1), unknown)])
     directory.on_leaving(unknown.run)
-    directory.remove(0.0, 2, unknown.name)
-    directory.update(3, unknown)
+    directory.remove(0.0, at(2), unknown.name)
+    directory.update(at(3), unknown)
     assert eligibility.eligible(0.0, unknown.service) == [unknown]
 
 
@@ -284,6 +284,8 @@
 class ScriptedStore:
     """Store with one upstream, which it removes when the test says so."""
 
+    era = 0
+
     def __init__(self):
         self.removed = threading.Event()
         self._stopped = threading.Event()
@@ -356,7 +358,7 @@
     """Asked where the transport asks, in the callback of a change."""
     exchanges = make_exchanges(*"abcdef")
     for sender, state in exchanges.values():
-        state.view.directory.update(1, make_upstream())
+        state.view.directory.update(at(1), make_upstream())
         digest = sender.next_digests(0.0)[0].digest
         for receiver, _ in exchanges.values():
             receiver.receive(0.0, digest)
@@ -385,7 +387,7 @@
     runs = set()
     for number in range(100):
         upstream = make_upstream(f"e{number:03}")
-        state.view.directory.update(number + 1, upstream)
+        state.view.directory.update(at(number + 1), upstream)
         runs.add(upstream.run)
         state.record_leaving(LeavingReport(upstream.run, LeavingSource.RESPONSE, "a"))
     announced = set()
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, strategies as st
 from returns.result import Success
-from storereaders import SilentLog
+from storereaders import SilentLog, at
 
 from oleandershift.digests import SnapshotRequest
 from oleandershift.fleetview import FleetView
@@ -71,14 +71,14 @@
 def test_removal_shows_as_a_newer_revision_whatever_its_event_says(reader):
     sync, view = reader
     sync.on_event(changed(9, (Record("u1", 5, None), True)))
-    assert view.directory.revision == 9
+    assert view.directory.position == at(9)
 
 
 def test_follower_learns_of_a_removal_from_its_peer(reader, follower):
     reader[0].on_event(changed(9, (Record("u1", 5, None), True)))
     catch_up(follower[0], reader[0])
     assert names(follower[1]) == set()
-    assert follower[1].directory.revision == 9
+    assert follower[1].directory.position == at(9)
 
 
 def test_follower_is_sent_only_what_changed(reader, follower):
@@ -172,6 +172,8 @@
 class HeldStore:
     """Store that answers its calls once it is released."""
 
+    era = 0
+
     def __init__(self, *names):
         self.released = threading.Event()
         self.answered = threading.Event()
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 import pytest
+from storereaders import at
 from upstreams import make_upstream
 
 from oleandershift.absences import AbsenceProof
@@ -205,7 +206,7 @@
 
 
 def register(state, upstream, revision=1):
-    state.view.directory.update(revision, upstream)
+    state.view.directory.update(at(revision), upstream)
 
 
 def test_leaving_upstream_is_urgent_until_it_is_sent(
@@ -251,7 +252,7 @@
     own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
     assert own.leaving == summary.leaving == (make_upstream().run,)
     assert not exchange.is_urgent(0.0)
-    state.view.directory.remove(0.1, 2, make_upstream().name)
+    state.view.directory.remove(0.1, at(2), make_upstream().name)
     assert exchange.next_digests(0.1)[0].digest.leaving == ()
 
 
