Invite a retry where another VM has a newer configuration

CONFIG: callers got 404 or 401, which they do not repeat, from a VM whose configuration was older than that of others, for a route or key that had been added. The VM knew from digests that it was behind while it fetched the newer version, but judged by its own.

--- a/src/oleandershift/io/requestresolver.py
+++ b/src/oleandershift/io/requestresolver.py
@@ -11,6 +11,9 @@
 from oleandershift.state import FleetState
 
 
+_REFUSED_BY_CONFIGURATION = (401, 404)
+
+
 class RefusalError(Exception):
     """A request that is rejected before an upstream is chosen.
 
@@ -58,8 +61,12 @@
             raise RefusalError(503, "no configuration yet")
         if self.shutting_down:
             raise RefusalError(503, "shutting down")
-        route = self._find_route(cfg, req)
-        team = self._authenticate(cfg, route, req)
+        try:
+            route = self._find_route(cfg, req)
+            team = self._authenticate(cfg, route, req)
+        except RefusalError as exc:
+            self._check_is_latest(cfg, exc)
+            raise
         try:
             parsed = headers.parse(req.headers)
         except MalformedRequestError as exc:
@@ -86,6 +93,16 @@
             event_stream=EventFramer(last_id=parsed.last_event_id),
         )
 
+    def _check_is_latest(self, cfg: Configuration, refusal: RefusalError) -> None:
+        """Raise a refusal that invites a retry if another VM has a newer version.
+
+        Callers don't repeat a request that no route or key allows.
+        """
+        newest = self._state.peers.newest_configuration(now())
+        if newest > cfg.version and refusal.status in _REFUSED_BY_CONFIGURATION:
+            detail = f"{refusal.detail} in version {cfg.version}; {newest} is in force"
+            raise RefusalError(503, detail)
+
     def _find_route(self, cfg: Configuration, req: CallerRequest) -> Route:
         host = req.header(b"host")
         if host is None:
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -298,6 +298,11 @@
         freshest = max(reachable or candidates, key=self._freshness)
         return self._peers[freshest.vm]
 
+    def newest_configuration(self, now: float) -> int:
+        """Return the newest version in force at another live VM; 0 without one."""
+        versions = (digest.configuration for digest in self._live_digests(now))
+        return max(versions, default=0)
+
     def silent_vms(self, now: float, seconds: float) -> list[VmId]:
         """Return the known VMs from which no digest was received for `seconds`."""
         return [
