Hear a VM whose process started with its clock behind

CONFIG: what such a VM had read reached no other VM until its clock had caught up, so that others could refuse by an older version for as long as the step of the clock. Digests are ordered by the start of their process in Unix time, and a stored digest never expired for that comparison.

An expired digest orders no more; a late datagram of the process before is still dropped while the present one is heard. The first of two tests failed before.

--- a/src/oleandershift/io/requestresolver.py
+++ b/src/oleandershift/io/requestresolver.py
@@ -10,7 +10,6 @@
 from oleandershift.routing import Configuration, Route, Service, Team
 from oleandershift.state import FleetState
 
-
 _REFUSED_BY_CONFIGURATION = (401, 404)
 
 
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -112,12 +112,18 @@
     def merge(self, now: float, digest: Digest) -> bool:
         """Store a digest; return whether it is a new summary that a hub forwards.
 
-        Its sender is a known peer from then on, even before its registration is read.
+        Digests are ordered by the start of their process and their number. An expired
+        one orders no more, as a process may start while its clock is behind. The sender
+        is a known peer from then on, even before its registration is read.
         """
         if digest.vm == self._vm:
             return False
         stored = self._stored(digest)
-        if stored is not None and _version(stored.digest) >= _version(digest):
+        if (
+            stored is not None
+            and _is_live(now, stored)
+            and _version(stored.digest) >= _version(digest)
+        ):
             return False
         self._refresh_peer(now, digest)
         if digest.reads_store:
@@ -135,7 +141,7 @@
         """Return whether this VM is the hub of its data centre."""
         # Called for each datagram; most VMs find a larger weight at once.
         return not any(
-            entry.received_at > now - DIGEST_TTL_SECONDS
+            _is_live(now, entry)
             and entry.digest.data_centre == self._data_centre
             and self._weight(vm) > self._own_weight
             for (vm, _), entry in self._vm_digests.items()
@@ -180,7 +186,7 @@
         for data_centre, members in self._peers_by_data_centre(now).items():
             entry = self._data_centre_digests.get((data_centre, 0))
             hub = None
-            if entry is not None and entry.received_at > now - DIGEST_TTL_SECONDS:
+            if entry is not None and _is_live(now, entry):
                 hub = self._peers.get(entry.digest.vm)
             if hub is not None:
                 recipients.append(hub)
@@ -351,16 +357,14 @@
 
     def _live_vm_digests(self, now: float) -> list[Digest]:
         return [
-            entry.digest
-            for entry in self._vm_digests.values()
-            if entry.received_at > now - DIGEST_TTL_SECONDS
+            entry.digest for entry in self._vm_digests.values() if _is_live(now, entry)
         ]
 
     def _live_digests(self, now: float) -> list[Digest]:
         summaries = [
             entry.digest
             for entry in self._data_centre_digests.values()
-            if entry.received_at > now - DIGEST_TTL_SECONDS
+            if _is_live(now, entry)
         ]
         return summaries + self._data_centre_vm_digests(now)
 
@@ -402,6 +406,10 @@
     return frozenset(run for group in groups for run in group)
 
 
+def _is_live(now: float, entry: _ReceivedDigest) -> bool:
+    return entry.received_at > now - DIGEST_TTL_SECONDS
+
+
 def _version(digest: Digest) -> tuple[int, int]:
     return digest.incarnation, digest.seq
 
--- a/tests/test_neighbours.py
+++ b/tests/test_neighbours.py
@@ -39,12 +39,12 @@
         "revision": 1,
         "work": (UpstreamWork(UpstreamId("u"), 2, 100, 300),),
         "demand": (TeamDemand(TeamId("t"), 50, 40),),
+        "incarnation": Incarnation(1),
         **fields,
     }
     return Digest(
         vm=VmId(vm),
         data_centre=data_centre,
-        incarnation=Incarnation(1),
         seq=Seq(seq),
         scope=scope,
         host="10.0.0.9",
@@ -250,3 +250,18 @@
     assert table.fresher_peer(0.1, 1, at(1), unreachable=["a"]).data_centre == LOCAL
     assert table.fresher_peer(0.1, 1, at(1), unreachable=["a", "b"]).vm == "x"
     assert table.fresher_peer(0.1, 1, at(8), unreachable=["a", "b"]).vm == "c"
+
+
+def test_process_that_starts_with_its_clock_behind_is_heard(table):
+    """Digests are ordered by the start of their process, by its own clock."""
+    table.merge(0.0, make_digest("a", incarnation=10, seq=5))
+    restarted = make_digest("a", incarnation=4, seq=1, configuration=9)
+    table.merge(DIGEST_TTL_SECONDS, restarted)
+    assert table.newest_configuration(DIGEST_TTL_SECONDS) == 9
+
+
+def test_late_digest_of_the_process_before_is_not_taken(table):
+    table.merge(0.0, make_digest("a", incarnation=10, seq=5))
+    late = make_digest("a", incarnation=4, seq=1, configuration=9)
+    table.merge(0.5 * DIGEST_TTL_SECONDS, late)
+    assert table.newest_configuration(0.5 * DIGEST_TTL_SECONDS) == 1
