Let an odd object of the store cost itself alone

CONFIG, LOST: one object that was nested 5,000 levels deep, had an integer of 400 digits or a literal NaN made every list and watch of its kind fail. All VMs stopped following it: new versions of the configuration were not in force, leaving upstreams kept getting requests, and new ones got none. An unreadable object at the end of a page made a list start over for ever.

The decoder gave up the whole answer, or raised an error that no caller handled, for one part of it. An answer that can't be decoded as a whole is now split into its objects without recursion, and each is decoded by itself; one that can't be read names no upstream. Nesting and the size of registrations are bounded, as VMs pass objects on with recursive codecs.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -5,7 +5,7 @@
 """
 
 from enum import Enum
-from typing import TypeAlias
+from typing import TypeAlias, TypeVar
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -243,6 +243,8 @@
         return StorePosition(self.era, self.revision)
 
 
+_T = TypeVar("_T")
+
 PeerMessage: TypeAlias = Digest | CrashNotice | SnapshotRequest | StoreSnapshot
 
 _MAP_MASK, _FIXMAP = 0xF0, 0x80
@@ -262,33 +264,28 @@
 
 def decode_digest(data: bytes) -> Result[Digest, str]:
     """Decode a digest; return the reason if the data is foreign or damaged."""
-    try:
-        return Success(_DIGEST_DECODER.decode(data))
-    except msgspec.DecodeError as exc:
-        return Failure(str(exc))
+    return _decode(_DIGEST_DECODER, data)
 
 
 def decode_datagram(data: bytes) -> Result[Digest | CrashNotice, str]:
     """Decode a datagram; return the reason if the data is foreign or damaged."""
     if data and data[0] & _MAP_MASK == _FIXMAP:
-        try:
-            return Success(_NOTICE_DECODER.decode(data))
-        except msgspec.DecodeError as exc:
-            return Failure(str(exc))
+        return _decode(_NOTICE_DECODER, data)
     return decode_digest(data)
 
 
 def decode_request(data: bytes) -> Result[SnapshotRequest, str]:
     """Decode a request for a snapshot; return the reason if the data is damaged."""
-    try:
-        return Success(_REQUEST_DECODER.decode(data))
-    except msgspec.DecodeError as exc:
-        return Failure(str(exc))
+    return _decode(_REQUEST_DECODER, data)
 
 
 def decode_snapshot(data: bytes) -> Result[StoreSnapshot, str]:
     """Decode a snapshot; return the reason if the data is damaged."""
+    return _decode(_SNAPSHOT_DECODER, data)
+
+
+def _decode(decoder: msgspec.msgpack.Decoder[_T], data: bytes) -> Result[_T, str]:
     try:
-        return Success(_SNAPSHOT_DECODER.decode(data))
-    except msgspec.DecodeError as exc:
+        return Success(decoder.decode(data))
+    except (msgspec.DecodeError, RecursionError) as exc:
         return Failure(str(exc))
--- a/src/oleandershift/platform/store.py
+++ b/src/oleandershift/platform/store.py
@@ -2,6 +2,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -10,9 +11,9 @@
 
 from oleandershift.io.jsoncalls import JsonClient
 from oleandershift.objects import StoreError, StoreFailure
+from oleandershift.platform import pages
 from oleandershift.records import (
     MAX_INTEGER,
-    MIN_INTEGER,
     Changes,
     Record,
     Snapshot,
@@ -45,33 +46,6 @@
 _T = TypeVar("_T")
 
 
-class _Metadata(msgspec.Struct):
-    name: str
-    revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(b"null")
-
-
-class _Page(msgspec.Struct, rename="camel"):
-    items: list[msgspec.Raw]
-    # Store revision at which the page was read.
-    at: int
-    has_more: bool = False
-
-
-class _Event(msgspec.Struct):
-    object: msgspec.Raw
-    deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[_Event]
-    at: int
-
-
 class StoreClient:
     """Lists, watches and writes objects; safe to use from several threads.
 
@@ -111,11 +85,15 @@
             if era != first.era:
                 detail = f"{kind}: era {era} after {after!r}, {first.era} before"
                 return Failure(StoreFailure(StoreError.GONE, detail))
-            page_records = [_decode_record(raw, era) for raw in page.items]
+            page_records = [pages.decode_record(kind, raw, era) for raw in page.items]
             records.extend(page_records)
-            if not page.has_more or not page_records:
+            if not page.has_more:
                 return Success(Snapshot(first.revision, tuple(records), first.era))
-            after = page_records[-1].name
+            last = max((record.name for record in page_records), default="")
+            if last <= after:
+                detail = f"{kind}: no name on the page after {after!r}"
+                return Failure(StoreFailure(StoreError.OUTCOME_UNKNOWN, detail))
+            after = last
 
     def watch(
         self, kind: str, revision: int, wait_seconds: float
@@ -124,15 +102,15 @@
         wait_ms = int(wait_seconds * 1000)
         path = f"/v1/objects/{kind}?watch={revision}&waitMs={wait_ms}"
         timeout_s = wait_seconds + WATCH_MARGIN_SECONDS
-        result = self._get(path, timeout_s, _Events)
+        result = self._get(path, timeout_s, pages.decode_events)
         if isinstance(result, Failure):
             return Failure(result.failure())
-        response, era = result.unwrap()
+        read, era = result.unwrap()
         changes = tuple(
-            (_decode_record(event.object, era), event.deleted)
-            for event in response.events
+            (pages.decode_record(kind, event.object, era), event.deleted)
+            for event in read.events
         )
-        return Success(Changes(response.at, changes, era))
+        return Success(Changes(read.at, changes, era))
 
     def create(self, kind: str, name: str, spec: object) -> Result[int, StoreFailure]:
         """Create an object and return the era; fails with `CONFLICT` if it exists."""
@@ -150,12 +128,13 @@
 
     def _read_page(
         self, kind: str, after: str
-    ) -> Result[tuple[_Page, int], StoreFailure]:
+    ) -> Result[tuple[pages.Page, int], StoreFailure]:
         query = f"?after={quote(after, safe='')}" if after else ""
-        return self._get(f"/v1/objects/{kind}{query}", CALL_TIMEOUT_SECONDS, _Page)
+        path = f"/v1/objects/{kind}{query}"
+        return self._get(path, CALL_TIMEOUT_SECONDS, pages.decode_page)
 
     def _get(
-        self, path: str, timeout_s: float, response_type: type[_T]
+        self, path: str, timeout_s: float, decode: Callable[[bytes], _T]
     ) -> Result[tuple[_T, int], StoreFailure]:
         """Return the decoded body of an answer, and the era that it is from."""
         result = self._exchange("GET", path, timeout_s, None)
@@ -163,8 +142,8 @@
             return Failure(result.failure())
         body, era = result.unwrap()
         try:
-            return Success((msgspec.json.decode(body, type=response_type), era))
-        except msgspec.DecodeError as exc:
+            return Success((decode(body), era))
+        except ValueError as exc:
             detail = f"GET {path}: invalid response body: {exc}"
             return Failure(StoreFailure(StoreError.OUTCOME_UNKNOWN, detail))
 
@@ -204,45 +183,3 @@
 
 def _object_path(kind: str, name: str) -> str:
     return f"/v1/objects/{kind}/{quote(name, safe='')}"
-
-
-def _decode_record(raw: msgspec.Raw, era: int) -> Record:
-    try:
-        decoded = msgspec.json.decode(raw, type=_Object)
-    except msgspec.DecodeError:
-        return Record(_decode_name(raw), 0, None, era)
-    try:
-        spec = _to_transferable(msgspec.json.decode(decoded.spec))
-    except msgspec.DecodeError:
-        spec = None
-    return Record(decoded.metadata.name, decoded.metadata.revision, spec, era)
-
-
-def _to_transferable(spec: object) -> object:
-    """Return a value that MessagePack can carry to other VMs."""
-    try:
-        msgspec.msgpack.encode(spec)
-    except OverflowError:
-        return _round_large_integers(spec)
-    return spec
-
-
-def _round_large_integers(value: object) -> object:
-    if isinstance(value, dict):
-        return {key: _round_large_integers(item) for key, item in value.items()}
-    if isinstance(value, list):
-        return [_round_large_integers(item) for item in value]
-    if isinstance(value, int) and not MIN_INTEGER <= value <= MAX_INTEGER:
-        return float(value)
-    return value
-
-
-class _Named(msgspec.Struct):
-    metadata: _Metadata
-
-
-def _decode_name(raw: msgspec.Raw) -> str:
-    try:
-        return msgspec.json.decode(raw, type=_Named).metadata.name
-    except msgspec.DecodeError:
-        return ""
--- a/tests/contract/test_store_client.py
+++ b/tests/contract/test_store_client.py
@@ -2,9 +2,11 @@
 
 import time
 
+import msgspec
 import pytest
 from returns.result import Failure
 
+from oleandershift.digests import StoreSnapshot, encode
 from oleandershift.objects import StoreError
 from oleandershift.platform.store import StoreClient
 from oleandershift.vmsettings import Address
@@ -159,3 +161,59 @@
     client.snapshot("servers")
     known, store.era = store.era, era
     assert client.snapshot("servers").unwrap().era == known
+
+
+DEEP = b"[" * 5000 + b"]" * 5000
+ODD_SPECS = {
+    "nested too deeply": DEEP,
+    "nested deeply": b'{"a":' * 300 + b"1" + b"}" * 300,
+    "integer beyond a float": b'{"slots":1' + b"0" * 400 + b"}",
+    "integer of too many digits": b'{"slots":' + b"9" * 6000 + b"}",
+    "not a number": b'{"slots":NaN}',
+    "no JSON": b'{"slots":}',
+    "bytes that are no text": b'{"service":"\xff\xfe"}',
+    "brackets in text": b'{"service":"]}\\"[{","slots":NaN}',
+    "large": b'{"service":"' + b"x" * 900_000 + b'"}',
+}
+ODD_KINDS = ("servers", "config")
+
+
+@pytest.mark.parametrize("spec", ODD_SPECS.values(), ids=ODD_SPECS)
+@pytest.mark.parametrize("kind", ODD_KINDS)
+def test_odd_object_in_a_list_does_not_hide_others(store, client, kind, spec):
+    store.put(kind, "a", {"n": 1})
+    store.put(kind, "b", msgspec.Raw(spec))
+    store.put(kind, "c", {"n": 3})
+    store.put(kind, "d", {"n": 4})
+    snapshot = client.snapshot(kind).unwrap()
+    assert names(snapshot) == ["a", "b", "c", "d"]
+    assert [record.spec for record in snapshot.records if record.name != "b"] == [
+        {"n": 1},
+        {"n": 3},
+        {"n": 4},
+    ]
+    encode(StoreSnapshot(None, 1, snapshot.records))
+
+
+@pytest.mark.parametrize("spec", ODD_SPECS.values(), ids=ODD_SPECS)
+@pytest.mark.parametrize("kind", ODD_KINDS)
+def test_odd_object_in_a_watch_does_not_hide_others(store, client, kind, spec):
+    revision = client.snapshot(kind).unwrap().revision
+    store.put(kind, "a", {"n": 1})
+    store.put(kind, "b", msgspec.Raw(spec))
+    store.put(kind, "c", {"n": 3})
+    store.delete(kind, "c")
+    changes = client.watch(kind, revision, 1.0).unwrap()
+    changed = [(record.name, deleted) for record, deleted in changes.records]
+    assert changed == [("a", False), ("b", False), ("c", False), ("c", True)]
+    assert changes.records[0][0].spec == {"n": 1}
+    assert changes.revision == revision + 4
+
+
+@pytest.mark.parametrize("last", [DEEP, b"NaN"], ids=["deep", "NaN"])
+def test_odd_object_at_the_end_of_a_page_does_not_end_the_list(store, client, last):
+    """The next page begins after the name of the last object."""
+    for number in range(2 * PAGE_SIZE):
+        odd = number == PAGE_SIZE - 1
+        store.put("servers", f"u{number}", msgspec.Raw(last) if odd else number)
+    assert len(client.snapshot("servers").unwrap().records) == 2 * PAGE_SIZE
--- a/tests/integration/test_gateway_followers.py
+++ b/tests/integration/test_gateway_followers.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterator
 
+import msgspec
 import pytest
 
 from standins.gateway_fleet import (
@@ -110,3 +111,26 @@
             lambda gateway=gateway: gateway.call("/new/x", "a").status == 200,
             f"{gateway.name} has the new route",
         )
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [b"[" * 5000 + b"]" * 5000, b'{"slots":1' + b"0" * 400 + b"}", b'{"slots":NaN}'],
+    ids=["deep", "large number", "no JSON"],
+)
+def test_odd_objects_of_another_writer_do_not_end_the_following(fleet, spec):
+    for kind in ("servers", "config"):
+        fleet.store.put(kind, "odd", msgspec.Raw(spec))
+    fleet.store.forget_history()
+    new = configuration(2, route("/new/", "idempotent"))
+    fleet.store.put("config", "main", new)
+    added = fleet.add_engine("e3")
+    for name in ("e1", "e2"):
+        fleet.store.delete("servers", name)
+    time.sleep(2 * CONFIGURATION_APPLY_SECONDS)
+    statuses = [
+        gateway.call("/new/x", gateway.name).status for gateway in fleet.gateways
+    ]
+    assert statuses == [200] * GATEWAYS
+    assert added.runs().total() == GATEWAYS
+    assert all(gateway.process.is_running() for gateway in fleet.gateways)
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -3,7 +3,7 @@
 import msgspec
 import pytest
 from hypothesis import given, strategies as st
-from returns.result import Failure
+from returns.result import Failure, Success
 
 from oleandershift.demand import TeamRate
 from oleandershift.digests import (
@@ -198,3 +198,10 @@
     assert all(
         isinstance(decode_digest(data[:length]), Failure) for length in range(len(data))
     )
+
+
+def test_deeply_nested_object_in_a_snapshot_is_rejected():
+    start_of_record = b"\x94\xc0\x01\x91\x93\xa1a\x01"
+    deep = 5000 * b"\x91" + b"\x90"
+    assert isinstance(decode_snapshot(start_of_record + b"\x90\x00"), Success)
+    assert isinstance(decode_snapshot(start_of_record + deep + b"\x00"), Failure)
