Call the store anew when a standby becomes the hub

When its connection was silent and the hub was lost, the standby became the hub and said that it reads the store, so that its followers relied on it for the rest of that watch; where other data centres could not tell them, they refused by an older version.

A new hub starts its calls anew, the first watch returning at once, and says that it reads the store only once it is answered. The new test failed before: the change was not read within 0.3 s of the promotion.

--- a/src/oleandershift/io/feed.py
+++ b/src/oleandershift/io/feed.py
@@ -117,6 +117,8 @@
         Called with each event, on the feed's thread.
     rng : random.Random
         Jitter of the delay between failed calls.
+    position : StorePosition or None
+        Place in the store's history from which to watch; None to list first.
     """
 
     def __init__(
@@ -125,18 +127,23 @@
         kind: str,
         deliver: Callable[[FeedEvent], None],
         rng: random.Random,
+        position: StorePosition | None = None,
     ) -> None:
         self._store = store
         self._kind = kind
         self._deliver = deliver
         self._rng = rng
         self._stopped = threading.Event()
-        self._position: StorePosition | None = None
+        self._position = position
         self._failures = 0
         self._watching = threading.Event()
-        self._resuming = False
+        self._resuming = position is not None
         self.timing = HUB_TIMING
 
+    def successor(self) -> "Feed":
+        """Return a feed that goes on where this one is, without its current call."""
+        return Feed(self._store, self._kind, self._deliver, self._rng, self._position)
+
     def start(self) -> None:
         """Start the thread."""
         name = f"feed-{self._kind}"
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -92,11 +92,24 @@
         elif role is StoreRole.FOLLOWER:
             self._lost_kinds.clear()
             self._view.directory.on_store_recovered(now())
+        elif role is StoreRole.HUB:
+            self._repeat_calls()
         self._role = role
         self._update_reads_store()
         for feed in self._feeds:
             feed.set_role(role)
 
+    def _repeat_calls(self) -> None:
+        """Call the store anew, as a standby's watch may hang for long.
+
+        Other VMs rely on a hub, so this one reads the store only once it is answered.
+        """
+        self._read_kinds.clear()
+        for number, feed in enumerate(self._feeds):
+            feed.stop()
+            self._feeds[number] = feed.successor()
+            self._feeds[number].start()
+
     def stop(self) -> None:
         """Stop all feeds."""
         for feed in self._feeds:
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -247,3 +247,51 @@
     reader[1].directory.expire(clock.instant)
     catch_up(follower[0], reader[0])
     assert names(follower[1]) == set()
+
+
+class SilentWatchStore:
+    """Store whose first watch of each kind never returns while the test runs."""
+
+    era = 0
+
+    def __init__(self):
+        self.ended = threading.Event()
+        self.hanging = set()
+        self.answered = 0
+
+    def snapshot(self, kind):
+        """Return an empty list."""
+        return Success(Snapshot(7, ()))
+
+    def watch(self, kind, revision, wait_seconds):
+        """Hang once, then return the change that was missed."""
+        if kind not in self.hanging:
+            self.hanging.add(kind)
+            self.ended.wait(10.0)
+            return Success(Changes(revision, ()))
+        self.answered += 1
+        if revision == 7 and kind == UPSTREAMS:
+            return Success(Changes(9, ((Record("u1", 9, registration()), False),)))
+        self.ended.wait(0.05)
+        return Success(Changes(revision, ()))
+
+
+def test_standby_that_becomes_the_hub_does_not_wait_for_its_hanging_watch():
+    store = SilentWatchStore()
+    sync, view = make_sync()
+    sync.set_role(StoreRole.STANDBY)
+
+    async def promote():
+        sync.start(store, asyncio.get_running_loop())
+        await asyncio.sleep(0.2)
+        assert len(store.hanging) == 2
+        sync.set_role(StoreRole.HUB)
+        assert not view.reads_store
+        await asyncio.sleep(0.3)
+
+    asyncio.run(promote())
+    found, reads_store = names(view), view.reads_store
+    sync.stop()
+    store.ended.set()
+    assert found == {"u1"}
+    assert reads_store
