--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -19,6 +19,7 @@
 SEAL_HEADER = "Oleandershift-Response-Seal"
 NOT_EXECUTED_HEADER = "Oleandershift-Not-Executed"
 LEAVING_HEADER = "Server-Leaving"
+LIMIT_HEADER = "Server-Limit"
 PROMPT_PREFIX_HEADER = "Oleandershift-Prompt-Prefix"
 
 
@@ -106,6 +107,8 @@
         Number of its run, from 1; each restart begins another one.
     is_leaving : bool
         Whether its responses say that it leaves; a restart ends it.
+    limit : str or None
+        Requests a second that its responses name as its limit; a restart ends it.
     retry_after : str or None
         Value of the header `Retry-After` when it refuses a request.
     received : list of ReceivedRequest
@@ -148,6 +151,7 @@
         self.behaviour = Behaviour.ANSWER
         self.queued_behaviours: list[Behaviour] = []
         self.is_leaving = False
+        self.limit: str | None = None
         self.retry_after: str | None = None
         self.received: list[ReceivedRequest] = []
         self.padding = b""
@@ -195,6 +199,7 @@
             return
         self._server = Server(self._ip, self.port, self._handle)
         self.run += 1
+        self.limit = None
         self.is_leaving = False
         self.queued_behaviours = []
         self.started_at_ms = int(time.time() * 1000)
@@ -227,8 +232,10 @@
     def _handle(self, exchange: Exchange) -> None:
         attempt_id = exchange.headers.get(ATTEMPT_HEADER, "")
         req = ReceivedRequest(attempt_id, time.monotonic(), self.run, self.is_leaving)
-        if req.says_leaving:
-            exchange.extra_headers = {LEAVING_HEADER: "1"}
+        said = {LEAVING_HEADER: "1"} if req.says_leaving else {}
+        if self.limit is not None:
+            said[LIMIT_HEADER] = self.limit
+        exchange.extra_headers = said
         with self._lock:
             self.received.append(req)
             behaviour = (
