Keep the limits that upstreams name

Server-Limit was read nowhere.

Each VM now uses its part of a limit, in proportion to its need of the service; hubs exchange the sums and the latest words of upstreams. The time until the part allows a request counts as delay in placement and load shedding. Eligibility, which every send asks, refuses one that is not booked. At low limits fewer VMs than there are hold a part, so that they can't exceed it at once.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -16,6 +16,7 @@
     Incarnation,
     PromptPartId,
     Seq,
+    ServiceId,
     TeamId,
     UpstreamId,
     VmId,
@@ -24,10 +25,14 @@
 
 
 class Scope(Enum):
-    """What a digest covers: one VM, or all VMs of a data centre."""
+    """What a message covers: one VM, all VMs of a data centre, or all VMs.
+
+    No digest covers all VMs.
+    """
 
     VM = 1
     DATA_CENTRE = 2
+    FLEET = 3
 
 
 class UpstreamWork(msgspec.Struct, array_like=True, frozen=True):
@@ -181,6 +186,63 @@
     records: tuple[PartRecord, ...]
 
 
+class LimitEntry(msgspec.Struct, array_like=True, frozen=True):
+    """What an upstream said last of its limit.
+
+    Parameters
+    ----------
+    upstream : UpstreamId
+        The upstream.
+    incarnation : int
+        Its run, as in `UpstreamRun`.
+    thousandths : int
+        Thousandths of a request a second; -1 if it names no limit any more.
+    age_ms : int
+        Time since it said so, milliseconds. Clocks of VMs may differ.
+    """
+
+    upstream: UpstreamId
+    incarnation: int
+    thousandths: int
+    age_ms: int
+
+
+class ServiceNeed(msgspec.Struct, array_like=True, frozen=True):
+    """Rate at which VMs need a service, in thousandths of a request a second."""
+
+    service: ServiceId
+    thousandths: int
+
+
+class LimitNotice(msgspec.Struct, tag="limits", frozen=True):
+    """What is known of upstreams' limits, and how much the services are needed.
+
+    VMs of an earlier version log it as a damaged digest and ignore it.
+
+    Parameters
+    ----------
+    vm : VmId
+        The sender.
+    data_centre : DataCentreId
+        Its data centre.
+    scope : Scope
+        What the needs cover: one VM, its data centre, or the whole fleet.
+    limits : tuple of LimitEntry
+        What upstreams said lately.
+    needs : tuple of ServiceNeed
+        Need by service.
+    """
+
+    vm: VmId
+    data_centre: DataCentreId
+    scope: Scope
+    limits: tuple[LimitEntry, ...]
+    needs: tuple[ServiceNeed, ...]
+
+
+Notice: TypeAlias = CrashNotice | LimitNotice
+
+
 class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True):
     """What the requesting VM knows, so that it is sent only what is newer.
 
@@ -245,14 +307,16 @@
 
 _T = TypeVar("_T")
 
-PeerMessage: TypeAlias = Digest | CrashNotice | SnapshotRequest | StoreSnapshot
+PeerMessage: TypeAlias = Digest | Notice | SnapshotRequest | StoreSnapshot
 
 _MAP_MASK, _FIXMAP = 0xF0, 0x80
 """MessagePack's mark of a small map. A notice is one, a digest is an array."""
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DIGEST_DECODER = msgspec.msgpack.Decoder(Digest)
-_NOTICE_DECODER = msgspec.msgpack.Decoder(CrashNotice)
+_NOTICE_DECODER: msgspec.msgpack.Decoder[Notice] = msgspec.msgpack.Decoder(
+    CrashNotice | LimitNotice
+)
 _REQUEST_DECODER = msgspec.msgpack.Decoder(SnapshotRequest)
 _SNAPSHOT_DECODER = msgspec.msgpack.Decoder(StoreSnapshot)
 
@@ -267,7 +331,7 @@
     return _decode(_DIGEST_DECODER, data)
 
 
-def decode_datagram(data: bytes) -> Result[Digest | CrashNotice, str]:
+def decode_datagram(data: bytes) -> Result[Digest | Notice, str]:
     """Decode a datagram; return the reason if the data is foreign or damaged."""
     if data and data[0] & _MAP_MASK == _FIXMAP:
         return _decode(_NOTICE_DECODER, data)
--- a/src/oleandershift/eligibility.py
+++ b/src/oleandershift/eligibility.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from oleandershift.allowances import Allowances
 from oleandershift.directory import Directory, Upstream, UpstreamRun
 from oleandershift.ids import ServiceId
 from oleandershift.standings import UpstreamStandings
@@ -21,12 +22,15 @@
         Its registration had ended, and only a restored store lists it again.
     AWAY
         It wants no request of this VM for a while.
+    LIMITED
+        It takes more requests of this VM only later.
     """
 
     NOT_REGISTERED = "not registered"
     LEAVING = "leaving"
     UNCONFIRMED = "unconfirmed"
     AWAY = "away"
+    LIMITED = "limited"
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,17 +46,32 @@
         Registered upstreams, and runs that leave.
     standings : UpstreamStandings
         Upstreams that have turned this VM away.
+    allowances : Allowances
+        Limits that upstreams have named.
     """
 
     directory: Directory
     standings: UpstreamStandings
+    allowances: Allowances
 
     def eligible(self, now: float, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service that may get a request."""
         return self.standings.accepting(now, self.directory.usable(now, service))
 
-    def refusal(self, now: float, run: UpstreamRun) -> Refusal | None:
-        """Return why a run of an upstream may not get a request; None if it may."""
+    def refusal(
+        self, now: float, run: UpstreamRun, *, is_booked: bool = False
+    ) -> Refusal | None:
+        """Return why a run of an upstream may not get a request; None if it may.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        run : UpstreamRun
+            The upstream.
+        is_booked : bool
+            Whether the request is booked under the upstream's limit.
+        """
         entry = self.directory.get(run.upstream)
         if entry is None or entry.run != run:
             return Refusal.NOT_REGISTERED
@@ -62,6 +81,8 @@
             return Refusal.UNCONFIRMED
         if not self.standings.accepts(now, run):
             return Refusal.AWAY
+        if not is_booked and self.allowances.wait_s(now, entry) > 0.0:
+            return Refusal.LIMITED
         return None
 
     def return_s(self, now: float, service: ServiceId) -> float | None:
@@ -79,4 +100,8 @@
         float or None
             None if all of them leave.
         """
-        return self.standings.return_s(now, self.directory.usable(now, service))
+        waits = [
+            max(self.standings.wait_s(now, item.run), self.allowances.wait_s(now, item))
+            for item in self.directory.usable(now, service)
+        ]
+        return min(waits, default=None)
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -63,6 +63,10 @@
         What is counted in the admitted rate of its team.
     send_count : int
         Number of times the request was sent to an upstream.
+    booked_run : UpstreamRun or None
+        Upstream under whose limit the current attempt is booked, until it is sent.
+    is_needed : bool
+        Whether the request counts as need of its service.
     may_have_run : bool
         Whether an upstream may have executed the request without a known outcome.
     failed_response : tuple or None
@@ -92,6 +96,8 @@
     admitted: AdmittedRequest | None = None
     send_count: int = 0
     failed_connects: int = 0
+    booked_run: UpstreamRun | None = None
+    is_needed: bool = False
     may_have_run: bool = False
     failed_response: tuple[int, Headers, bytes] | None = None
     answer_began_at: float | None = None
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -348,6 +348,7 @@
             self._update_quarantine(instant)
             self._store_sync.set_role(self._peers.store_role(instant))
             self._view.directory.expire(instant)
+            self._state.allowances.expire(instant)
             self._pool.close_expired()
             self._log.writer.flush()
             self._update_gauges(instant)
@@ -368,7 +369,7 @@
                 last_request=change.request,
                 block_s=round(max(0.0, change.blocked_until - instant), 1),
             )
-        self._peer_transport.send_due_notice()
+        self._peer_transport.send_due_notices()
 
     def _update_gauges(self, instant: float) -> None:
         cfg = self._view.configuration
@@ -388,6 +389,7 @@
             "loop_delay_seconds": self._loop_delay.last_s,
             "upstreams_leaving": directory.leaving_count(instant),
             "upstreams_away": self._state.standings.away_count(instant),
+            "upstreams_limited": len(self._state.allowances.limited_runs(instant)),
             "prompt_parts_blocked": self._state.quarantine.rejected_count(instant),
             "retry_budget": self._retry_budgets.lowest_remaining(),
             "digest_entries_omitted": self._peer_transport.omitted_entries,
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -87,6 +87,7 @@
                 ("upstreams_revision", "Store revision of the list of upstreams."),
                 ("store_era", "How often the store has come back from a copy."),
                 ("upstreams", "Upstreams believed in."),
+                ("upstreams_limited", "Upstreams that have named a limit."),
                 ("upstreams_ejected", "Upstreams left out for failures."),
                 ("vms", "Live VMs, this one included."),
                 ("active_requests", "Requests under way."),
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -9,6 +9,7 @@
 from oleandershift.crashnotices import NoticeExchange
 from oleandershift.digests import (
     CrashNotice,
+    LimitNotice,
     PeerMessage,
     SnapshotRequest,
     StoreSnapshot,
@@ -21,8 +22,9 @@
 from oleandershift.io.clock import now, remaining
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.listener import Listener
+from oleandershift.limitnotices import LimitExchange
 from oleandershift.neighbours import Peer
-from oleandershift.state import FleetState
+from oleandershift.state import FleetState, LimitReport
 from oleandershift.telling import DigestExchange
 from oleandershift.vmsettings import Address
 
@@ -82,6 +84,8 @@
         self._notice_exchange = NoticeExchange(
             this_vm.vm, state.peers, state.quarantine
         )
+        self._limit_exchange = LimitExchange(this_vm, state.peers, state.allowances)
+        self._state = state
         self._urgent_timer: asyncio.TimerHandle | None = None
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
@@ -143,11 +147,13 @@
         if self._digest_exchange.is_due(now()):
             self.send_digests()
 
-    def send_due_notice(self) -> None:
-        """Send a notice about crashes of upstreams if it is time for one."""
+    def send_due_notices(self) -> None:
+        """Send notices about crashes and limits of upstreams if it is time for them."""
         addressed = self._notice_exchange.next_notice(now())
         if addressed is not None:
             self._send(encode(addressed.notice), addressed.peers)
+        for item in self._limit_exchange.next_notices(now()):
+            self._send(encode(item.notice), item.peers)
 
     def send_digests(self) -> None:
         """Send this VM's digest and, on the hub, the digest of its data centre."""
@@ -210,6 +216,10 @@
         if isinstance(message, CrashNotice):
             self._notice_exchange.receive(instant, message)
             return
+        if isinstance(message, LimitNotice):
+            for word in self._limit_exchange.receive(instant, message):
+                self._state.on_limit(LimitReport(word, f"VM {message.vm}"))
+            return
         if not Address(message.host, message.port).is_valid:
             why = f"no address to send to: {message.host}:{message.port}"
             self._log.warning("digest.damaged", sender=sender, why=why)
--- a/src/oleandershift/io/pool.py
+++ b/src/oleandershift/io/pool.py
@@ -40,13 +40,14 @@
     Attributes
     ----------
     on_response : callable
-        Called with an upstream and the head of each of its responses.
+        Called with an upstream, the head of each of its responses, and the time at
+        which the answered request was sent, as by `UpstreamConnection`.
     """
 
     def __init__(self, max_idle: int) -> None:
         self._max_idle = max_idle
-        self.on_response: Callable[[Upstream, ResponseHead], None] = (
-            lambda upstream, head: None
+        self.on_response: Callable[[Upstream, ResponseHead, float | None], None] = (
+            lambda upstream, head, sent_at: None
         )
         self._idle_count = 0
         self._idle: defaultdict[tuple[str, int], deque[UpstreamConnection]]
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from oleandershift.absences import AbsenceProof
+from oleandershift.allowances import LimitWord, parse_limit
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.directory import Upstream
 from oleandershift.eventframes import EventOrderError
@@ -49,7 +50,12 @@
     ShareClass,
 )
 from oleandershift.standings import parse_away_seconds
-from oleandershift.state import FleetState, LeavingReport, LeavingSource
+from oleandershift.state import (
+    FleetState,
+    LeavingReport,
+    LeavingSource,
+    LimitReport,
+)
 
 CATCH_UP_PAUSE_SECONDS = 0.01
 """Delay of requests that are read just after a pause of the process."""
@@ -60,6 +66,10 @@
 MAX_CONNECT_ATTEMPTS = 3
 """Failed connects after which a request is rejected."""
 
+LIMIT_PATIENCE = 0.5
+"""Fraction of the target for which a request may wait until an upstream's limit allows
+it. A later one is refused at once, as its caller may find another VM with room."""
+
 
 class Relay:
     """Forwards callers' requests to upstreams, with retries.
@@ -123,6 +133,7 @@
         self.active_requests = 0
         pool.on_response = self._on_response
         state.on_leaving = self._on_leaving
+        state.on_limit = self._on_limit
 
     def limits(self) -> Limits:
         """Return the caller limits of the current configuration."""
@@ -192,6 +203,7 @@
                 return
             choice = self._choose(call)
             if choice is None:
+                self._record_need(call)
                 self._give_up(call, res, "no upstream to send to", self._return_s(call))
                 return
             if not call.send_count and not self._admit(call, choice, res):
@@ -250,6 +262,7 @@
         """
         pending = _pending_request(call)
         if pending is None:
+            self._record_need(call)
             return True
         if call.admission is None:
             decision = self._load_shedder.decide(pending, choice, call.share)
@@ -261,9 +274,11 @@
         else:
             decision = self._load_shedder.recheck(call.admission, pending, choice)
         call.admission = decision
+        within_share = decision.share is ShareClass.WITHIN
+        if decision.admitted or within_share:
+            self._record_need(call)
         if decision.admitted:
             return True
-        within_share = decision.share is ShareClass.WITHIN
         detail = "too late" if within_share else "beyond the team's share"
         self._send_error(call, res, detail, 502, decision.retry_after_s, choice)
         return False
@@ -281,13 +296,20 @@
         untried = [item for item in usable if item.run not in call.tried_runs]
         present = [item for item in untried if item.run not in absent]
         healthy = [item for item in present if item.name not in ejected]
-        return self._placement.choose(
-            now(),
-            call.service,
-            healthy or present or untried,
-            call.prompt,
-            call.route.target_ms / 1000,
+        candidates = healthy or present or untried
+        target_s = call.route.target_ms / 1000
+        waits = self._state.allowances.waits(now(), candidates)
+        choice = self._placement.choose(
+            now(), call.service, candidates, call.prompt, target_s, waits
         )
+        if choice is not None and choice.wait_s > LIMIT_PATIENCE * target_s:
+            return None
+        return choice
+
+    def _record_need(self, call: Call) -> None:
+        if not call.is_needed:
+            call.is_needed = True
+            self._state.allowances.record_need(now(), call.service.name)
 
     def _may_retry(self, call: Call, outcome: AttemptOutcome) -> bool:
         """Return whether the request may be sent to another upstream."""
@@ -320,6 +342,7 @@
         self._state.on_load_change()
         conn = None
         try:
+            await self._wait_for_limit(call, upstream)
             try:
                 conn = await self._pool.acquire(upstream, call.repeatable)
             except (OSError, TimeoutError) as exc:
@@ -328,10 +351,27 @@
                 return AttemptOutcome.NOT_SENT
             return await self._exchange_once(call, upstream, in_flight, conn, res)
         finally:
+            self._cancel_booking(call)
             self._loads.end(in_flight)
             if conn is not None:
                 self._pool.release(upstream, conn)
 
+    async def _wait_for_limit(self, call: Call, upstream: Upstream) -> None:
+        """Wait until the upstream's limit, if it has one, allows the request."""
+        send_at = self._state.allowances.book(now(), upstream)
+        if send_at is None:
+            return
+        call.booked_run = upstream.run
+        wait_s = remaining(send_at)
+        if wait_s > 0.0:
+            await asyncio.sleep(wait_s)
+
+    def _cancel_booking(self, call: Call) -> None:
+        """Give back the booking of a request that was not sent."""
+        if call.booked_run is not None:
+            self._state.allowances.cancel(call.booked_run)
+            call.booked_run = None
+
     async def _exchange_once(
         self,
         call: Call,
@@ -346,6 +386,10 @@
             raise CallerLeftError
         if self._withdraw_attempt(call, upstream):
             return AttemptOutcome.NOT_SENT
+        if call.booked_run is None:
+            # The limit was named since the choice.
+            self._state.allowances.book(now(), upstream)
+        call.booked_run = None
         quarantine = self._state.quarantine
         quarantine.on_sent(now(), call.prompt)
         call.answer_began_at = None
@@ -390,7 +434,8 @@
         A new connection or a pause of the process can lie between the two.
         """
         instant = now()
-        refusal = self._eligibility.refusal(instant, upstream.run)
+        is_booked = call.booked_run is not None
+        refusal = self._eligibility.refusal(instant, upstream.run, is_booked=is_booked)
         part = self._state.quarantine.rejected_part(instant, call.prompt)
         if refusal is None and part is None:
             return False
@@ -564,8 +609,12 @@
         if isinstance(exc, ConnectionRefusedError):
             self._record_absence(upstream, AbsenceProof.CONNECTION_REFUSED)
 
-    def _on_response(self, upstream: Upstream, head: ResponseHead) -> None:
+    def _on_response(
+        self, upstream: Upstream, head: ResponseHead, sent_at: float | None
+    ) -> None:
         """Record what an upstream says of itself in a response."""
+        if sent_at is not None and head.status != HTTPStatus.MISDIRECTED_REQUEST:
+            self._record_limit(upstream, head, sent_at)
         standings = self._state.standings
         request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
         if head.get(headers.UPSTREAM_LEAVING) == b"1":
@@ -583,6 +632,29 @@
                     away_s=away_s,
                 )
 
+    def _record_limit(
+        self, upstream: Upstream, head: ResponseHead, sent_at: float
+    ) -> None:
+        instant = now()
+        values = head.get_all(headers.UPSTREAM_LIMIT)
+        limit = parse_limit(values)
+        if limit is None and values:
+            return
+        if self._state.allowances.on_answer(instant, upstream.run, limit, sent_at):
+            request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
+            word = LimitWord(upstream.run, limit, instant)
+            self._on_limit(LimitReport(word, request))
+
+    def _on_limit(self, report: LimitReport) -> None:
+        word = report.word
+        has_begun = word.limit is not None
+        self._log.info(
+            "upstream.limited" if has_begun else "upstream.unlimited",
+            upstream=word.run.upstream,
+            limit_per_s=word.limit,
+            informant=report.informant,
+        )
+
     def _on_leaving(self, report: LeavingReport) -> None:
         entry = self._view.directory.get(report.run.upstream)
         if entry is not None and entry.run == report.run:
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -67,11 +67,12 @@
 
     def get(self, name: bytes) -> bytes | None:
         """Return the last value of a header; None when it is absent."""
-        last_value = None
-        for key, value in self.headers:
-            if key == name:
-                last_value = value
-        return last_value
+        values = self.get_all(name)
+        return values[-1] if values else None
+
+    def get_all(self, name: bytes) -> list[bytes]:
+        """Return all values of a header."""
+        return [value for key, value in self.headers if key == name]
 
 
 class Exchange:
@@ -189,12 +190,17 @@
     Parameters
     ----------
     on_response : callable
-        Called with the head of every response, also interim and late ones. It may be
-        replaced between two exchanges.
+        Called with the head of every response, also interim and late ones, and with the
+        time in seconds at which the answered request was sent; None if the response is
+        not the final one to the current request. It may be replaced between two
+        exchanges.
     """
 
-    def __init__(self, on_response: Callable[[ResponseHead], None]) -> None:
+    def __init__(
+        self, on_response: Callable[[ResponseHead, float | None], None]
+    ) -> None:
         self.on_response = on_response
+        self._sent_at = 0.0
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: Headers = []
@@ -239,6 +245,7 @@
         self._exchange = exchange
         self._overhead.reset()
         self._skipped_bytes = 0
+        self._sent_at = now()
         self._transport.write(data)
         return exchange
 
@@ -325,10 +332,12 @@
     def on_headers_complete(self) -> None:
         """Pass a final response head to the exchange that it matches."""
         head = ResponseHead(self._parser.get_status_code(), self._headers)
-        self.on_response(head)
+        is_final = head.status >= 200 and self._exchange is not None
+        is_answer = self._exchange is not None and self._exchange.matches(head)
+        self.on_response(head, self._sent_at if is_final and is_answer else None)
         if head.status < 200 or self._exchange is None:
             return
-        self._skipping = not self._exchange.matches(head)
+        self._skipping = not is_answer
         if self._skipping:
             return
         self._in_body = head.status not in _BODILESS_STATUSES
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from typing import TypeVar
 
+from oleandershift.allowances import Fleet
 from oleandershift.demand import TeamRate
 from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
 from oleandershift.directory import UpstreamRun
@@ -90,8 +91,8 @@
     def __init__(
         self, vm: VmId, data_centre: DataCentreId, digests_known_at: float = 0.0
     ) -> None:
-        self._vm = vm
-        self._data_centre = data_centre
+        self.vm = vm
+        self.data_centre = data_centre
         self._own_weight = weight_of(data_centre, vm)
         self._weights: dict[VmId, int] = {}
         self._peers: dict[VmId, Peer] = {}
@@ -105,7 +106,7 @@
     def add_registered(self, now: float, peers: Iterable[Peer]) -> None:
         """Add or update registered VMs."""
         for peer in peers:
-            if peer.vm != self._vm:
+            if peer.vm != self.vm:
                 self._peers[peer.vm] = peer
                 self._last_seen.setdefault(peer.vm, now)
 
@@ -116,7 +117,7 @@
         one orders no more, as a process may start while its clock is behind. The sender
         is a known peer from then on, even before its registration is read.
         """
-        if digest.vm == self._vm:
+        if digest.vm == self.vm:
             return False
         stored = self._stored(digest)
         if (
@@ -131,7 +132,7 @@
         if digest.scope is Scope.VM:
             _store(self._vm_digests, digest.vm, _ReceivedDigest(digest, now))
             return False
-        if digest.data_centre == self._data_centre:
+        if digest.data_centre == self.data_centre:
             return False
         received = _ReceivedDigest(digest, now)
         _store(self._data_centre_digests, digest.data_centre, received)
@@ -142,7 +143,7 @@
         # Called for each datagram; most VMs find a larger weight at once.
         return not any(
             _is_live(now, entry)
-            and entry.digest.data_centre == self._data_centre
+            and entry.digest.data_centre == self.data_centre
             and self._weight(vm) > self._own_weight
             for (vm, _), entry in self._vm_digests.items()
         )
@@ -169,9 +170,25 @@
         return [
             peer
             for peer in self._known_peers(now)
-            if peer.data_centre == self._data_centre
+            if peer.data_centre == self.data_centre
         ]
 
+    def local_hub(self, now: float) -> Peer | None:
+        """Return the hub of this data centre; None if this VM is it."""
+        members = self._live_members(now)
+        hub = max(members, key=self._weight, default=None)
+        if hub is None or self._weight(hub) < self._own_weight:
+            return None
+        return self._peers.get(hub)
+
+    def fleet(self, now: float) -> Fleet:
+        """Return the other live VMs."""
+        sizes: defaultdict[DataCentreId, int] = defaultdict(int)
+        for (data_centre, _), entry in self._data_centre_digests.items():
+            if _is_live(now, entry):
+                sizes[data_centre] += entry.digest.vms
+        return Fleet(self._live_members(now), sizes)
+
     def remote_hubs(self, now: float, all_members: bool) -> list[Peer]:
         """Return the peers in other data centres to which a hub sends its summary.
 
@@ -298,7 +315,7 @@
         if failed >= STORE_READERS:
             # The readers of this data centre may all be out of reach.
             elsewhere = [
-                item for item in reachable if item.data_centre != self._data_centre
+                item for item in reachable if item.data_centre != self.data_centre
             ]
             reachable = elsewhere or reachable
         freshest = max(reachable or candidates, key=self._freshness)
@@ -325,8 +342,8 @@
 
     def _freshness(self, digest: Digest) -> tuple[int, StorePosition, bool, int]:
         """Return the order of preference; VMs that are equally fresh share the load."""
-        is_local = digest.data_centre == self._data_centre
-        preference = weight_of(self._vm, digest.vm)
+        is_local = digest.data_centre == self.data_centre
+        preference = weight_of(self.vm, digest.vm)
         return digest.configuration, digest.position, is_local, preference
 
     def _live_members(self, now: float) -> set[VmId]:
@@ -341,7 +358,7 @@
         """Return the weight of a VM of the data centre in the choice of its hub."""
         weight = self._weights.get(vm)
         if weight is None:
-            weight = self._weights[vm] = weight_of(self._data_centre, vm)
+            weight = self._weights[vm] = weight_of(self.data_centre, vm)
         return weight
 
     def _stored(self, digest: Digest) -> _ReceivedDigest | None:
@@ -372,7 +389,7 @@
         return [
             digest
             for digest in self._live_vm_digests(now)
-            if digest.data_centre == self._data_centre
+            if digest.data_centre == self.data_centre
         ]
 
     def _known_peers(self, now: float) -> list[Peer]:
@@ -385,7 +402,7 @@
     def _peers_by_data_centre(self, now: float) -> Mapping[DataCentreId, list[Peer]]:
         peers: defaultdict[DataCentreId, list[Peer]] = defaultdict(list)
         for peer in self._known_peers(now):
-            if peer.data_centre != self._data_centre:
+            if peer.data_centre != self.data_centre:
                 peers[peer.data_centre].append(peer)
         return peers
 
--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from oleandershift.directory import Upstream
+from oleandershift.directory import Upstream, UpstreamRun
 from oleandershift.hashing import ranked
 from oleandershift.ids import DataCentreId, RegionId, UpstreamId
 from oleandershift.prompts import PrefixPart, Prompt
@@ -96,6 +96,8 @@
 
 _NO_LOAD = Load()
 
+_NO_WAITS: Mapping[UpstreamRun, float] = {}
+
 
 @dataclass(slots=True)
 class _PrefixCache:
@@ -241,7 +243,8 @@
     upstream : Upstream
         The upstream.
     backlog_s : float
-        Seconds that the upstream needs for earlier requests.
+        Seconds that the upstream needs for earlier requests, or until it may be sent
+        this one.
     request_s : float
         Seconds for prefilling this request and for the network round trip.
     load : Load
@@ -250,6 +253,8 @@
         Prompt tokens that the engine is expected to prefill for this request.
     is_home : bool
         Whether all VMs prefer this upstream for the request's shared prefix.
+    wait_s : float
+        Seconds until the upstream's limit allows the request; part of `backlog_s`.
     """
 
     upstream: Upstream
@@ -258,6 +263,7 @@
     load: Load
     uncached_tokens: int = 0
     is_home: bool = False
+    wait_s: float = 0.0
 
     @property
     def first_byte_s(self) -> float:
@@ -291,6 +297,7 @@
         candidates: Collection[Upstream],
         prompt: Prompt | None,
         target_s: float,
+        waits: Mapping[UpstreamRun, float] = _NO_WAITS,
     ) -> Choice | None:
         """Return the best candidate, or None if there are no candidates.
 
@@ -306,17 +313,20 @@
             Prompt of a generation.
         target_s : float
             Target time to the first byte, within which a response has its full value.
+        waits : mapping
+            Seconds until an upstream may be sent the request, of those that have a
+            limit.
         """
         if not candidates:
             return None
         if not service.generates or prompt is None:
-            plain_choices = [self._predict_plain(item) for item in candidates]
+            plain_choices = [self._predict_plain(item, waits) for item in candidates]
             return min(
                 plain_choices, key=lambda item: (item.first_byte_s, item.upstream.name)
             )
         ranking = _rank(candidates, prompt)
         choices = [
-            self._predict_generation(now, item, prompt, rank)
+            self._predict_generation(now, item, prompt, rank, waits)
             for rank, item in enumerate(ranking)
         ]
         costs = [
@@ -324,15 +334,25 @@
         ]
         return choices[costs.index(min(costs))]
 
-    def _predict_plain(self, upstream: Upstream) -> Choice:
+    def _predict_plain(
+        self, upstream: Upstream, waits: Mapping[UpstreamRun, float]
+    ) -> Choice:
+        wait_s = waits.get(upstream.run, 0.0)
         load = self._loads.total(upstream.name)
         utilisation = load.running / max(1, upstream.slots)
         round_trip_s = 2 * self._location.one_way_delay_s(upstream.data_centre)
-        return Choice(upstream, utilisation * PLAIN_REQUEST_SECONDS, round_trip_s, load)
+        busy_s = utilisation * PLAIN_REQUEST_SECONDS
+        return Choice(upstream, busy_s + wait_s, round_trip_s, load, wait_s=wait_s)
 
     def _predict_generation(
-        self, now: float, upstream: Upstream, prompt: Prompt, rank: int
+        self,
+        now: float,
+        upstream: Upstream,
+        prompt: Prompt,
+        rank: int,
+        waits: Mapping[UpstreamRun, float],
     ) -> Choice:
+        wait_s = waits.get(upstream.run, 0.0)
         load = self._loads.total(upstream.name)
         uncached = self._loads.uncached_tokens(now, upstream.name, prompt)
         is_home = rank == 0 and len(prompt.parts) > 1
@@ -342,11 +362,13 @@
         return Choice(
             upstream,
             load.prefill_tokens / PREFILL_TOKENS_PER_SECOND
-            + batch_delay_s(load.running, max(1, upstream.slots)),
+            + batch_delay_s(load.running, max(1, upstream.slots))
+            + wait_s,
             uncached / PREFILL_TOKENS_PER_SECOND + round_trip_s,
             load,
             uncached,
             is_home,
+            wait_s,
         )
 
 
--- a/src/oleandershift/standings.py
+++ b/src/oleandershift/standings.py
@@ -77,25 +77,9 @@
             return list(upstreams)
         return [item for item in upstreams if self.accepts(now, item.run)]
 
-    def return_s(self, now: float, upstreams: Iterable[Upstream]) -> float | None:
-        """Return the seconds until the first of some upstreams accepts requests.
-
-        Parameters
-        ----------
-        now : float
-            Current time, seconds.
-        upstreams : iterable of Upstream
-            The upstreams.
-
-        Returns
-        -------
-        float or None
-            None if there are no upstreams.
-        """
-        returns = [
-            max(0.0, self._away_until.get(item.run, now) - now) for item in upstreams
-        ]
-        return min(returns, default=None)
+    def wait_s(self, now: float, run: UpstreamRun) -> float:
+        """Return the seconds until an upstream accepts requests."""
+        return max(0.0, self._away_until.get(run, now) - now)
 
     def away_count(self, now: float) -> int:
         """Return the number of upstreams that want no work; forget those back."""
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from oleandershift.absences import AbsenceTracker
+from oleandershift.allowances import Allowances, LimitWord
 from oleandershift.demand import SHARE_HEADROOM, DemandMeter, Shares, max_min_shares
 from oleandershift.directory import UpstreamRun
 from oleandershift.eligibility import Eligibility
@@ -42,6 +43,22 @@
     informant: str
 
 
+@dataclass(frozen=True, slots=True)
+class LimitReport:
+    """An upstream's word that begins or ends a limit on its requests.
+
+    Parameters
+    ----------
+    word : LimitWord
+        What it said.
+    informant : str
+        The answered request, or the VM that passed it on.
+    """
+
+    word: LimitWord
+    informant: str
+
+
 @dataclass
 class FleetState:
     """Peers, fleet view, upstream loads and team demand as known to one VM.
@@ -61,12 +78,19 @@
         learned.
     on_leaving : callable
         Called with each report that an upstream leaves, if that was not known.
+    on_limit : callable
+        Called with each report that begins or ends a limit.
     absences : AbsenceTracker
         Upstreams that this VM found absent.
     quarantine : PromptQuarantine
         Prompt parts that crash upstreams.
     standings : UpstreamStandings
         Upstreams that have turned this VM away.
+
+    Attributes
+    ----------
+    allowances : Allowances
+        Limits that upstreams have named.
     """
 
     peers: PeerTable
@@ -75,16 +99,21 @@
     demand: DemandMeter
     on_load_change: Callable[[], None] = lambda: None
     on_leaving: Callable[[LeavingReport], None] = lambda report: None
+    on_limit: Callable[[LimitReport], None] = lambda report: None
     absences: AbsenceTracker = field(default_factory=AbsenceTracker)
     quarantine: PromptQuarantine = field(
         default_factory=lambda: PromptQuarantine(QuarantineLimits(), random.Random())
     )
     standings: UpstreamStandings = field(default_factory=UpstreamStandings)
 
+    def __post_init__(self) -> None:
+        peers = self.peers
+        self.allowances = Allowances(peers.vm, peers.data_centre, peers.fleet)
+
     @property
     def eligibility(self) -> Eligibility:
         """Which upstreams may get requests."""
-        return Eligibility(self.view.directory, self.standings)
+        return Eligibility(self.view.directory, self.standings, self.allowances)
 
     def shares(self, now: float, declared: float) -> Shares:
         """Return the teams' fair shares of the fleet's capacity.
--- a/tests/contract/test_upstream_connection.py
+++ b/tests/contract/test_upstream_connection.py
@@ -46,7 +46,7 @@
 async def exchange(port, with_response):
     loop = asyncio.get_running_loop()
     _, conn = await loop.create_connection(
-        lambda: UpstreamConnection(lambda head: None), "127.0.0.1", port
+        lambda: UpstreamConnection(lambda head, sent_at: None), "127.0.0.1", port
     )
     pending = conn.send(REQUEST, lambda head: True)
     if with_response:
--- a/tests/contract/test_upstream_pool.py
+++ b/tests/contract/test_upstream_pool.py
@@ -304,7 +304,7 @@
     async def run():
         server, port = await upstream_port()
         pool, responses = ConnectionPool(4), []
-        pool.on_response = lambda upstream, head: responses.append(upstream.run)
+        pool.on_response = lambda upstream, *_: responses.append(upstream.run)
         earlier = make_upstream(port=port)
         later = replace(earlier, incarnation=2)
         for name, upstream in ((b"a1", earlier), (b"a2", later)):
--- a/tests/integration/test_gateway_limits.py
+++ b/tests/integration/test_gateway_limits.py
@@ -93,3 +93,54 @@
     for engine in limited:
         most = most_in_a_window(engine, named_at + CONTACT_SECONDS)
         assert most <= allowed(LIMIT_PER_SECOND)
+
+
+def test_limit_is_used_while_work_waits(fleet):
+    """One VM has most of the callers; the parts follow the need."""
+    for engine in fleet.engines.values():
+        engine.limit = str(LIMIT_PER_SECOND)
+    with Callers(fleet, weights=(4.0, 1.0, 1.0)) as callers:
+        named_at = time.monotonic()
+        time.sleep(CONTACT_SECONDS + 2 * WINDOW_SECONDS)
+        ended_at = time.monotonic()
+    since = named_at + CONTACT_SECONDS
+    for engine in fleet.engines.values():
+        assert most_in_a_window(engine, since) <= allowed(LIMIT_PER_SECOND)
+    served = sum(len(arrivals(engine, since)) for engine in fleet.engines.values())
+    total_limit = len(fleet.engines) * LIMIT_PER_SECOND
+    assert served >= 0.9 * total_limit * (ended_at - since)
+    assert set(callers.statuses) == {200, 503}
+    assert min(callers.retry_after_s) > 0.0
+
+
+def test_limit_ends_with_the_word_and_without_a_burst(fleet):
+    limited = fleet.engines["e1"]
+    for name in ("e2", "e3"):
+        fleet.store.delete("servers", name)
+    limited.limit = "3"
+    with Callers(fleet) as callers:
+        time.sleep(CONTACT_SECONDS)
+        limited.limit = None
+        ended_at = time.monotonic()
+        time.sleep(3.0)
+        count = len(callers.statuses)
+        time.sleep(1.0)
+        assert set(callers.statuses[count:]) == {200}
+    per_second = GATEWAYS * CALLERS_PER_GATEWAY / PAUSE_SECONDS
+    assert len(arrivals(limited, ended_at)) <= 1.2 * per_second * 4.0
+
+
+@pytest.mark.parametrize("number", range(2))
+def test_vm_that_restarts_does_not_exceed_the_limit(fleet, number):
+    for engine in fleet.engines.values():
+        engine.limit = str(LIMIT_PER_SECOND)
+    restarted = fleet.gateways[number]
+    with Callers(fleet):
+        named_at = time.monotonic()
+        time.sleep(CONTACT_SECONDS)
+        restarted.process.kill()
+        restarted.process.start()
+        time.sleep(2 * WINDOW_SECONDS)
+    for engine in fleet.engines.values():
+        most = most_in_a_window(engine, named_at + CONTACT_SECONDS)
+        assert most <= allowed(LIMIT_PER_SECOND)
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 from storereaders import at
-from upstreams import make_upstream
+from upstreams import make_allowances, make_upstream
 
 from oleandershift.directory import MAX_DEPARTED_RUNS, Directory, UpstreamState
 from oleandershift.eligibility import Eligibility, Refusal
@@ -20,7 +20,9 @@
 
 @pytest.fixture
 def eligibility():
-    created = Eligibility(Directory(), UpstreamStandings(random.Random(1)))
+    created = Eligibility(
+        Directory(), UpstreamStandings(random.Random(1)), make_allowances()
+    )
     created.directory.replace(0.0, at(2), [(at(1), FIRST), (at(2), SECOND)])
     return created
 
@@ -69,7 +71,9 @@
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.eligibility = Eligibility(
-            Directory(GRACE_SECONDS), UpstreamStandings(random.Random(1))
+            Directory(GRACE_SECONDS),
+            UpstreamStandings(random.Random(1)),
+            make_allowances(),
         )
         self.directory = self.eligibility.directory
         self.now, self.revision = 0.0, 1
@@ -194,3 +198,18 @@
     play.directory.expire(end)
     eligible = {item.run for item in play.eligibility.eligible(end, SERVICE)}
     assert eligible == play.sound()
+
+
+def test_upstream_that_takes_no_more_requests_now_is_refused_unless_booked(
+    eligibility,
+):
+    eligibility.allowances.on_answer(0.0, FIRST.run, 2.0, sent_at=0.0)
+    assert eligibility.refusal(0.0, FIRST.run) is Refusal.LIMITED
+    assert eligibility.refusal(0.0, FIRST.run, is_booked=True) is None
+    assert eligibility.refusal(0.5, FIRST.run) is None
+
+
+def test_callers_learn_when_a_limit_allows_the_next_request(eligibility):
+    for upstream, limit in ((FIRST, 2.0), (SECOND, 1.0)):
+        eligibility.allowances.on_answer(0.0, upstream.run, limit, sent_at=0.0)
+    assert eligibility.return_s(0.0, SERVICE) == pytest.approx(0.5)
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -6,7 +6,7 @@
 import pytest
 from returns.result import Failure, Success
 from storereaders import UPSTREAMS, Vm, at, registration
-from upstreams import make_upstream
+from upstreams import make_allowances, make_upstream
 
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import StoreSnapshot
@@ -125,7 +125,7 @@
 
 def test_new_run_without_a_start_time_is_not_shunned_for_the_leaving_of_another():
     directory = Directory()
-    eligibility = Eligibility(directory, UpstreamStandings())
+    eligibility = Eligibility(directory, UpstreamStandings(), make_allowances())
     unknown = replace(make_upstream(), incarnation=0)
     directory.replace(0.0, at(1), [(at(1), unknown)])
     directory.on_leaving(unknown.run)
--- a/tests/test_standings.py
+++ b/tests/test_standings.py
@@ -44,8 +44,8 @@
 def test_upstream_that_turned_a_vm_away_is_back_after_its_time(standings):
     assert standings.on_turned_away(0.0, FIRST.run, 5.0)
     assert standings.accepting(4.99, [FIRST, SECOND]) == [SECOND]
-    assert 5.0 <= standings.return_s(0.0, [FIRST]) <= 5.0 + MAX_RETURN_JITTER_SECONDS
-    assert standings.return_s(0.0, [FIRST, SECOND]) == 0.0
+    assert 5.0 <= standings.wait_s(0.0, FIRST.run) <= 5.0 + MAX_RETURN_JITTER_SECONDS
+    assert standings.wait_s(0.0, SECOND.run) == 0.0
     back_at = 5.0 + MAX_RETURN_JITTER_SECONDS
     assert standings.accepting(back_at, [FIRST]) == [FIRST]
     assert standings.away_count(back_at) == 0
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -1,7 +1,8 @@
 """Registrations of upstreams for tests."""
 
+from oleandershift.allowances import Allowances, Fleet
 from oleandershift.directory import Upstream, UpstreamState
-from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
+from oleandershift.ids import DataCentreId, ServiceId, UpstreamId, VmId
 
 
 def make_upstream(
@@ -18,3 +19,8 @@
         slots=slots,
         state=UpstreamState.READY,
     )
+
+
+def make_allowances(vm: str = "vm", fleet: Fleet | None = None) -> Allowances:
+    """Return the allowances of a VM that knows of no limit."""
+    return Allowances(VmId(vm), DataCentreId("here"), lambda now: fleet or Fleet())
