Confirm no removed upstream by a second list of a restored store

CONFIG: a request reached an upstream whose removal had been read, 2 s after the store came back from an older copy that lists it.

An entry that has not changed since the list before stays unconfirmed. The new test failed before.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -226,9 +226,14 @@
         for changed, entry in listed.values():
             if self._is_superseded(entry):
                 continue
-            self._store(changed, entry)
+            unconfirmed_until = self._unconfirmed_until.get(entry.name)
             if is_restored and self._was_removed(changed, entry):
-                self._unconfirmed_until[entry.name] = now + CONFIRMATION_SECONDS
+                unconfirmed_until = now + CONFIRMATION_SECONDS
+            elif changed != self._positions.get(entry.name):
+                unconfirmed_until = None
+            self._store(changed, entry)
+            if unconfirmed_until is not None:
+                self._unconfirmed_until[entry.name] = unconfirmed_until
         newest = max(
             (changed for changed, _ in listed.values()),
             default=StorePosition(position.era, 0),
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -202,3 +202,14 @@
     directory.update(at(11), make_upstream("u2", UpstreamState.DRAINING))
     restored(directory, 2.0, make_upstream("u1"), make_upstream("u2"))
     assert usable_names(directory, 2.0 + CONFIRMATION_SECONDS) == {"u1"}
+
+
+def test_second_list_of_a_restored_store_confirms_nothing(directory):
+    directory.remove(1.0, at(11), UpstreamId("u2"))
+    for revision in (5, 6):
+        listed = [
+            (at(4, era=1), make_upstream("u1")),
+            (at(4, era=1), make_upstream("u2")),
+        ]
+        directory.replace(2.0, at(revision, era=1), listed)
+        assert usable_names(directory, 2.5) == {"u1"}
