Read the registrations after registering anew

CONFIG: a VM that started beside an older copy answered 404 for a route of the version in force for 2.5 s and more. Neither it nor the VM that knew the version knew the other: the copy lacked the one's registration, which was repeated up to 5 s later, and both read the registrations each 20 s only.

VMs register again within 10 ms for each known VM, and read the registrations right after, so that whoever registers later finds whoever did before.

--- a/src/oleandershift/io/registry.py
+++ b/src/oleandershift/io/registry.py
@@ -23,9 +23,9 @@
 ROLE_CHECK_SECONDS = 1.0
 """Interval at which a VM looks whether it has to read the registrations."""
 
-REREGISTRATION_SPREAD_SECONDS = 5.0
-"""Time over which the VMs register again when the store has come back from a copy;
-keeps the calls of 770 VMs within its rates."""
+MAX_REREGISTRATIONS_PER_SECOND = 100.0
+"""VMs that register again each second when the store has come back from a copy. Each
+makes three calls, two of which write."""
 
 REGISTRATION_TTL_SECONDS = 600.0
 """Time without a digest after which a registration is deleted; longer than it takes to
@@ -98,11 +98,13 @@
         next_read = now()
         while True:
             if self._known_era() > self._registered_era:
-                await asyncio.sleep(
-                    self._rng.uniform(0.0, REREGISTRATION_SPREAD_SECONDS)
-                )
+                await asyncio.sleep(self._rng.uniform(0.0, self._spread_s()))
                 await self._call_until_success(self._register)
                 self._log.info("registry.renewed", era=self._registered_era)
+                # Whoever registers later finds whoever did before, who may be unknown
+                # to it otherwise.
+                next_read = now()
+                self._has_read = False
             is_follower = self._peers.store_role(now()) is StoreRole.FOLLOWER
             if now() >= next_read and not (is_follower and self._has_read):
                 await self._call_until_success(self._read_peers)
@@ -110,6 +112,10 @@
                 next_read = now() + REFRESH_INTERVAL_SECONDS
             await asyncio.sleep(ROLE_CHECK_SECONDS)
 
+    def _spread_s(self) -> float:
+        """Return the seconds over which all VMs register again."""
+        return self._peers.known_count(now()) / MAX_REREGISTRATIONS_PER_SECOND
+
     async def _call_until_success(
         self, call: Callable[[], StoreFailure | None]
     ) -> None:
