Let the stand-in of the store name the era of its answer

A watch that was waiting while the store came back from a copy was answered with changes of the new era under the number of the old one, as the header was set when the request arrived.

--- a/standins/metastore.py
+++ b/standins/metastore.py
@@ -185,9 +185,8 @@
     def _handle(self, exchange: Exchange) -> None:
         self.calls += 1
         mode = self._mode
-        exchange.extra_headers = {ERA_HEADER: str(self.era)}
         if mode is StoreMode.BUSY:
-            exchange.send_json(503, {"error": "busy"})
+            exchange.send_json(503, {"error": "busy"}, {ERA_HEADER: str(self.era)})
         elif mode is StoreMode.RESET:
             exchange.abort()
         elif mode is StoreMode.SILENT:
@@ -206,16 +205,20 @@
 
     def _serve(self, exchange: Exchange, mode: StoreMode) -> None:
         kind, _, name = exchange.path.removeprefix(OBJECTS_PATH).partition("/")
-        if exchange.method == "GET" and "watch" in exchange.query:
-            status, body = self._watch(exchange, kind)
-        elif exchange.method == "GET":
-            status, body = self._read(exchange, kind, name)
-        else:
-            status, body = self._write(exchange, kind, name)
-            if mode is StoreMode.LOSE_RESPONSES:
-                exchange.abort()
-                return
-        exchange.send_json(status, body)
+        is_read = exchange.method == "GET"
+        with self._changed:
+            if is_read and "watch" in exchange.query:
+                status, body = self._watch(exchange, kind)
+            elif is_read:
+                status, body = self._read(exchange, kind, name)
+            else:
+                status, body = self._write(exchange, kind, name)
+            # The store may have come back from a copy while a watch waited.
+            era = self.era
+        if mode is StoreMode.LOSE_RESPONSES and not is_read:
+            exchange.abort()
+            return
+        exchange.send_json(status, body, {ERA_HEADER: str(era)})
 
     def _read(self, exchange: Exchange, kind: str, name: str) -> tuple[int, object]:
         with self._changed:
