Take no copy of an earlier refusal for the answer to a later request

REFUSED, TWICE: an upstream that writes an earlier refusal once more on a kept connection could make a VM tell a caller 'not run, try again' for a request that the upstream had run, or run it at a second one. Copies with their own id were skipped, but one that had lost its id, or came in another form without one, was believed, and so was any copy where a request repeated the id of the refused one.

A response without an id to any but the first request of a connection now breaks the exchange, whose outcome is then unknown. A connection is not used twice for one id, nor for a request without an id, and is closed after 1,000 exchanges.

--- a/src/oleandershift/io/pool.py
+++ b/src/oleandershift/io/pool.py
@@ -54,7 +54,9 @@
         self._idle = defaultdict(deque)
         self.opened_count = 0
 
-    async def acquire(self, upstream: Upstream, repeatable: bool) -> UpstreamConnection:
+    async def acquire(
+        self, upstream: Upstream, repeatable: bool, attempt_id: str | None = None
+    ) -> UpstreamConnection:
         """Return an idle or a new connection for one exchange.
 
         Parameters
@@ -63,16 +65,23 @@
             Upstream to connect to.
         repeatable : bool
             Whether the request may be repeated, which allows a longer idle time.
+        attempt_id : str or None
+            Id of the attempt. A connection that carried the id before is not used, nor
+            any other if it is empty, as a late copy could not be told from the answer.
+            None to use any.
 
         Raises
         ------
         OSError
             When no connection can be opened in time; nothing was sent.
         """
-        reused = self._reuse(upstream, repeatable)
+        reused = None
+        if attempt_id != "":
+            reused = self._reuse(upstream, repeatable, attempt_id)
         if reused is not None:
             # Another run may be registered at the address by now.
             reused.on_response = partial(self.on_response, upstream)
+            reused.attempt_ids.add(attempt_id or "")
             return reused
         loop = asyncio.get_running_loop()
         self.opened_count += 1
@@ -82,6 +91,7 @@
                 upstream.host,
                 upstream.port,
             )
+        conn.attempt_ids.add(attempt_id or "")
         return conn
 
     def release(self, upstream: Upstream, conn: UpstreamConnection) -> None:
@@ -126,7 +136,9 @@
         else:
             idle_conn.conn.close()
 
-    def _reuse(self, upstream: Upstream, repeatable: bool) -> UpstreamConnection | None:
+    def _reuse(
+        self, upstream: Upstream, repeatable: bool, attempt_id: str | None
+    ) -> UpstreamConnection | None:
         idle = self._idle.get((upstream.host, upstream.port))
         while idle:
             conn = idle.pop()
@@ -138,7 +150,8 @@
                 and _idle_seconds(conn) <= idle_timeout_s
                 and conn.is_quiet()
             ):
-                if repeatable or _idle_seconds(conn) <= UNREPEATABLE_IDLE_SECONDS:
+                is_recent = _idle_seconds(conn) <= UNREPEATABLE_IDLE_SECONDS
+                if (repeatable or is_recent) and attempt_id not in conn.attempt_ids:
                     return conn
                 idle.append(conn)
                 self._idle_count += 1
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -344,7 +344,7 @@
         try:
             await self._wait_for_limit(call, upstream)
             try:
-                conn = await self._pool.acquire(upstream, call.repeatable)
+                conn = await self._pool.acquire(upstream, call.repeatable, call.id)
             except (OSError, TimeoutError) as exc:
                 call.failed_connects += 1
                 self._record_unreachable(call, upstream, exc)
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -27,6 +27,9 @@
 MAX_SKIPPED_BYTES = 16 << 20
 """Bodies of late responses to earlier requests that are skipped before a response."""
 
+MAX_EXCHANGES = 1000
+"""Exchanges after which a connection is closed; it remembers the id of each."""
+
 _BODILESS_STATUSES = (204, 304)
 
 _ZERO_LINGER = struct.pack("ii", 1, 0)
@@ -185,7 +188,8 @@
 
     Responses that don't match the current request are skipped. Bytes received outside
     an exchange close the connection. After a response without an attempt id it is not
-    used again.
+    used again, and such a response to any but the first request breaks the exchange: it
+    may be a copy of an earlier one.
 
     Parameters
     ----------
@@ -201,6 +205,8 @@
     ) -> None:
         self.on_response = on_response
         self._sent_at = 0.0
+        self._exchange_count = 0
+        self.attempt_ids: set[str] = set()
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: Headers = []
@@ -246,6 +252,9 @@
         self._overhead.reset()
         self._skipped_bytes = 0
         self._sent_at = now()
+        self._exchange_count += 1
+        if self._exchange_count >= MAX_EXCHANGES:
+            self.reusable = False
         self._transport.write(data)
         return exchange
 
@@ -340,6 +349,9 @@
         self._skipping = not is_answer
         if self._skipping:
             return
+        if head.get(headers.ATTEMPT_ID) is None and self._exchange_count > 1:
+            self._fail(FailureCause.MALFORMED)
+            return
         self._in_body = head.status not in _BODILESS_STATUSES
         self._read_keep_alive(head)
         if head.get(headers.ATTEMPT_ID) is None:
--- a/tests/contract/test_gateway_departures.py
+++ b/tests/contract/test_gateway_departures.py
@@ -31,9 +31,9 @@
         self._upstream = upstream
         self._acquire = acquire
 
-    async def acquire(self, pool, upstream, repeatable):
+    async def acquire(self, pool, upstream, *args):
         """Return a connection, once it is released if it leads to the upstream."""
-        conn = await self._acquire(pool, upstream, repeatable)
+        conn = await self._acquire(pool, upstream, *args)
         if upstream.name == self._upstream:
             self.is_held.set()
             await self.released.wait()
@@ -56,7 +56,7 @@
         monkeypatch.setattr(
             ConnectionPool,
             "acquire",
-            lambda pool, upstream, repeatable: held.acquire(pool, upstream, repeatable),
+            lambda pool, upstream, *args: held.acquire(pool, upstream, *args),
         )
         address = vm_settings.caller_address
         conn = http.client.HTTPConnection(address.host, address.port, timeout=10.0)
--- a/tests/contract/test_upstream_pool.py
+++ b/tests/contract/test_upstream_pool.py
@@ -12,7 +12,11 @@
 from hypothesis import HealthCheck, example, given, settings, strategies as st
 from upstreams import make_upstream
 
-from oleandershift.io.forwarding import is_upstream_response, response_matcher
+from oleandershift.io.forwarding import (
+    is_upstream_response,
+    proves_not_run,
+    response_matcher,
+)
 from oleandershift.io.pool import ConnectionPool
 from oleandershift.io.upstreamconn import BrokenExchangeError
 
@@ -321,3 +325,110 @@
 
     responses, expected = asyncio.run(asyncio.wait_for(run(), WHOLE_TIMEOUT_SECONDS))
     assert responses == expected
+
+
+REFUSAL_WITH_ID = (
+    b"HTTP/1.1 503 Busy\r\noleandershift-not-executed: 1\r\n"
+    b"oleandershift-attempt-id: a1\r\ncontent-length: 0\r\n\r\n"
+)
+COPIES = {
+    "lost its id": REFUSAL_WITH_ID.replace(b"oleandershift-attempt-id: a1\r\n", b""),
+    "other status": b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n",
+    "whole": REFUSAL_WITH_ID,
+    "other id in capitals": REFUSAL_WITH_ID.replace(b"id: a1", b"id: A1"),
+}
+
+
+async def refuse_and_repeat(reader, writer, copy):
+    """Refuse the first request; send a changed copy ahead of the second answer."""
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(REFUSAL_WITH_ID)
+        head = await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(0.01)
+        attempt = head.split(b"id: ")[1].split(b"\r\n")[0]
+        writer.write(copy + make_response(attempt, SECOND_BODY))
+        await reader.readuntil(b"\r\n\r\n")
+    writer.close()
+
+
+async def proves_second_not_run(copy, second_id):
+    """Return whether the second of two requests is taken for not run."""
+    server = await asyncio.start_server(
+        lambda reader, writer: refuse_and_repeat(reader, writer, copy), "127.0.0.1", 0
+    )
+    upstream = make_upstream(port=server.sockets[0].getsockname()[1])
+    pool = ConnectionPool(max_idle=8)
+    found = []
+    for attempt in ("a1", second_id):
+        conn = await pool.acquire(upstream, True, attempt)
+        data = f"GET / HTTP/1.1\r\nhost: u\r\nid: {attempt}\r\n\r\n".encode()
+        pending = conn.send(data, response_matcher(attempt))
+        try:
+            async with asyncio.timeout(WHOLE_TIMEOUT_SECONDS):
+                found.append(proves_not_run(await pending.head))
+                assert await pending.read() in (b"", SECOND_BODY)
+        except BrokenExchangeError:
+            found.append(False)
+        finally:
+            pool.release(upstream, conn)
+    pool.close()
+    server.close()
+    assert found[0]
+    return found[1]
+
+
+@pytest.mark.parametrize("copy", COPIES.values(), ids=COPIES)
+def test_copy_of_a_refusal_does_not_prove_that_the_next_request_was_not_run(copy):
+    assert not uvloop.run(proves_second_not_run(copy, SECOND_ID))
+
+
+def test_copy_of_a_refusal_is_not_taken_for_that_of_a_repeated_id():
+    """The second request goes over a connection of its own, and is refused there."""
+    opened = uvloop.run(connections_for(["a1", "a1", "a2", "a1", "a2", "a3"]))
+    assert opened == [1, 2, 2, 3, 3, 3]
+
+
+async def connections_for(attempts):
+    """Return how many connections were opened after each of some requests."""
+
+    async def serve_all(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                attempt = head.split(b"id: ")[1].split(b"\r\n")[0]
+                writer.write(make_response(attempt, SECOND_BODY))
+        writer.close()
+
+    server = await asyncio.start_server(serve_all, "127.0.0.1", 0)
+    upstream = make_upstream(port=server.sockets[0].getsockname()[1])
+    pool, opened = ConnectionPool(max_idle=8), []
+    for attempt in attempts:
+        conn = await pool.acquire(upstream, True, attempt)
+        data = f"GET / HTTP/1.1\r\nhost: u\r\nid: {attempt}\r\n\r\n".encode()
+        pending = conn.send(data, response_matcher(attempt))
+        await pending.head
+        assert await pending.read() == SECOND_BODY
+        assert await pending.read() == b""
+        pool.release(upstream, conn)
+        opened.append(pool.opened_count)
+    pool.close()
+    server.close()
+    return opened
+
+
+def test_request_without_an_id_gets_a_connection_of_its_own():
+    async def opened_counts():
+        server = await asyncio.start_server(
+            lambda reader, writer: serve(reader, writer, Script(WHOLE, 0, False)),
+            "127.0.0.1",
+            0,
+        )
+        upstream = make_upstream(port=server.sockets[0].getsockname()[1])
+        pool = ConnectionPool(max_idle=8)
+        for attempt in ("a1", ""):
+            pool.release(upstream, await pool.acquire(upstream, True, attempt))
+        pool.close()
+        server.close()
+        return pool.opened_count
+
+    assert uvloop.run(opened_counts()) == 2
