Let no error of the next upstream become a part of a resumed stream

Callers found the text in the middle of their stream, which then ended as if it were complete; so it did where the answer had no event at all. An error status ended the stream although a third upstream could have gone on.

What resumes a stream must be an event stream by its content type, each of its events needs an id if earlier ones had one, and it must have an event. Otherwise the attempt counts as broken and the stream goes on at another upstream, if the route and the budget allow it, or looks incomplete. Events that were read together with the error are asked for again.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -8,12 +8,13 @@
 
 
 class EventOrderError(Exception):
-    """A stream skips or repeats an event, or contains an event that is too long.
+    """A stream skips or repeats an event, or contains something that is none.
 
     Parameters
     ----------
     expected, received : int
-        Ids of the events; `received` is 0 for an event that is too long.
+        Ids of the events; `received` is 0 for an event that is too long, or without an
+        id among events that have one.
     """
 
     def __init__(self, expected: int, received: int) -> None:
@@ -53,7 +54,8 @@
         Raises
         ------
         EventOrderError
-            If ids are not consecutive, or a partial event is too long.
+            If ids are not consecutive or missing, or a partial event is too long. None
+            of the events of `data` counts then.
         """
         data = self._partial + data
         end = data.rfind(SEPARATOR)
@@ -62,8 +64,13 @@
             return b""
         end += len(SEPARATOR)
         self._set_partial(data[end:])
-        for event in data[:end].split(SEPARATOR):
-            self._check_ids(event)
+        last_id, event_count = self.last_id, self.event_count
+        try:
+            for event in data[:end].split(SEPARATOR):
+                self._check_ids(event)
+        except EventOrderError:
+            self.last_id, self.event_count = last_id, event_count
+            raise
         return data[:end]
 
     def _set_partial(self, partial: bytes) -> None:
@@ -72,10 +79,16 @@
         self._partial = partial
 
     def _check_ids(self, event: bytes) -> None:
-        for line in event.split(b"\n"):
+        lines = event.split(b"\n")
+        has_id = False
+        for line in lines:
             name, _, value = line.partition(b":")
             if name == b"id" and value.strip().isdigit():
+                has_id = True
                 self._advance(int(value))
+        is_comment = all(not line or line.startswith(b":") for line in lines)
+        if self.last_id and not has_id and not is_comment:
+            raise EventOrderError(self.last_id + 1, 0)
 
     def _advance(self, received: int) -> None:
         if self.last_id and received != self.last_id + 1:
--- a/src/oleandershift/io/forwarding.py
+++ b/src/oleandershift/io/forwarding.py
@@ -66,6 +66,14 @@
     return None not in (head.get(headers.RESPONSE_SEAL), head.get(headers.ATTEMPT_ID))
 
 
+def is_event_stream(head: ResponseHead) -> bool:
+    """Return whether a response may be a series of events, by its content type."""
+    content_type = head.get(b"content-type")
+    return content_type is None or content_type.strip().lower().startswith(
+        b"text/event-stream"
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class BodyStart:
     """Start of a response body.
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -19,6 +19,7 @@
     BodyStart,
     declared_length,
     encode_request,
+    is_event_stream,
     is_upstream_response,
     proves_not_run,
     read_body_start,
@@ -483,8 +484,9 @@
         fields = response_headers(head)
         if head.status >= 500:
             self._record_health(call, upstream, False)
-            if call.repeatable and not res.started and start.is_whole:
-                call.failed_response = (head.status, fields, start.data)
+            if call.repeatable and start.is_whole:
+                if not res.started:
+                    call.failed_response = (head.status, fields, start.data)
                 return AttemptOutcome.FAILED
         else:
             self._record_health(call, upstream, True)
@@ -525,6 +527,10 @@
         res: Responder,
     ) -> AttemptOutcome:
         call.event_stream.discard_partial()
+        is_resumed = res.started
+        if is_resumed and not is_event_stream(head):
+            raise BrokenExchangeError(FailureCause.MALFORMED)
+        has_events = False
         while data := await exchange.read():
             try:
                 events = call.event_stream.feed(data)
@@ -535,11 +541,14 @@
                     upstream=upstream.name,
                     detail=str(exc),
                 )
+                if is_resumed and not has_events:
+                    raise BrokenExchangeError(FailureCause.MALFORMED) from exc
                 exchange.abandon()
                 res.abort()
                 return AttemptOutcome.ANSWERED
             if not events:
                 continue
+            has_events = True
             if in_flight.prefill_tokens:
                 self._loads.on_first_event(in_flight)
                 self._state.on_load_change()
@@ -548,10 +557,9 @@
                 res.start(head.status, response_headers(head))
             res.write(events)
             await res.drain()
-        has_no_event = call.answer_began_at is None
-        if not call.event_stream.is_at_boundary or (
-            exchange.ended_by_close and has_no_event
-        ):
+        # What resumes a stream and has no event may be an error without a text.
+        may_be_empty = not exchange.ended_by_close and not is_resumed
+        if not call.event_stream.is_at_boundary or not (has_events or may_be_empty):
             raise BrokenExchangeError(FailureCause.CLOSED)
         if not res.started:
             res.start(head.status, response_headers(head))
--- a/standins/behaviours.py
+++ b/standins/behaviours.py
@@ -11,7 +11,9 @@
     the execution, after it, within the response and before its last byte. `LEFTOVER`
     sends another response first; `UNFRAMED` sends no length. `END_IN_EVENT` and
     `END_EMPTY` also end a stream without a length within its second event and before
-    its first. `ENDLESS_…` send bytes until the caller closes.
+    its first. `ERROR_…` answer with 200 and an error: as JSON, as the text of a
+    response, or by an end without any event. `ENDLESS_…` send bytes until the caller
+    closes.
     """
 
     ANSWER = "answer"
@@ -26,6 +28,9 @@
     UNFRAMED = "unframed"
     END_IN_EVENT = "end-in-event"
     END_EMPTY = "end-empty"
+    ERROR_JSON = "error-json"
+    ERROR_TEXT = "error-text"
+    ERROR_EMPTY = "error-empty"
     ENDLESS_HEADER = "endless-header"
     ENDLESS_HEADERS = "endless-headers"
     ENDLESS_INTERIM = "endless-interim"
@@ -65,4 +70,14 @@
 }
 """Start of a response that never ends, and the bytes that are sent again and again."""
 
+ERROR_STREAMS = {
+    Behaviour.ERROR_JSON: ("application/json", b'{"error": "failed"}\n\n'),
+    Behaviour.ERROR_TEXT: (
+        "text/event-stream",
+        b"HTTP/1.1 500 Internal Server Error\nContent-Length: 5\n\nerror\n\n",
+    ),
+    Behaviour.ERROR_EMPTY: ("text/event-stream", b""),
+}
+"""Content type and body of a complete response to a stream that is an error."""
+
 UNFRAMED_STREAMS = (Behaviour.UNFRAMED, Behaviour.END_IN_EVENT, Behaviour.END_EMPTY)
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -8,6 +8,7 @@
 
 from standins.behaviours import (
     ENDLESS_BYTES,
+    ERROR_STREAMS,
     SLOW_BYTES,
     SLOW_BYTES_SECONDS,
     UNFRAMED_STREAMS,
@@ -103,6 +104,8 @@
         Response to requests for which none is queued.
     queued_behaviours : list of Behaviour
         Responses to the next requests.
+    resumed_behaviour : Behaviour or None
+        Response to requests that resume a stream; None for the same as to others.
     run : int
         Number of its run, from 1; each restart begins another one.
     is_leaving : bool
@@ -151,6 +154,7 @@
         self.behaviour = Behaviour.ANSWER
         self.queued_behaviours: list[Behaviour] = []
         self.is_leaving = False
+        self.resumed_behaviour: Behaviour | None = None
         self.limit: str | None = None
         self.retry_after: str | None = None
         self.received: list[ReceivedRequest] = []
@@ -243,6 +247,8 @@
                 if self.queued_behaviours
                 else self.behaviour
             )
+        if self.resumed_behaviour is not None and "Last-Event-Id" in exchange.headers:
+            behaviour = self.resumed_behaviour
         expected_instance = exchange.headers.get("Oleandershift-Expect-Instance")
         if expected_instance is not None and expected_instance != self.name:
             exchange.send_json(421, {}, {"Oleandershift-Instance-Id": self.name})
@@ -356,6 +362,12 @@
         first_event: int,
         behaviour: Behaviour,
     ) -> None:
+        if behaviour in ERROR_STREAMS:
+            content_type, body = ERROR_STREAMS[behaviour]
+            fields = {"Content-Type": content_type, "Content-Length": str(len(body))}
+            exchange.send_head(200, {**fields, **headers})
+            exchange.write(body)
+            return
         is_unframed = behaviour in UNFRAMED_STREAMS
         framing = (
             {"Connection": "close"} if is_unframed else {"Transfer-Encoding": "chunked"}
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -66,3 +66,28 @@
 def test_event_above_the_size_limit_raises(framer):
     with pytest.raises(EventOrderError):
         framer.feed(b"x" * (MAX_EVENT_BYTES + 1))
+
+
+def test_event_without_an_id_among_events_with_ids_raises(framer):
+    framer.feed(make_event(1))
+    with pytest.raises(EventOrderError, match="expected event 2"):
+        framer.feed(b'{"error": "failed"}\n\n')
+
+
+def test_comment_between_events_is_passed_on(framer):
+    data = make_event(1) + b": still there\n\n" + make_event(2)
+    assert framer.feed(data) == data
+
+
+def test_stream_without_ids_is_passed_on(framer):
+    data = b"data: x\n\ndata: y\n\n"
+    assert framer.feed(data) == data
+
+
+def test_disorder_leaves_the_events_before_it_to_the_next_attempt(framer):
+    framer.feed(make_event(1))
+    with pytest.raises(EventOrderError):
+        framer.feed(make_event(2) + b"error\n\n")
+    framer.discard_partial()
+    assert (framer.last_id, framer.event_count) == (1, 1)
+    assert framer.feed(make_event(2)) == make_event(2)
