Let what a restarted upstream says before its registration hold for it

Its word was counted for the run that was registered, and the next run started anew.

The Unix time of each word is kept. When a later run registers, the words that were heard after its start hold for it: leaving, away and, new, its limit.

--- a/src/oleandershift/allowances.py
+++ b/src/oleandershift/allowances.py
@@ -246,6 +246,14 @@
             self._buckets[word.run] = _Bucket(0.0, word.said_at)
         return (known is None or known.limit is None) != (word.limit is None)
 
+    def carry_over(self, previous: UpstreamRun, run: UpstreamRun) -> None:
+        """Let the limit of a run hold for a later one of the same upstream."""
+        word = self._words.pop(previous, None)
+        if word is not None and word.limit is not None:
+            later = word._replace(run=run)
+            self._own_words[run] = later
+            self._merge(later, is_local=True)
+
     def limit(self, now: float, run: UpstreamRun) -> float | None:
         """Return the limit of an upstream in requests a second; None without one."""
         word = self._words.get(run)
--- a/src/oleandershift/io/clock.py
+++ b/src/oleandershift/io/clock.py
@@ -8,6 +8,11 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def unix_ms() -> float:
+    """Return the Unix time in milliseconds, as upstreams name their start."""
+    return time.time() * 1000.0
+
+
 def remaining(deadline: float) -> float:
     """Return the seconds until a deadline; 0 when it has passed."""
     return max(0.0, deadline - now())
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -13,7 +13,7 @@
 from oleandershift.exceptions import CallerLeftError
 from oleandershift.io.call import AttemptOutcome, Call
 from oleandershift.io.callers import CallerRequest, Headers, Responder
-from oleandershift.io.clock import now, remaining
+from oleandershift.io.clock import now, remaining, unix_ms
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.forwarding import (
     BodyStart,
@@ -56,6 +56,7 @@
     LeavingReport,
     LeavingSource,
     LimitReport,
+    WordKind,
 )
 
 CATCH_UP_PAUSE_SECONDS = 0.01
@@ -626,10 +627,13 @@
         standings = self._state.standings
         request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
         if head.get(headers.UPSTREAM_LEAVING) == b"1":
+            self._state.on_word(upstream.run, WordKind.LEAVING, unix_ms())
             report = LeavingReport(upstream.run, LeavingSource.RESPONSE, request)
             self._state.record_leaving(report)
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
             away_s = parse_away_seconds(head.get(headers.RETRY_AFTER))
+            if away_s is not None:
+                self._state.on_word(upstream.run, WordKind.AWAY, unix_ms())
             if away_s is not None and standings.on_turned_away(
                 now(), upstream.run, away_s
             ):
@@ -648,6 +652,8 @@
         limit = parse_limit(values)
         if limit is None and values:
             return
+        if limit is not None:
+            self._state.on_word(upstream.run, WordKind.LIMIT, unix_ms())
         if self._state.allowances.on_answer(instant, upstream.run, limit, sent_at):
             request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
             word = LimitWord(upstream.run, limit, instant)
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -7,7 +7,7 @@
 from returns.result import Failure
 
 from oleandershift.digests import SnapshotRequest, StoreSnapshot
-from oleandershift.directory import RemovalGrace, Upstream
+from oleandershift.directory import RemovalGrace, Upstream, UpstreamRun
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import UpstreamId
 from oleandershift.io.clock import now
@@ -37,7 +37,7 @@
     view : FleetView
         Configuration and upstreams to update.
     on_restart : callable
-        Called with the name of an upstream whose process has restarted.
+        Called with two runs of an upstream when the second replaces the first.
     log : DecisionLog
         Receives applied and rejected changes.
     metrics : GatewayMetrics
@@ -47,7 +47,7 @@
     def __init__(
         self,
         view: FleetView,
-        on_restart: Callable[[UpstreamId], None],
+        on_restart: Callable[[UpstreamRun, UpstreamRun], None],
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
@@ -372,7 +372,7 @@
     def _detect_restart(self, entry: Upstream) -> None:
         previous = self._view.directory.get(entry.name)
         if previous is not None and previous.run != entry.run:
-            self._on_restart(entry.name)
+            self._on_restart(previous.run, entry.run)
 
 
 def _removal_grace(snapshot: StoreSnapshot) -> RemovalGrace | None:
--- a/src/oleandershift/standings.py
+++ b/src/oleandershift/standings.py
@@ -67,6 +67,11 @@
         self._away_until[run] = max(away_until, self._away_until.get(run, -math.inf))
         return not was_away
 
+    def carry_over(self, previous: UpstreamRun, run: UpstreamRun) -> None:
+        """Let what a run wants hold for a later one of the same upstream."""
+        if previous in self._away_until:
+            self._away_until[run] = self._away_until[previous]
+
     def accepts(self, now: float, run: UpstreamRun) -> bool:
         """Return whether an upstream may get a request."""
         return self._away_until.get(run, now) <= now
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -16,6 +16,9 @@
 from oleandershift.quarantine import PartChange, PromptQuarantine, QuarantineLimits
 from oleandershift.standings import UpstreamStandings
 
+MAX_WORDS = 4096
+"""Limit of the words whose time is remembered; the oldest are forgotten."""
+
 
 class LeavingSource(Enum):
     """How a VM learned that an upstream leaves, other than from the store."""
@@ -43,6 +46,14 @@
     informant: str
 
 
+class WordKind(Enum):
+    """What an upstream says of itself in a response."""
+
+    LEAVING = "leaving"
+    AWAY = "away"
+    LIMIT = "limit"
+
+
 @dataclass(frozen=True, slots=True)
 class LimitReport:
     """An upstream's word that begins or ends a limit on its requests.
@@ -109,6 +120,8 @@
     def __post_init__(self) -> None:
         peers = self.peers
         self.allowances = Allowances(peers.vm, peers.data_centre, peers.fleet)
+        # Unix time in milliseconds of the latest word of each kind.
+        self._heard_at: dict[tuple[UpstreamRun, WordKind], float] = {}
 
     @property
     def eligibility(self) -> Eligibility:
@@ -132,6 +145,42 @@
         """Return the upstreams that any VM found absent from their address."""
         return self.absences.absent(now) | self.peers.absent(now)
 
+    def on_word(self, run: UpstreamRun, kind: WordKind, unix_ms: float) -> None:
+        """Record when a response said something of its upstream.
+
+        Parameters
+        ----------
+        run : UpstreamRun
+            The upstream, as registered; a later run may have sent the response.
+        kind : WordKind
+            What it said.
+        unix_ms : float
+            Current Unix time, milliseconds.
+        """
+        self._heard_at.pop((run, kind), None)
+        self._heard_at[run, kind] = unix_ms
+        if len(self._heard_at) > MAX_WORDS:
+            del self._heard_at[next(iter(self._heard_at))]
+
+    def on_restart(self, previous: UpstreamRun, run: UpstreamRun) -> None:
+        """Record that another run of an upstream is registered.
+
+        What was heard after its start, and so counted for the run before, holds for it.
+        """
+        self.loads.clear_cache(run.upstream)
+        for kind in WordKind:
+            heard_at = self._heard_at.get((previous, kind))
+            if heard_at is None or not 0 < run.incarnation <= heard_at:
+                continue
+            if kind is WordKind.LEAVING:
+                self.record_leaving(
+                    LeavingReport(run, LeavingSource.RESPONSE, "before registration")
+                )
+            elif kind is WordKind.AWAY:
+                self.standings.carry_over(previous, run)
+            else:
+                self.allowances.carry_over(previous, run)
+
     def record_leaving(self, report: LeavingReport) -> None:
         """Record that an upstream leaves, and announce it if that was not known."""
         if self.view.directory.on_leaving(report.run):
--- a/tests/integration/test_gateway_restarted_upstream.py
+++ b/tests/integration/test_gateway_restarted_upstream.py
@@ -108,3 +108,33 @@
     register()
     time.sleep(AWAY_NOTICE_SECONDS)
     assert arrivals_of_calls(gateway, restarted) <= MAX_REQUESTS_WHILE_AWAY
+
+
+def test_limit_named_before_the_registration_is_read_holds_for_the_new_run(
+    fleet, gateway, restarted, register
+):
+    restarted.limit = "1"
+    before = len(restarted.received)
+    wait_until(
+        lambda: gateway.call("/read/x", "a") and len(restarted.received) > before,
+        "it names its limit",
+    )
+    register()
+    limited = "oleander_upstreams_limited 1.0"
+    wait_until(lambda: limited in gateway.metrics(), "the limit is known")
+    assert arrivals_of_calls(gateway, restarted) <= 3
+
+
+def test_word_of_the_run_before_does_not_hold_for_the_next(fleet, gateway):
+    engine = fleet.engines["e1"]
+    wait_until(lambda: gateway.call("/read/x", "a") and engine.received, "it is used")
+    turn_away(gateway, engine)
+    engine.restart_seconds = 0.1
+    engine.restart()
+    wait_until(lambda: engine.run == 2, "it is restarted")
+    fleet.store.put("servers", "e1", engine.entry("model", "one"))
+    before = len(engine.received)
+    wait_until(
+        lambda: gateway.call("/read/x", "b") and len(engine.received) > before,
+        "the new run is used",
+    )
--- a/tests/storereaders.py
+++ b/tests/storereaders.py
@@ -43,7 +43,7 @@
         self.clock = clock
         self.view = FleetView(grace_s)
         self.sync = StoreSync(
-            self.view, lambda name: None, SilentLog(), GatewayMetrics()
+            self.view, lambda previous, run: None, SilentLog(), GatewayMetrics()
         )
 
     def read_list(self, revision, *records):
--- a/tests/test_departure_times.py
+++ b/tests/test_departure_times.py
@@ -229,7 +229,9 @@
         self.state = FleetState(
             self.peers, self.view, LoadTracker(10.0), DemandMeter(4.0)
         )
-        self.sync = StoreSync(self.view, lambda name: None, SilentLog(), METRICS)
+        self.sync = StoreSync(
+            self.view, lambda previous, run: None, SilentLog(), METRICS
+        )
         self.exchange = DigestExchange(self.peer, Incarnation(1), self.state)
         # Stretched times.
         self.loop_delay_s = 0.0
