Give scarce places at limited upstreams to large prompts

A place at a limited upstream now costs a prompt that is smaller than the mean of its service up to 0.4 s in the choice. Without a limit nothing changes.

--- a/src/oleandershift/placement.py
+++ b/src/oleandershift/placement.py
@@ -8,7 +8,7 @@
 
 from oleandershift.directory import Upstream, UpstreamRun
 from oleandershift.hashing import ranked
-from oleandershift.ids import DataCentreId, RegionId, UpstreamId
+from oleandershift.ids import DataCentreId, RegionId, ServiceId, UpstreamId
 from oleandershift.prompts import PrefixPart, Prompt
 from oleandershift.routing import Service
 
@@ -50,6 +50,14 @@
 """Weight of a predicted delay above `LATE_FRACTION`: a late response has a third of its
 full value."""
 
+LIMITED_SLOT_SECONDS = 0.4
+"""Cost of a request's place at an upstream that limits the number of its requests, for
+one without a prompt; a prompt of the mean size or more has none. Places that are scarce
+go to the requests that spare the other upstreams the most work."""
+
+MEAN_SIZE_WEIGHT = 0.01
+"""Weight of the latest prompt in the mean size of a service's prompts."""
+
 MAX_CACHED_PARTS = 4096
 """Maximum number of prefix parts tracked per upstream."""
 
@@ -289,6 +297,7 @@
     def __init__(self, loads: LoadTracker, location: Location) -> None:
         self._loads = loads
         self._location = location
+        self._mean_tokens: dict[ServiceId, float] = {}
 
     def choose(
         self,
@@ -324,6 +333,7 @@
             return min(
                 plain_choices, key=lambda item: (item.first_byte_s, item.upstream.name)
             )
+        relative_size = self._relative_size(service, prompt)
         ranking = _rank(candidates, prompt)
         choices = [
             self._predict_generation(now, item, prompt, rank, waits)
@@ -332,8 +342,21 @@
         costs = [
             _cost(item, rank, prompt, target_s) for rank, item in enumerate(choices)
         ]
+        if waits:
+            slot_s = LIMITED_SLOT_SECONDS * max(0.0, 1.0 - relative_size)
+            costs = [
+                cost + slot_s * (item.upstream.run in waits)
+                for cost, item in zip(costs, choices, strict=True)
+            ]
         return choices[costs.index(min(costs))]
 
+    def _relative_size(self, service: Service, prompt: Prompt) -> float:
+        """Return the size of a prompt by the mean of its service, and count it."""
+        mean = self._mean_tokens.get(service.name, prompt.tokens)
+        mean += MEAN_SIZE_WEIGHT * (prompt.tokens - mean)
+        self._mean_tokens[service.name] = mean
+        return prompt.tokens / max(1.0, mean)
+
     def _predict_plain(
         self, upstream: Upstream, waits: Mapping[UpstreamRun, float]
     ) -> Choice:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -168,3 +168,58 @@
     assert (
         placement.choose(0.0, PLAIN, [far, near], None, TARGET_SECONDS).upstream == near
     )
+
+
+def chosen_names(placement, waits, shared_tokens, unique_tokens, count=20):
+    """Return the engines that a number of prompts of different prefixes get."""
+    engines = [make_upstream("limited"), make_upstream("free")]
+    return [
+        placement.choose(
+            0.0,
+            ENGINE,
+            engines,
+            Prompt(
+                shared_tokens + unique_tokens,
+                100,
+                80,
+                (
+                    PrefixPart(f"p{n}", shared_tokens),
+                    PrefixPart(f"u{n}", unique_tokens),
+                ),
+            ),
+            TARGET_SECONDS,
+            waits,
+        ).upstream.name
+        for n in range(count)
+    ]
+
+
+@pytest.fixture
+def limited():
+    return {make_upstream("limited").run: 0.0}
+
+
+def test_places_at_a_limited_engine_go_to_large_prompts(placement, limited):
+    for _ in range(10):
+        chosen_names(placement, {}, 0, 1_000)
+        chosen_names(placement, {}, 0, 11_000)
+    small = chosen_names(placement, limited, 0, 1_000)
+    large = chosen_names(placement, limited, 0, 11_000)
+    assert small == ["free"] * len(small)
+    assert set(large) == {"limited", "free"}
+
+
+def test_small_prompt_takes_a_place_at_a_limited_engine_if_the_others_are_late(
+    placement, loads, limited
+):
+    loads.set_remote({UpstreamId("free"): Load(running=20, prefill_tokens=60_000)})
+    for _ in range(10):
+        chosen_names(placement, {}, 0, 11_000)
+    small = chosen_names(placement, limited, 0, 1_000)
+    assert small == ["limited"] * len(small)
+
+
+def test_wait_for_a_limit_counts_as_delay(placement):
+    waits = {make_upstream("limited").run: 1.0}
+    chosen = chosen_names(placement, waits, 0, 6_000)
+    assert chosen == ["free"] * len(chosen)
