Add no removed upstream again by a report that was sent before its last

DRAIN: a report that an upstream had sent before its registration ended, and that the store carried out after it, added the upstream again until the store dropped it, and it got new requests meanwhile. The sequence number of reports was not kept.

A removal remembers the number of the last known report of its run; one with a lower number adds nothing.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -69,6 +69,8 @@
         Requests that it runs concurrently.
     state : UpstreamState
         Whether it accepts new requests.
+    sequence : int
+        Number of the report that it sent last; 0 if unknown.
     """
 
     name: UpstreamId
@@ -79,6 +81,7 @@
     data_centre: DataCentreId
     slots: int
     state: UpstreamState
+    sequence: int = 0
 
     @property
     def run(self) -> UpstreamRun:
@@ -93,6 +96,8 @@
     incarnation: int | None
     # Removed by the store around an outage, perhaps only as its report was missed.
     in_outage: bool
+    # Of the last known report.
+    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -250,7 +255,8 @@
     def update(self, position: StorePosition, entry: Upstream) -> bool:
         """Add or replace an entry; return False if the change is known already.
 
-        A change from before the removal of an entry does not add it again.
+        A change from before the removal of an entry does not add it again, nor does a
+        report that was sent before and reached the store after it.
         """
         removal = self._removals.get(entry.name)
         known_position = max(
@@ -260,6 +266,8 @@
         )
         if position <= known_position or self._is_superseded(entry):
             return False
+        if removal is not None and _is_late_report(removal, entry):
+            return False
         self._store(position, entry)
         self.position = max(self.position, position)
         return True
@@ -420,12 +428,18 @@
         known = self._removals.pop(name, None)
         entry = self._entries.get(name)
         incarnation = entry.incarnation if entry is not None else None
+        sequence = entry.sequence if entry is not None else 0
         if known is not None:
             position = max(position, known.position)
-            incarnation = known.incarnation if incarnation is None else incarnation
+            if entry is None:
+                incarnation, sequence = known.incarnation, known.sequence
         # The dictionary stays in the order of the instants.
         self._removals[name] = _Removal(
-            position, now + REMOVAL_MEMORY_SECONDS, incarnation, self._is_outage(now)
+            position,
+            now + REMOVAL_MEMORY_SECONDS,
+            incarnation,
+            self._is_outage(now),
+            sequence,
         )
 
     def _was_removed(self, changed: StorePosition, entry: Upstream) -> bool:
@@ -510,3 +524,11 @@
     def _reregistered_at(self) -> float:
         """Time by which registrations that lapsed in the last outage are renewed."""
         return self._recovered_at + REREGISTRATION_SECONDS
+
+
+def _is_late_report(removal: _Removal, entry: Upstream) -> bool:
+    """Return whether a report was sent before the last one of the removed entry."""
+    return (
+        removal.incarnation == entry.incarnation
+        and 0 < entry.sequence < removal.sequence
+    )
--- a/src/oleandershift/platform/upstreams.py
+++ b/src/oleandershift/platform/upstreams.py
@@ -22,6 +22,7 @@
     state: UpstreamState
     # Start time of the upstream's process, in Unix milliseconds; sent in digests.
     born: Annotated[int, msgspec.Meta(le=MAX_INTEGER)] = 0
+    sequence: int = 0
 
 
 def decode(name: str, spec: object) -> Result[Upstream, Finding]:
@@ -42,5 +43,6 @@
             data_centre=DataCentreId(raw.zone),
             slots=raw.slots,
             state=raw.state,
+            sequence=raw.sequence,
         )
     )
