--- a/src/oleandershift/io/registry.py
+++ b/src/oleandershift/io/registry.py
@@ -98,9 +98,7 @@
         next_read = now()
         while True:
             if self._known_era() > self._registered_era:
-                await asyncio.sleep(self._rng.uniform(0.0, self._spread_s()))
-                await self._call_until_success(self._register)
-                self._log.info("registry.renewed", era=self._registered_era)
+                await self._renew()
                 # Whoever registers later finds whoever did before, who may be unknown
                 # to it otherwise.
                 next_read = now()
@@ -112,9 +110,12 @@
                 next_read = now() + REFRESH_INTERVAL_SECONDS
             await asyncio.sleep(ROLE_CHECK_SECONDS)
 
-    def _spread_s(self) -> float:
-        """Return the seconds over which all VMs register again."""
-        return self._peers.known_count(now()) / MAX_REREGISTRATIONS_PER_SECOND
+    async def _renew(self) -> None:
+        """Register this VM again, at an instant that the VMs spread."""
+        spread_s = self._peers.known_count(now()) / MAX_REREGISTRATIONS_PER_SECOND
+        await asyncio.sleep(self._rng.uniform(0.0, spread_s))
+        await self._call_until_success(self._register)
+        self._log.info("registry.renewed", era=self._registered_era)
 
     async def _call_until_success(
         self, call: Callable[[], StoreFailure | None]
