Name what upstreams announce of their limits by plain terms

A reader of the new modules met 'words' for what upstreams say of themselves. AnnouncedLimit, AnnouncementKind and own, local and all limits say what they hold; nothing else changes.

--- a/src/oleandershift/allowances.py
+++ b/src/oleandershift/allowances.py
@@ -23,11 +23,11 @@
 """A limit of L requests a second is divided among L and this many VMs at most. Each may
 send one request at any instant, so that more VMs could exceed the limit at once."""
 
-WORD_TTL_SECONDS = 30.0
+LIMIT_TTL_SECONDS = 30.0
 """Time without an answer of an upstream after which its limit is forgotten."""
 
 ANNOUNCED_SECONDS = 5.0
-"""Time for which a word is passed on after this VM or its data centre has heard it."""
+"""Time for which a limit is passed on after a VM of the data centre has heard it."""
 
 NEED_WINDOW_SECONDS = 2.0
 """Time constant of the average rate at which a VM needs a service."""
@@ -68,7 +68,7 @@
     return min(rate, MAX_LIMIT)
 
 
-class LimitWord(NamedTuple):
+class AnnouncedLimit(NamedTuple):
     """What an upstream said last of its limit.
 
     Parameters
@@ -165,9 +165,9 @@
 class Allowances:
     """Limits that upstreams have named, and what this VM may send under them.
 
-    A limit holds for one run of an upstream, for as long as it says so. The latest word
-    holds, whoever heard it. It is divided among the VMs in proportion to their need of
-    the service, as far as that is known, else evenly.
+    A limit holds for one run of an upstream, for as long as it says so. What it
+    announced last holds, whoever heard it. It is divided among the VMs in proportion to
+    their need of the service, as far as that is known, else evenly.
 
     Parameters
     ----------
@@ -188,9 +188,9 @@
         self._fleet = fleet
         self._others_need: dict[ServiceId, float] = {}
         self._others_known_until = -math.inf
-        self._words: dict[UpstreamRun, LimitWord] = {}
-        self._own_words: dict[UpstreamRun, LimitWord] = {}
-        self._local_words: dict[UpstreamRun, LimitWord] = {}
+        self._limits: dict[UpstreamRun, AnnouncedLimit] = {}
+        self._own_limits: dict[UpstreamRun, AnnouncedLimit] = {}
+        self._local_limits: dict[UpstreamRun, AnnouncedLimit] = {}
         self._buckets: dict[UpstreamRun, _Bucket] = {}
         self._needs: dict[ServiceId, _DecayingRate] = {}
         self._rates: dict[UpstreamRun, tuple[float, float]] = {}
@@ -212,54 +212,54 @@
             Time at which the answered request was sent, seconds. An answer without a
             limit may have been on its way when another one named it.
         """
-        known = self._words.get(run)
+        known = self._limits.get(run)
         if limit is None and (
             known is None or known.limit is None or sent_at <= known.said_at
         ):
             return False
-        word = LimitWord(run, limit, now)
-        self._own_words[run] = word
-        return self._merge(word, is_local=True)
+        announced = AnnouncedLimit(run, limit, now)
+        self._own_limits[run] = announced
+        return self._merge(announced, is_local=True)
 
-    def on_notice(self, word: LimitWord, *, is_local: bool) -> bool:
-        """Record a word that another VM passes on; return whether a limit changes.
+    def on_notice(self, announced: AnnouncedLimit, *, is_local: bool) -> bool:
+        """Record what another VM passes on; return whether a limit begins or ends.
 
         Parameters
         ----------
-        word : LimitWord
-            The word.
+        announced : AnnouncedLimit
+            What an upstream announced.
         is_local : bool
             Whether a VM of this data centre has heard it itself.
         """
-        return self._merge(word, is_local)
+        return self._merge(announced, is_local)
 
-    def _merge(self, word: LimitWord, is_local: bool) -> bool:
-        known = self._words.get(word.run)
-        if known is not None and known.said_at >= word.said_at:
+    def _merge(self, announced: AnnouncedLimit, is_local: bool) -> bool:
+        known = self._limits.get(announced.run)
+        if known is not None and known.said_at >= announced.said_at:
             return False
-        self._words[word.run] = word
+        self._limits[announced.run] = announced
         if is_local:
-            self._local_words[word.run] = word
-        if known is None or known.limit != word.limit:
-            self._rates.pop(word.run, None)
-        if word.limit is not None and word.run not in self._buckets:
-            self._buckets[word.run] = _Bucket(0.0, word.said_at)
-        return (known is None or known.limit is None) != (word.limit is None)
+            self._local_limits[announced.run] = announced
+        if known is None or known.limit != announced.limit:
+            self._rates.pop(announced.run, None)
+        if announced.limit is not None and announced.run not in self._buckets:
+            self._buckets[announced.run] = _Bucket(0.0, announced.said_at)
+        return (known is None or known.limit is None) != (announced.limit is None)
 
     def carry_over(self, previous: UpstreamRun, run: UpstreamRun) -> None:
         """Let the limit of a run hold for a later one of the same upstream."""
-        word = self._words.pop(previous, None)
-        if word is not None and word.limit is not None:
-            later = word._replace(run=run)
-            self._own_words[run] = later
+        announced = self._limits.pop(previous, None)
+        if announced is not None and announced.limit is not None:
+            later = announced._replace(run=run)
+            self._own_limits[run] = later
             self._merge(later, is_local=True)
 
     def limit(self, now: float, run: UpstreamRun) -> float | None:
         """Return the limit of an upstream in requests a second; None without one."""
-        word = self._words.get(run)
-        if word is None or now - word.said_at > WORD_TTL_SECONDS:
+        announced = self._limits.get(run)
+        if announced is None or now - announced.said_at > LIMIT_TTL_SECONDS:
             return None
-        return word.limit
+        return announced.limit
 
     def wait_s(self, now: float, upstream: Upstream) -> float:
         """Return the seconds until this VM may send an upstream a request."""
@@ -275,7 +275,7 @@
         self, now: float, upstreams: Iterable[Upstream]
     ) -> dict[UpstreamRun, float]:
         """Return for the limited ones of some upstreams what `wait_s` does."""
-        if not self._words:
+        if not self._limits:
             return {}
         return {
             item.run: self.wait_s(now, item)
@@ -311,36 +311,36 @@
         return {name: rate.per_second(now) for name, rate in self._needs.items()}
 
     @property
-    def has_words(self) -> bool:
+    def has_limits(self) -> bool:
         """Return whether an upstream has named a limit lately, also if it has ended."""
-        return bool(self._words)
+        return bool(self._limits)
 
-    def words(self, now: float) -> list[LimitWord]:
+    def limits(self, now: float) -> list[AnnouncedLimit]:
         """Return what any VM has heard lately, the newest first."""
-        return _latest(now, self._words)
+        return _latest(now, self._limits)
 
     def limited_runs(self, now: float) -> list[UpstreamRun]:
         """Return the upstreams that have a limit."""
-        return [run for run in self._words if self.limit(now, run) is not None]
+        return [run for run in self._limits if self.limit(now, run) is not None]
 
-    def own_words(self, now: float) -> list[LimitWord]:
+    def own_limits(self, now: float) -> list[AnnouncedLimit]:
         """Return what this VM has heard lately, the newest first."""
-        return _latest(now, self._own_words)
+        return _latest(now, self._own_limits)
 
-    def local_words(self, now: float) -> list[LimitWord]:
+    def local_limits(self, now: float) -> list[AnnouncedLimit]:
         """Return what the VMs of this data centre have heard lately, newest first."""
-        return _latest(now, self._local_words)
+        return _latest(now, self._local_limits)
 
     def expire(self, now: float) -> None:
-        """Forget words that are too old."""
-        for words in (self._words, self._own_words, self._local_words):
+        """Forget limits that are too old."""
+        for limits in (self._limits, self._own_limits, self._local_limits):
             for run in [
                 run
-                for run, word in words.items()
-                if now - word.said_at > WORD_TTL_SECONDS
+                for run, announced in limits.items()
+                if now - announced.said_at > LIMIT_TTL_SECONDS
             ]:
-                del words[run]
-        for run in [run for run in self._buckets if run not in self._words]:
+                del limits[run]
+        for run in [run for run in self._buckets if run not in self._limits]:
             del self._buckets[run]
             self._rates.pop(run, None)
 
@@ -375,11 +375,13 @@
         return own / (own + others)
 
 
-def _latest(now: float, words: Mapping[UpstreamRun, LimitWord]) -> list[LimitWord]:
+def _latest(
+    now: float, limits: Mapping[UpstreamRun, AnnouncedLimit]
+) -> list[AnnouncedLimit]:
     latest = [
-        word for word in words.values() if now - word.said_at <= ANNOUNCED_SECONDS
+        item for item in limits.values() if now - item.said_at <= ANNOUNCED_SECONDS
     ]
-    return sorted(latest, key=lambda word: word.said_at, reverse=True)
+    return sorted(latest, key=lambda item: item.said_at, reverse=True)
 
 
 @dataclass(slots=True)
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -217,8 +217,8 @@
             self._notice_exchange.receive(instant, message)
             return
         if isinstance(message, LimitNotice):
-            for word in self._limit_exchange.receive(instant, message):
-                self._state.on_limit(LimitReport(word, f"VM {message.vm}"))
+            for announced in self._limit_exchange.receive(instant, message):
+                self._state.on_limit(LimitReport(announced, f"VM {message.vm}"))
             return
         if not Address(message.host, message.port).is_valid:
             why = f"no address to send to: {message.host}:{message.port}"
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 
 from oleandershift.absences import AbsenceProof
-from oleandershift.allowances import LimitWord, parse_limit
+from oleandershift.allowances import AnnouncedLimit, parse_limit
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.directory import Upstream
 from oleandershift.eventframes import EventOrderError
@@ -52,11 +52,11 @@
 )
 from oleandershift.standings import parse_away_seconds
 from oleandershift.state import (
+    AnnouncementKind,
     FleetState,
     LeavingReport,
     LeavingSource,
     LimitReport,
-    WordKind,
 )
 
 CATCH_UP_PAUSE_SECONDS = 0.01
@@ -627,13 +627,13 @@
         standings = self._state.standings
         request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
         if head.get(headers.UPSTREAM_LEAVING) == b"1":
-            self._state.on_word(upstream.run, WordKind.LEAVING, unix_ms())
+            self._record_announcement(upstream, AnnouncementKind.LEAVING)
             report = LeavingReport(upstream.run, LeavingSource.RESPONSE, request)
             self._state.record_leaving(report)
         if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
             away_s = parse_away_seconds(head.get(headers.RETRY_AFTER))
             if away_s is not None:
-                self._state.on_word(upstream.run, WordKind.AWAY, unix_ms())
+                self._record_announcement(upstream, AnnouncementKind.AWAY)
             if away_s is not None and standings.on_turned_away(
                 now(), upstream.run, away_s
             ):
@@ -644,6 +644,9 @@
                     away_s=away_s,
                 )
 
+    def _record_announcement(self, upstream: Upstream, kind: AnnouncementKind) -> None:
+        self._state.on_announcement(upstream.run, kind, unix_ms())
+
     def _record_limit(
         self, upstream: Upstream, head: ResponseHead, sent_at: float
     ) -> None:
@@ -653,19 +656,19 @@
         if limit is None and values:
             return
         if limit is not None:
-            self._state.on_word(upstream.run, WordKind.LIMIT, unix_ms())
+            self._record_announcement(upstream, AnnouncementKind.LIMIT)
         if self._state.allowances.on_answer(instant, upstream.run, limit, sent_at):
             request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
-            word = LimitWord(upstream.run, limit, instant)
-            self._on_limit(LimitReport(word, request))
+            announced = AnnouncedLimit(upstream.run, limit, instant)
+            self._on_limit(LimitReport(announced, request))
 
     def _on_limit(self, report: LimitReport) -> None:
-        word = report.word
-        has_begun = word.limit is not None
+        announced = report.announced
+        has_begun = announced.limit is not None
         self._log.info(
             "upstream.limited" if has_begun else "upstream.unlimited",
-            upstream=word.run.upstream,
-            limit_per_s=word.limit,
+            upstream=announced.run.upstream,
+            limit_per_s=announced.limit,
             informant=report.informant,
         )
 
--- a/src/oleandershift/limitnotices.py
+++ b/src/oleandershift/limitnotices.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import TypeVar
 
-from oleandershift.allowances import NEED_TTL_SECONDS, Allowances, LimitWord
+from oleandershift.allowances import NEED_TTL_SECONDS, Allowances, AnnouncedLimit
 from oleandershift.digests import LimitEntry, LimitNotice, Scope, ServiceNeed
 from oleandershift.directory import UpstreamRun
 from oleandershift.ids import DataCentreId, ServiceId, VmId
@@ -63,8 +63,8 @@
         self._by_data_centre: dict[DataCentreId, _ReceivedNeeds] = {}
         self._due_at = 0.0
 
-    def receive(self, now: float, notice: LimitNotice) -> list[LimitWord]:
-        """Apply another VM's notice; return the words that begin or end a limit."""
+    def receive(self, now: float, notice: LimitNotice) -> list[AnnouncedLimit]:
+        """Apply another VM's notice; return those that begin or end."""
         is_local = notice.data_centre == self._this_vm.data_centre
         needs = {
             need.service: max(0, need.thousandths) / THOUSANDTHS
@@ -79,24 +79,24 @@
             self._by_vm[notice.vm] = received
         elif not is_local:
             self._by_data_centre[notice.data_centre] = received
-        words = [_to_word(now, entry) for entry in notice.limits]
+        limits = [_to_limit(now, entry) for entry in notice.limits]
         heard_here = is_local and notice.scope is Scope.VM
         return [
-            word
-            for word in words
-            if self._allowances.on_notice(word, is_local=heard_here)
+            announced
+            for announced in limits
+            if self._allowances.on_notice(announced, is_local=heard_here)
         ]
 
     def next_notices(self, now: float) -> list[AddressedLimitNotice]:
         """Return the notices to send now, if they are due."""
-        if now < self._due_at or not self._allowances.has_words:
+        if now < self._due_at or not self._allowances.has_limits:
             return []
         self._due_at = now + NOTICE_INTERVAL_SECONDS
         hub = self._peers.local_hub(now)
         if hub is not None:
-            words = self._allowances.own_words(now)
+            limits = self._allowances.own_limits(now)
             needs = self._allowances.needs(now)
-            return [self._address(now, Scope.VM, words, needs, [hub])]
+            return [self._address(now, Scope.VM, limits, needs, [hub])]
         self._by_vm = _recent(now, self._by_vm)
         self._by_data_centre = _recent(now, self._by_data_centre)
         local = [item.needs for item in self._by_vm.values()]
@@ -107,14 +107,14 @@
             self._address(
                 now,
                 Scope.DATA_CENTRE,
-                self._allowances.local_words(now),
+                self._allowances.local_limits(now),
                 _total([own, *local]),
                 self._peers.remote_hubs(now, all_members=False),
             ),
             self._address(
                 now,
                 Scope.FLEET,
-                self._allowances.words(now),
+                self._allowances.limits(now),
                 _total([own, *local, *remote]),
                 self._peers.local_peers(now),
             ),
@@ -124,7 +124,7 @@
         self,
         now: float,
         scope: Scope,
-        words: Iterable[LimitWord],
+        limits: Iterable[AnnouncedLimit],
         needs: Mapping[ServiceId, float],
         peers: list[Peer],
     ) -> AddressedLimitNotice:
@@ -133,7 +133,7 @@
             self._this_vm.vm,
             self._this_vm.data_centre,
             scope,
-            tuple(_to_entry(now, word) for word in list(words)[:MAX_ENTRIES]),
+            tuple(_to_entry(now, item) for item in list(limits)[:MAX_ENTRIES]),
             tuple(
                 ServiceNeed(service, round(rate * THOUSANDTHS))
                 for service, rate in largest[:MAX_ENTRIES]
@@ -160,13 +160,14 @@
     return dict(total)
 
 
-def _to_word(now: float, entry: LimitEntry) -> LimitWord:
+def _to_limit(now: float, entry: LimitEntry) -> AnnouncedLimit:
     run = UpstreamRun(entry.upstream, entry.incarnation)
     limit = entry.thousandths / THOUSANDTHS if entry.thousandths >= 0 else None
-    return LimitWord(run, limit, now - max(0, entry.age_ms) / 1000)
+    return AnnouncedLimit(run, limit, now - max(0, entry.age_ms) / 1000)
 
 
-def _to_entry(now: float, word: LimitWord) -> LimitEntry:
-    thousandths = -1 if word.limit is None else round(word.limit * THOUSANDTHS)
-    age_ms = round(max(0.0, now - word.said_at) * 1000)
-    return LimitEntry(word.run.upstream, word.run.incarnation, thousandths, age_ms)
+def _to_entry(now: float, announced: AnnouncedLimit) -> LimitEntry:
+    limit, run = announced.limit, announced.run
+    thousandths = -1 if limit is None else round(limit * THOUSANDTHS)
+    age_ms = round(max(0.0, now - announced.said_at) * 1000)
+    return LimitEntry(run.upstream, run.incarnation, thousandths, age_ms)
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -6,7 +6,7 @@
 from enum import Enum
 
 from oleandershift.absences import AbsenceTracker
-from oleandershift.allowances import Allowances, LimitWord
+from oleandershift.allowances import Allowances, AnnouncedLimit
 from oleandershift.demand import SHARE_HEADROOM, DemandMeter, Shares, max_min_shares
 from oleandershift.directory import UpstreamRun
 from oleandershift.eligibility import Eligibility
@@ -16,8 +16,8 @@
 from oleandershift.quarantine import PartChange, PromptQuarantine, QuarantineLimits
 from oleandershift.standings import UpstreamStandings
 
-MAX_WORDS = 4096
-"""Limit of the words whose time is remembered; the oldest are forgotten."""
+MAX_ANNOUNCEMENTS = 4096
+"""Limit of the announcements whose time is remembered; the oldest are forgotten."""
 
 
 class LeavingSource(Enum):
@@ -46,8 +46,8 @@
     informant: str
 
 
-class WordKind(Enum):
-    """What an upstream says of itself in a response."""
+class AnnouncementKind(Enum):
+    """Kind of what an upstream says of itself in a response."""
 
     LEAVING = "leaving"
     AWAY = "away"
@@ -56,17 +56,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitReport:
-    """An upstream's word that begins or ends a limit on its requests.
+    """What an upstream announced when a limit on its requests began or ended.
 
     Parameters
     ----------
-    word : LimitWord
+    announced : AnnouncedLimit
         What it said.
     informant : str
         The answered request, or the VM that passed it on.
     """
 
-    word: LimitWord
+    announced: AnnouncedLimit
     informant: str
 
 
@@ -120,8 +120,8 @@
     def __post_init__(self) -> None:
         peers = self.peers
         self.allowances = Allowances(peers.vm, peers.data_centre, peers.fleet)
-        # Unix time in milliseconds of the latest word of each kind.
-        self._heard_at: dict[tuple[UpstreamRun, WordKind], float] = {}
+        # Unix time in milliseconds of the latest announcement of each kind.
+        self._heard_at: dict[tuple[UpstreamRun, AnnouncementKind], float] = {}
 
     @property
     def eligibility(self) -> Eligibility:
@@ -145,21 +145,23 @@
         """Return the upstreams that any VM found absent from their address."""
         return self.absences.absent(now) | self.peers.absent(now)
 
-    def on_word(self, run: UpstreamRun, kind: WordKind, unix_ms: float) -> None:
+    def on_announcement(
+        self, run: UpstreamRun, kind: AnnouncementKind, unix_ms: float
+    ) -> None:
         """Record when a response said something of its upstream.
 
         Parameters
         ----------
         run : UpstreamRun
             The upstream, as registered; a later run may have sent the response.
-        kind : WordKind
+        kind : AnnouncementKind
             What it said.
         unix_ms : float
             Current Unix time, milliseconds.
         """
         self._heard_at.pop((run, kind), None)
         self._heard_at[run, kind] = unix_ms
-        if len(self._heard_at) > MAX_WORDS:
+        if len(self._heard_at) > MAX_ANNOUNCEMENTS:
             del self._heard_at[next(iter(self._heard_at))]
 
     def on_restart(self, previous: UpstreamRun, run: UpstreamRun) -> None:
@@ -168,15 +170,15 @@
         What was heard after its start, and so counted for the run before, holds for it.
         """
         self.loads.clear_cache(run.upstream)
-        for kind in WordKind:
+        for kind in AnnouncementKind:
             heard_at = self._heard_at.get((previous, kind))
             if heard_at is None or not 0 < run.incarnation <= heard_at:
                 continue
-            if kind is WordKind.LEAVING:
+            if kind is AnnouncementKind.LEAVING:
                 self.record_leaving(
                     LeavingReport(run, LeavingSource.RESPONSE, "before registration")
                 )
-            elif kind is WordKind.AWAY:
+            elif kind is AnnouncementKind.AWAY:
                 self.standings.carry_over(previous, run)
             else:
                 self.allowances.carry_over(previous, run)
--- a/tests/test_allowances.py
+++ b/tests/test_allowances.py
@@ -10,11 +10,11 @@
 
 from oleandershift.allowances import (
     HOLDERS_BEYOND_LIMIT,
+    LIMIT_TTL_SECONDS,
     MIN_FLEET_RATE,
     NEED_TTL_SECONDS,
-    WORD_TTL_SECONDS,
+    AnnouncedLimit,
     Fleet,
-    LimitWord,
     holders,
     parse_limit,
 )
@@ -75,7 +75,7 @@
     allowances.on_answer(0.0, RUN, None, sent_at=0.0)
     assert allowances.wait_s(0.0, UPSTREAM) == 0.0
     assert allowances.book(0.0, UPSTREAM) is None
-    assert not allowances.has_words
+    assert not allowances.has_limits
 
 
 def test_vm_that_saved_its_part_sends_no_burst(allowances):
@@ -120,10 +120,10 @@
 
 def test_limit_without_further_word_is_forgotten(allowances):
     allowances.on_answer(0.0, RUN, 0.0, sent_at=0.0)
-    assert allowances.limit(WORD_TTL_SECONDS, RUN) == 0.0
-    assert allowances.limit(WORD_TTL_SECONDS + 0.1, RUN) is None
-    allowances.expire(WORD_TTL_SECONDS + 0.1)
-    assert not allowances.has_words
+    assert allowances.limit(LIMIT_TTL_SECONDS, RUN) == 0.0
+    assert allowances.limit(LIMIT_TTL_SECONDS + 0.1, RUN) is None
+    allowances.expire(LIMIT_TTL_SECONDS + 0.1)
+    assert not allowances.has_limits
 
 
 def test_upstream_that_allows_nothing_is_asked_now_and_then(allowances):
@@ -134,17 +134,17 @@
 
 @pytest.mark.parametrize("first", [0, 1])
 def test_latest_word_holds_whoever_heard_it(allowances, first):
-    words = [LimitWord(RUN, 5.0, 1.0), LimitWord(RUN, None, 2.0)]
-    for word in (words[first], words[1 - first]):
-        allowances.on_notice(word, is_local=True)
+    limits = [AnnouncedLimit(RUN, 5.0, 1.0), AnnouncedLimit(RUN, None, 2.0)]
+    for announced in (limits[first], limits[1 - first]):
+        allowances.on_notice(announced, is_local=True)
     assert allowances.limit(3.0, RUN) is None
 
 
 def test_word_of_another_vm_is_obeyed(allowances):
-    assert allowances.on_notice(LimitWord(RUN, 0.0, 1.0), is_local=False)
+    assert allowances.on_notice(AnnouncedLimit(RUN, 0.0, 1.0), is_local=False)
     assert allowances.wait_s(1.1, UPSTREAM) > 0.0
-    assert allowances.own_words(1.1) == allowances.local_words(1.1) == []
-    assert [word.limit for word in allowances.words(1.1)] == [0.0]
+    assert allowances.own_limits(1.1) == allowances.local_limits(1.1) == []
+    assert [announced.limit for announced in allowances.limits(1.1)] == [0.0]
 
 
 def make_fleets(names, sizes):
--- a/tests/test_limitnotices.py
+++ b/tests/test_limitnotices.py
@@ -4,7 +4,7 @@
 from hypothesis import given, strategies as st
 from upstreams import make_upstream
 
-from oleandershift.allowances import NEED_TTL_SECONDS, WORD_TTL_SECONDS, Allowances
+from oleandershift.allowances import LIMIT_TTL_SECONDS, NEED_TTL_SECONDS, Allowances
 from oleandershift.digests import (
     Digest,
     LimitEntry,
@@ -162,9 +162,9 @@
 
 
 def test_limit_is_forgotten_after_its_last_word(fleet):
-    """Notices repeat a word with its age, so they can't keep it alive."""
+    """Notices repeat a limit with its age, so they can't keep it alive."""
     fleet.vms["here-1"].allowances.on_answer(fleet.now, RUN, 5.0, fleet.now)
-    fleet.run(WORD_TTL_SECONDS + 1.0)
+    fleet.run(LIMIT_TTL_SECONDS + 1.0)
     for vm in fleet.vms.values():
         assert vm.allowances.limit(fleet.now, RUN) is None
 
