Give stand-ins ports that no other test process gets

No gateway of the soak had passed it on (no line of their logs has an empty id), so it came from another process: stand-ins listened on ephemeral ports, which any process gets while an upstream restarts or after a soak has ended, and calls to a store carry no id.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from standins.ports import free_port
 from standins.process import run_until_stopped
 from standins.proxy_faults import (
     CutStage,
@@ -188,7 +189,8 @@
         self._connections: list[_Connection] = []
         self._closed_totals = ProxyCounters(0, 0, 0, 0, 0)
         self._accepted = 0
-        self._listener = socket.create_server((ip, port), backlog=1024)
+        address = (ip, port or free_port(ip))
+        self._listener = socket.create_server(address, backlog=1024)
         self.ip = ip
         self.port = int(self._listener.getsockname()[1])
         self.url = f"http://{ip}:{self.port}"
--- a/standins/server.py
+++ b/standins/server.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from standins.ports import free_port
+
 LISTEN_BACKLOG = 1024
 
 
@@ -210,13 +212,13 @@
     ip : str
         Address to listen on.
     port : int
-        Port to listen on; 0 chooses a free one.
+        Port to listen on; 0 chooses one that no other test process gets.
     handle : callable
         Handles one exchange and sends its response.
     """
 
     def __init__(self, ip: str, port: int, handle: ExchangeHandler) -> None:
-        self._server = _HttpServer(ip, port, handle)
+        self._server = _HttpServer(ip, port or free_port(ip), handle)
         self.ip = ip
         self.port = int(self._server.server_address[1])
         self._thread = threading.Thread(
