Let the soak's upstream execute whole requests only

The soak of the own fleet was known red: a charge was executed twice or thrice, in most runs beside a soak of the gateways. The keys in its report, 'm' and 'm1', are none of the soak's, which are m0, m1 ... with up to four digits: the proxy had cut requests within the header Idempotency-Key, and the stand-in took the truncated heads for whole ones, as http.server does, so that two different charges counted as one. The routers were not at fault.

The stand-in rejects truncated heads and bodies now, by the handler that the other stand-ins use.

--- a/standins/faulty.py
+++ b/standins/faulty.py
@@ -13,7 +13,9 @@
 from contextlib import contextmanager
 from dataclasses import dataclass
 from enum import Enum
-from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from http.server import ThreadingHTTPServer
+
+from standins.server import WholeHeadHandler
 
 DELAY_SECONDS = 0.3
 EVENT_COUNT = 5
@@ -96,23 +98,20 @@
             return self._fault_counts[echo] == 1
 
 
-class _Handler(BaseHTTPRequestHandler):
+class _Handler(WholeHeadHandler):
     protocol_version = "HTTP/1.1"
     server: "_Server"
 
     def log_message(self, *_: object) -> None:
         """Suppress the access log."""
 
-    def do_GET(self) -> None:
-        """Handle a request."""
-        self._handle_request()
-
-    do_POST = do_GET  # noqa: N815
-    do_PUT = do_GET  # noqa: N815
-
     def _handle_request(self) -> None:
         self.tag = self.headers.get("Oleander-Request-Id", "")
-        body = self.rfile.read(int(self.headers.get("Content-Length", "0")))
+        length = int(self.headers.get("Content-Length", "0"))
+        body = self.rfile.read(length)
+        if len(body) < length:
+            self.close_connection = True
+            return
         if self.path.startswith("/-/"):
             self._handle_control()
             return
@@ -129,6 +128,8 @@
         with self.server.count_running():
             self._execute(fault, body)
 
+    do_GET = do_POST = do_PUT = _handle_request  # noqa: N815
+
     def _execute(self, fault: FaultName, body: bytes) -> None:
         streaming = b'"stream": true' in body or b'"stream":true' in body
         if streaming:
--- a/standins/server.py
+++ b/standins/server.py
@@ -126,13 +126,8 @@
 ExchangeHandler: TypeAlias = Callable[[Exchange], None]
 
 
-class RequestHandler(BaseHTTPRequestHandler):
-    """Passes requests to the handler of the server."""
-
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-    wbufsize = -1
-    server: "_HttpServer"
+class WholeHeadHandler(BaseHTTPRequestHandler):
+    """Handler of requests that does not take a truncated head for a whole one."""
 
     def setup(self) -> None:
         """Wrap the reader, because `http.server` accepts a truncated head."""
@@ -144,6 +139,15 @@
         """Reject a truncated head."""
         return super().parse_request() and self._reader.head_is_complete()
 
+
+class RequestHandler(WholeHeadHandler):
+    """Passes requests to the handler of the server."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+    server: "_HttpServer"
+
     def _handle(self) -> None:
         try:
             self.server.handle(Exchange(self))
