--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -3,7 +3,7 @@
 import http.client
 import itertools
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -60,6 +60,16 @@
         time.sleep(0.02)
 
 
+def wait_for_new_route(gateways: Iterable["Gateway"]) -> None:
+    """Wait until gateways serve the route `/new/`."""
+    for gateway in gateways:
+
+        def serves_it(gateway: "Gateway" = gateway) -> bool:
+            return gateway.call("/new/x", "a").status == 200
+
+        wait_until(serves_it, f"{gateway.name} has the new route")
+
+
 def route(path: str, kind: str, **fields: object) -> dict[str, object]:
     """Return the configuration of one route."""
     return {
--- a/tests/integration/test_gateway_followers.py
+++ b/tests/integration/test_gateway_followers.py
@@ -11,6 +11,7 @@
     configuration,
     route,
     running_fleet,
+    wait_for_new_route,
     wait_until,
 )
 
@@ -106,11 +107,7 @@
         gateway.store_proxy.stop()
     new = configuration(2, route("/new/", "idempotent"))
     fleet.store.put("config", "main", new)
-    for gateway in fleet.gateways:
-        wait_until(
-            lambda gateway=gateway: gateway.call("/new/x", "a").status == 200,
-            f"{gateway.name} has the new route",
-        )
+    wait_for_new_route(fleet.gateways)
 
 
 @pytest.mark.parametrize(
--- a/tests/integration/test_gateway_limits.py
+++ b/tests/integration/test_gateway_limits.py
@@ -1,4 +1,4 @@
-"""Upstreams that name a limit on the requests that they take from all VMs together."""
+"""Upstreams that limit (`Server-Limit`) the requests of all VMs together."""
 
 import itertools
 import threading
--- a/tests/integration/test_gateway_restored_store.py
+++ b/tests/integration/test_gateway_restored_store.py
@@ -10,6 +10,7 @@
     configuration,
     route,
     running_fleet,
+    wait_for_new_route,
     wait_until,
 )
 from standins.metastore import StoreMode
@@ -61,6 +62,11 @@
         )
 
 
+def put_new_route(fleet):
+    new = configuration(2, route("/new/", "idempotent"))
+    fleet.store.put("config", "main", new)
+
+
 def statuses(fleet, path):
     return [
         gateway.call(path, f"a-{gateway.name}").status for gateway in fleet.gateways
@@ -72,8 +78,7 @@
     change_registrations(fleet, LOST_CHANGES)
     wait_until_read(fleet)
     lose_changes(fleet, copy)
-    new = configuration(2, route("/new/", "idempotent"))
-    fleet.store.put("config", "main", new)
+    put_new_route(fleet)
     change_registrations(fleet, 2 * LOST_CHANGES, start=LOST_CHANGES)
     fleet.store.set_mode(StoreMode.SERVE)
     time.sleep(CONFIGURATION_APPLY_SECONDS)
@@ -82,13 +87,8 @@
 
 def test_configuration_that_a_copy_lacks_stays_in_force(fleet):
     copy = fleet.store.copy()
-    new = configuration(2, route("/new/", "idempotent"))
-    fleet.store.put("config", "main", new)
-    for gateway in fleet.gateways:
-        wait_until(
-            lambda gateway=gateway: gateway.call("/new/x", "a").status == 200,
-            f"{gateway.name} has the new route",
-        )
+    put_new_route(fleet)
+    wait_for_new_route(fleet.gateways)
     lose_changes(fleet, copy)
     fleet.store.set_mode(StoreMode.SERVE)
     time.sleep(CONFIGURATION_APPLY_SECONDS)
@@ -150,13 +150,8 @@
     fleet,
 ):
     copy = fleet.store.copy()
-    new = configuration(2, route("/new/", "idempotent"))
-    fleet.store.put("config", "main", new)
-    for gateway in fleet.gateways:
-        wait_until(
-            lambda gateway=gateway: gateway.call("/new/x", "a").status == 200,
-            f"{gateway.name} has the new route",
-        )
+    put_new_route(fleet)
+    wait_for_new_route(fleet.gateways)
     lose_changes(fleet, copy)
     fleet.store.set_mode(StoreMode.SERVE)
     started = fleet.add_gateway()
