Name no endless wait where a VM holds no part of a limit

At a small limit only some VMs hold a part. One that holds none of all limits of a service answered 503 with 'Retry-After: inf', which callers can't read and JSON logs can't hold. Found by reading; the new test failed before.

Its caller gets the shortest wait now, as another VM may serve it at once.

--- a/src/oleandershift/eligibility.py
+++ b/src/oleandershift/eligibility.py
@@ -1,5 +1,6 @@
 """Which upstreams may get requests, by everything that a VM knows of them."""
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -98,10 +99,10 @@
         Returns
         -------
         float or None
-            None if all of them leave.
+            None if all of them leave, or take requests of other VMs only.
         """
         waits = [
             max(self.standings.wait_s(now, item.run), self.allowances.wait_s(now, item))
             for item in self.directory.usable(now, service)
         ]
-        return min(waits, default=None)
+        return min(filter(math.isfinite, waits), default=None)
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -1,5 +1,6 @@
 """Tests of which upstreams may get requests, whatever is learned in which order."""
 
+import math
 import random
 from dataclasses import replace
 
@@ -8,8 +9,10 @@
 from storereaders import at
 from upstreams import make_allowances, make_upstream
 
+from oleandershift.allowances import Fleet
 from oleandershift.directory import MAX_DEPARTED_RUNS, Directory, UpstreamState
 from oleandershift.eligibility import Eligibility, Refusal
+from oleandershift.ids import VmId
 from oleandershift.standings import MAX_AWAY_SECONDS, UpstreamStandings
 
 FIRST, SECOND = make_upstream("e1"), make_upstream("e2")
@@ -213,3 +216,17 @@
     for upstream, limit in ((FIRST, 2.0), (SECOND, 1.0)):
         eligibility.allowances.on_answer(0.0, upstream.run, limit, sent_at=0.0)
     assert eligibility.return_s(0.0, SERVICE) == pytest.approx(0.5)
+
+
+def test_vm_that_holds_no_part_of_a_limit_names_no_endless_wait():
+    """Many VMs hold no part of a small limit; others may serve the caller at once."""
+    fleet = Fleet(frozenset(VmId(f"vm{number}") for number in range(200)))
+    returns = []
+    for number in range(200):
+        allowances = make_allowances(f"vm{number}", fleet)
+        created = Eligibility(Directory(), UpstreamStandings(), allowances)
+        created.directory.replace(0.0, at(1), [(at(1), FIRST)])
+        allowances.on_answer(0.0, FIRST.run, 2.0, sent_at=0.0)
+        returns.append(created.return_s(0.0, SERVICE))
+    assert returns.count(None) > 150
+    assert all(math.isfinite(item) for item in returns if item is not None)
