Let the stand-in of an upstream name the id of a misdirected request

The stand-in answered 421 without an attempt id; on a kept connection that is no proof any more, as it may be a copy of an earlier answer that lost its id.

--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -251,7 +251,8 @@
             behaviour = self.resumed_behaviour
         expected_instance = exchange.headers.get("Oleandershift-Expect-Instance")
         if expected_instance is not None and expected_instance != self.name:
-            exchange.send_json(421, {}, {"Oleandershift-Instance-Id": self.name})
+            headers = {"Oleandershift-Instance-Id": self.name}
+            exchange.send_json(421, {}, {**headers, ATTEMPT_HEADER: attempt_id})
         elif behaviour is Behaviour.REFUSE:
             self._refuse(exchange, req)
         elif behaviour is Behaviour.CUT_BEFORE:
