--- a/src/oleandershift/ids.py
+++ b/src/oleandershift/ids.py
@@ -29,6 +29,9 @@
 PromptPartId = NewType("PromptPartId", str)
 """Hash of the content of a prompt part."""
 
+Fingerprint = NewType("Fingerprint", str)
+"""Hash of what a caller requests, the same for each repetition on each VM."""
+
 RequestId = NewType("RequestId", str)
 """Id of a caller's request, assigned by the router that accepted it."""
 
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -6,6 +6,8 @@
 from oleandershift.demand import AdmittedRequest
 from oleandershift.directory import UpstreamRun
 from oleandershift.eventframes import EventFramer
+from oleandershift.fingerprints import RequestContent
+from oleandershift.ids import Fingerprint
 from oleandershift.io.callers import CallerRequest, Headers
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
@@ -124,6 +126,18 @@
         began_at = self.answer_began_at
         return began_at is not None and now - began_at >= SOUND_ANSWER_SECONDS
 
+    def fingerprint(self) -> Fingerprint:
+        """Return what identifies the request when it is repeated."""
+        parts = self.prompt.parts if self.prompt is not None else ()
+        return RequestContent(
+            team=self.team.name if self.team is not None else None,
+            method=self.req.method,
+            host=self.req.header(b"host") or b"",
+            target=self.req.target,
+            parts=tuple(part.name for part in parts),
+            body=self.req.body,
+        ).fingerprint()
+
     @property
     def expects_body(self) -> bool:
         """Return whether the response may have a body."""
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -424,6 +424,7 @@
                 after_ms=round((now() - sent_at) * 1000),
                 events=call.event_stream.event_count,
                 parts=_shared_part_names(call.prompt),
+                fingerprint=call.fingerprint(),
             )
             if res.started and not call.resumable:
                 self._abort_stream(call, res, f"upstream {exc.cause.value}")
