--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -131,13 +131,15 @@
     frontend_port: int = 7301
     ready_port: int = 7302
 
-    def call(self, path: str, attempt: str, **headers: str) -> GatewayResponse:
-        """Send one request on a new connection."""
+    def call(
+        self, path: str, attempt: str, body: bytes | None = None, /, **headers: str
+    ) -> GatewayResponse:
+        """Send one request on a new connection; its default body is the attempt."""
         conn = http.client.HTTPConnection(
             self.ip, self.frontend_port, timeout=WAIT_TIMEOUT_SECONDS
         )
         try:
-            return call_on(conn, path, attempt, **headers)
+            return call_on(conn, path, attempt, body, **headers)
         finally:
             conn.close()
 
@@ -168,7 +170,12 @@
 
 
 def call_on(
-    conn: http.client.HTTPConnection, path: str, attempt: str, **headers: str
+    conn: http.client.HTTPConnection,
+    path: str,
+    attempt: str,
+    body: bytes | None = None,
+    /,
+    **headers: str,
 ) -> GatewayResponse:
     """Send one request on an open connection."""
     started = time.monotonic()
@@ -179,15 +186,16 @@
         "Authorization": f"Bearer {KEY}",
         **headers,
     }
-    conn.request("POST", path, body=attempt.encode(), headers=fields)
+    sent = attempt.encode() if body is None else body
+    conn.request("POST", path, body=sent, headers=fields)
     res = conn.getresponse()
     try:
-        body, whole = res.read(), True
+        received, whole = res.read(), True
     except (http.client.IncompleteRead, ConnectionError) as exc:
-        body, whole = getattr(exc, "partial", b""), False
+        received, whole = getattr(exc, "partial", b""), False
     res_headers = {name.lower(): value for name, value in res.getheaders()}
     return GatewayResponse(
-        res.status, res_headers, body, whole, time.monotonic() - started
+        res.status, res_headers, received, whole, time.monotonic() - started
     )
 
 
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -120,6 +120,8 @@
         Appended to the body of a plain response.
     crashing_part : str or None
         Prompt part under which the upstream crashes instead of a response.
+    crashing_path : str or None
+        End of the path of requests under which the upstream crashes as well.
     begins_before_crash : bool
         Whether it then sends the first event of a stream that ends with the connection.
     restart_seconds : float
@@ -144,6 +146,7 @@
         self.address = f"{ip}:{self._server.port}"
         self.port = self._server.port
         self.crashing_part: str | None = None
+        self.crashing_path: str | None = None
         self.begins_before_crash = False
         self.restart_seconds = 1.0
         self.on_restart: Callable[[ModelEngine], None] = lambda engine: None
@@ -286,7 +289,7 @@
         )
         with self._lock:
             self._ledger.append(executed)
-        if self.crashing_part in executed.parts[:-1]:
+        if self._crashes_under(executed):
             if self.begins_before_crash:
                 self._send_first_event(exchange, attempt_id)
                 self._crash()
@@ -312,6 +315,11 @@
         else:
             self._send_plain(exchange, attempt_id, headers, behaviour)
 
+    def _crashes_under(self, executed: ExecutedRequest) -> bool:
+        path = self.crashing_path
+        has_path = path is not None and executed.path.endswith(path)
+        return has_path or self.crashing_part in executed.parts[:-1]
+
     def _send_first_event(self, exchange: Exchange, attempt_id: str) -> None:
         seal = {ATTEMPT_HEADER: attempt_id, SEAL_HEADER: f"{self.name}.{attempt_id}"}
         exchange.send_head(200, {"Connection": "close", **seal})
