Block a request that crashes the upstreams that run it

Callers saw the plain service gone for seconds, again and again: one request, sent anew with the same path, caller and body, crashed all its upstreams each time they were back.

Cause: the quarantine took blame from the shared parts of prompts only. A request of a plain service has none and was dropped, as was one whose prompt is all its own. Read beside it: a crash showed only at the next connect or the end of the registration; three crashes within half a second were one event; the retry spent a second upstream on each request; each VM probed for itself.

Change: what a crash may be due to is a suspect, a prompt part or a request by its fingerprint. Both go through one quarantine, one notice and the one question before each send (Eligibility). A VM connects to an upstream as soon as an exchange breaks, so that a crash counts within a round trip. Three crashes block a request unless all copies were under way at the first; two end its retries. After a block one VM probes for all, and a crash then blocks for sixteen times as long: two probes in an hour. Notices send what has changed instead of everything, so that bystanders don't displace it.

--- a/src/oleandershift/cli/gateway.py
+++ b/src/oleandershift/cli/gateway.py
@@ -48,14 +48,14 @@
         "prompt_crash_limit",
         integer_between(2, 10),
         "2 to 10",
-        "crashes of upstreams under one prompt part that block it",
+        "crashes of upstreams under one request or prompt part that block it",
         "3",
     ),
     Setting(
         "prompt_block_seconds",
         seconds_between(1, 3600),
         "1 to 3600",
-        "first block of a prompt part, doubled with each further crash",
+        "first block of a request or prompt part; longer with each further crash",
         "30",
     ),
 )
--- a/src/oleandershift/crashnotices.py
+++ b/src/oleandershift/crashnotices.py
@@ -1,11 +1,13 @@
-"""Exchange of notices about prompt parts under which upstreams crashed."""
+"""Exchange of notices about suspects, under which upstreams crashed."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from oleandershift.digests import CrashNotice
+from oleandershift.digests import CrashNotice, SuspectRecord
 from oleandershift.ids import VmId
 from oleandershift.neighbours import Peer, PeerTable
-from oleandershift.quarantine import PromptQuarantine
+from oleandershift.quarantine import Quarantine
+from oleandershift.suspects import Suspect
 
 REPEATS = 3
 """Number of times that news are sent, as datagrams may be lost."""
@@ -13,7 +15,7 @@
 REPEAT_SECONDS = 0.2
 
 REFRESH_SECONDS = 2.0
-"""Interval at which a hub sends all it knows, for VMs that have started since."""
+"""Interval at which a hub repeats what is known, for VMs that have started since."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,6 +26,12 @@
     peers: list[Peer]
 
 
+@dataclass(slots=True)
+class _PendingNews:
+    sends_left: int
+    due_at: float
+
+
 class NoticeExchange:
     """Creates this VM's notices and applies those of other VMs.
 
@@ -36,43 +44,32 @@
         This VM.
     peers : PeerTable
         The other VMs.
-    quarantine : PromptQuarantine
+    quarantine : Quarantine
         Source of the notices; received ones are merged into it.
     """
 
-    def __init__(
-        self, vm: VmId, peers: PeerTable, quarantine: PromptQuarantine
-    ) -> None:
+    def __init__(self, vm: VmId, peers: PeerTable, quarantine: Quarantine) -> None:
         self._vm = vm
         self._peers = peers
         self._quarantine = quarantine
-        self._seen_revision = quarantine.revision
-        self._sends_left = 0
-        self._due_at = 0.0
+        self._pending: dict[Suspect, _PendingNews] = {}
         self._refresh_at = 0.0
 
     def receive(self, now: float, notice: CrashNotice) -> None:
         """Merge another VM's notice; a hub sends on what is new."""
-        own_news = self._quarantine.revision != self._seen_revision
-        is_new = self._quarantine.merge(now, notice.records)
-        self._seen_revision = self._quarantine.revision
-        if own_news or (is_new and self._peers.is_hub(now)):
-            self._announce(now)
+        news = self._quarantine.merge(now, notice.records)
+        if news and self._peers.is_hub(now):
+            self._announce(now, news)
 
     def next_notice(self, now: float) -> AddressedNotice | None:
         """Return the notice to send now, if one is due."""
-        if self._quarantine.revision != self._seen_revision:
-            self._seen_revision = self._quarantine.revision
-            self._announce(now)
+        self._announce(now, self._quarantine.take_news())
         is_hub = self._peers.is_hub(now)
-        if self._sends_left and now >= self._due_at:
-            self._sends_left -= 1
-            self._due_at = now + REPEAT_SECONDS
-        elif is_hub and now >= self._refresh_at:
+        records = self._due_news(now)
+        if not records and is_hub and now >= self._refresh_at:
             self._refresh_at = now + REFRESH_SECONDS
-        else:
-            return None
-        records = self._quarantine.records(now)
+            known = self._quarantine.often_suspected()
+            records = self._quarantine.records(now, known)
         if not records:
             return None
         peers = self._peers.local_peers(now)
@@ -80,6 +77,25 @@
             peers += self._peers.remote_hubs(now, all_members=True)
         return AddressedNotice(CrashNotice(self._vm, records), peers)
 
-    def _announce(self, now: float) -> None:
-        self._sends_left = REPEATS
-        self._due_at = now
+    def _announce(self, now: float, suspects: Iterable[Suspect]) -> None:
+        for suspect in suspects:
+            self._pending[suspect] = _PendingNews(REPEATS, now)
+
+    def _due_news(self, now: float) -> tuple[SuspectRecord, ...]:
+        """Return the news that are due; what does not fit is left for the next call."""
+        due = [suspect for suspect, news in self._pending.items() if news.due_at <= now]
+        if not due:
+            return ()
+        records = self._quarantine.records(now, due)
+        if not records:
+            # They were forgotten meanwhile.
+            for suspect in due:
+                del self._pending[suspect]
+        for record in records:
+            suspect = Suspect(record.kind, record.name)
+            news = self._pending[suspect]
+            news.sends_left -= 1
+            news.due_at = now + REPEAT_SECONDS
+            if not news.sends_left:
+                del self._pending[suspect]
+        return records
--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -14,7 +14,6 @@
 from oleandershift.ids import (
     DataCentreId,
     Incarnation,
-    PromptPartId,
     Seq,
     ServiceId,
     TeamId,
@@ -22,6 +21,7 @@
     VmId,
 )
 from oleandershift.records import Record, StorePosition
+from oleandershift.suspects import SuspectKind
 
 
 class Scope(Enum):
@@ -144,33 +144,40 @@
         Its run, as in `UpstreamRun`.
     age_ms : int
         Time since the crash, milliseconds. Clocks of VMs may differ.
+    after_ms : int
+        Time from the sending of the request to the crash, milliseconds. VMs of an
+        earlier version do not send it.
     """
 
     upstream: UpstreamId
     incarnation: int
     age_ms: int
+    after_ms: int = 0
 
 
-class PartRecord(msgspec.Struct, array_like=True, frozen=True):
-    """What a VM knows of a prompt part under which upstreams crashed.
+class SuspectRecord(msgspec.Struct, array_like=True, frozen=True):
+    """What a VM knows of a suspect, under which upstreams crashed.
 
     Parameters
     ----------
-    part : PromptPartId
-        The part.
+    name : str
+        Name of the prompt part, or fingerprint of the request.
     crashes : tuple of CrashRecord
-        Crashes under it since its latest answer.
+        Crashes under it since its latest answer, the latest first.
     answer_age_ms : int
         Time since the start of its latest answer, milliseconds; -1 without one.
+    kind : SuspectKind
+        Kind of the suspect. VMs of an earlier version know only parts.
     """
 
-    part: PromptPartId
+    name: str
     crashes: tuple[CrashRecord, ...]
     answer_age_ms: int
+    kind: SuspectKind = SuspectKind.PART
 
 
 class CrashNotice(msgspec.Struct, tag="crashes", frozen=True):
-    """What a VM knows of prompt parts under which upstreams crashed.
+    """What a VM knows of suspects, under which upstreams crashed.
 
     VMs of an earlier version log it as a damaged digest and ignore it.
 
@@ -178,12 +185,12 @@
     ----------
     vm : VmId
         The sender.
-    records : tuple of PartRecord
+    records : tuple of SuspectRecord
         Its knowledge, from its own requests and from other VMs.
     """
 
     vm: VmId
-    records: tuple[PartRecord, ...]
+    records: tuple[SuspectRecord, ...]
 
 
 class LimitEntry(msgspec.Struct, array_like=True, frozen=True):
--- a/src/oleandershift/eligibility.py
+++ b/src/oleandershift/eligibility.py
@@ -1,4 +1,4 @@
-"""Which upstreams may get requests, by everything that a VM knows of them."""
+"""Which upstreams may get which requests, by everything that a VM knows."""
 
 import math
 from dataclasses import dataclass
@@ -7,11 +7,13 @@
 from oleandershift.allowances import Allowances
 from oleandershift.directory import Directory, Upstream, UpstreamRun
 from oleandershift.ids import ServiceId
+from oleandershift.quarantine import Quarantine
 from oleandershift.standings import UpstreamStandings
+from oleandershift.suspects import RequestSuspects
 
 
 class Refusal(Enum):
-    """Why an upstream gets no request.
+    """Why an upstream does not get a request.
 
     Attributes
     ----------
@@ -25,6 +27,8 @@
         It wants no request of this VM for a while.
     LIMITED
         It takes more requests of this VM only later.
+    QUARANTINED
+        The request crashes upstreams.
     """
 
     NOT_REGISTERED = "not registered"
@@ -32,11 +36,12 @@
     UNCONFIRMED = "unconfirmed"
     AWAY = "away"
     LIMITED = "limited"
+    QUARANTINED = "quarantined"
 
 
 @dataclass(frozen=True, slots=True)
 class Eligibility:
-    """Decides which upstreams may get requests.
+    """Decides which upstreams may get a request.
 
     Every request asks it twice: when an upstream is chosen, and right before the
     request is sent, as seconds can lie between the two on a busy VM.
@@ -49,18 +54,26 @@
         Upstreams that have turned this VM away.
     allowances : Allowances
         Limits that upstreams have named.
+    quarantine : Quarantine
+        Requests that crash upstreams.
     """
 
     directory: Directory
     standings: UpstreamStandings
     allowances: Allowances
+    quarantine: Quarantine
 
     def eligible(self, now: float, service: ServiceId) -> list[Upstream]:
         """Return the upstreams of a service that may get a request."""
         return self.standings.accepting(now, self.directory.usable(now, service))
 
     def refusal(
-        self, now: float, run: UpstreamRun, *, is_booked: bool = False
+        self,
+        now: float,
+        run: UpstreamRun,
+        suspects: RequestSuspects,
+        *,
+        is_booked: bool = False,
     ) -> Refusal | None:
         """Return why a run of an upstream may not get a request; None if it may.
 
@@ -70,6 +83,8 @@
             Current time, seconds.
         run : UpstreamRun
             The upstream.
+        suspects : RequestSuspects
+            What of the request may crash it.
         is_booked : bool
             Whether the request is booked under the upstream's limit.
         """
@@ -84,6 +99,8 @@
             return Refusal.AWAY
         if not is_booked and self.allowances.wait_s(now, entry) > 0.0:
             return Refusal.LIMITED
+        if self.quarantine.rejected(now, suspects) is not None:
+            return Refusal.QUARANTINED
         return None
 
     def return_s(self, now: float, service: ServiceId) -> float | None:
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -6,14 +6,13 @@
 from oleandershift.demand import AdmittedRequest
 from oleandershift.directory import UpstreamRun
 from oleandershift.eventframes import EventFramer
-from oleandershift.fingerprints import RequestContent
-from oleandershift.ids import Fingerprint
 from oleandershift.io.callers import CallerRequest, Headers
 from oleandershift.placement import Choice
 from oleandershift.prompts import Prompt
 from oleandershift.quarantine import SOUND_ANSWER_SECONDS
 from oleandershift.routing import Route, Service, Team
 from oleandershift.shedding import AdmissionDecision, ShareClass
+from oleandershift.suspects import RequestSuspects
 
 
 class AttemptOutcome(Enum):
@@ -51,6 +50,8 @@
     deadline : float
         Clock time in seconds after which a response is useless or, by the route's
         timeout, no longer waited for.
+    suspects : RequestSuspects
+        What of it may crash upstreams.
     last_event_id : int
         Id of the event after which a stream resumes.
     choice : Choice or None
@@ -63,6 +64,8 @@
         Decision of the load shedder; None before it, and for plain services.
     admitted : AdmittedRequest or None
         What is counted in the admitted rate of its team.
+    sent_at : float
+        Clock time in seconds of the latest attempt.
     send_count : int
         Number of times the request was sent to an upstream.
     booked_run : UpstreamRun or None
@@ -87,6 +90,7 @@
     team: Team | None
     deadline: float
     prompt: Prompt | None
+    suspects: RequestSuspects
     last_event_id: int
     configuration_version: int
     tried_runs: set[UpstreamRun] = field(default_factory=set)
@@ -96,6 +100,7 @@
     share: ShareClass | None = None
     admission: AdmissionDecision | None = None
     admitted: AdmittedRequest | None = None
+    sent_at: float = 0.0
     send_count: int = 0
     failed_connects: int = 0
     booked_run: UpstreamRun | None = None
@@ -126,18 +131,6 @@
         began_at = self.answer_began_at
         return began_at is not None and now - began_at >= SOUND_ANSWER_SECONDS
 
-    def fingerprint(self) -> Fingerprint:
-        """Return what identifies the request when it is repeated."""
-        parts = self.prompt.parts if self.prompt is not None else ()
-        return RequestContent(
-            team=self.team.name if self.team is not None else None,
-            method=self.req.method,
-            host=self.req.header(b"host") or b"",
-            target=self.req.target,
-            parts=tuple(part.name for part in parts),
-            body=self.req.body,
-        ).fingerprint()
-
     @property
     def expects_body(self) -> bool:
         """Return whether the response may have a body."""
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -39,11 +39,7 @@
 from oleandershift.placement import LoadTracker, Location, Placement
 from oleandershift.platform import settings
 from oleandershift.platform.store import StoreClient
-from oleandershift.quarantine import (
-    BlockChange,
-    PromptQuarantine,
-    QuarantineLimits,
-)
+from oleandershift.quarantine import BlockChange, QuarantineLimits
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
 from oleandershift.settings import program_version
@@ -172,7 +168,7 @@
     log : DecisionLog
         Log of the process.
     quarantine_limits : QuarantineLimits
-        When and for how long prompt parts that crash upstreams are blocked.
+        When and for how long what crashes upstreams is blocked.
     """
 
     def __init__(
@@ -197,7 +193,7 @@
             FleetView(REMOVAL_GRACE_FRACTION * vm_settings.bounds.drain_ms / 1000),
             LoadTracker(vm_settings.bounds.reuse_window_ms / 1000),
             DemandMeter(vm_settings.bounds.share_window_ms / 1000),
-            quarantine=PromptQuarantine(quarantine_limits, random.Random()),
+            quarantine_limits=quarantine_limits,
         )
         self._view = self._state.view
         self._pool = ConnectionPool(
@@ -359,11 +355,14 @@
     def _update_quarantine(self, instant: float) -> None:
         for change in self._state.update_quarantine(instant):
             blocked = change.change is BlockChange.BLOCKED
-            self._metrics.prompt_blocks.labels(change.change.name.lower()).inc()
+            self._metrics.blocks.labels(
+                change.suspect.kind.name.lower(), change.change.name.lower()
+            ).inc()
             log = self._log.warning if blocked else self._log.info
             log(
-                "prompt.blocked" if blocked else "prompt.released",
-                part=change.part,
+                "suspect.blocked" if blocked else "suspect.released",
+                kind=change.suspect.kind.name.lower(),
+                suspect=change.suspect.name,
                 reason=change.change.value,
                 upstreams=change.upstreams,
                 last_request=change.request,
@@ -390,7 +389,7 @@
             "upstreams_leaving": directory.leaving_count(instant),
             "upstreams_away": self._state.standings.away_count(instant),
             "upstreams_limited": len(self._state.allowances.limited_runs(instant)),
-            "prompt_parts_blocked": self._state.quarantine.rejected_count(instant),
+            "suspects_blocked": self._state.quarantine.rejected_count(instant),
             "retry_budget": self._retry_budgets.lowest_remaining(),
             "digest_entries_omitted": self._peer_transport.omitted_entries,
             "log_lines_dropped": self._log.writer.dropped,
@@ -516,7 +515,7 @@
     level : str
         Lowest log level that is written.
     quarantine_limits : QuarantineLimits
-        When and for how long prompt parts that crash upstreams are blocked.
+        When and for how long what crashes upstreams is blocked.
 
     Raises
     ------
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -73,10 +73,10 @@
             ["source"],
             registry=self._registry,
         )
-        self.prompt_blocks = Counter(
-            "oleander_prompt_blocks",
-            "Blocks and releases of prompt parts that crash upstreams.",
-            ["change"],
+        self.blocks = Counter(
+            "oleander_blocks",
+            "Blocks and releases of requests and prompt parts that crash upstreams.",
+            ["kind", "change"],
             registry=self._registry,
         )
         self.gauges = {
@@ -97,7 +97,7 @@
                 ("loop_delay_seconds", "Delay of the event loop's latest tick."),
                 ("upstreams_leaving", "Registered upstreams that leave."),
                 ("upstreams_away", "Upstreams that want no work for a while."),
-                ("prompt_parts_blocked", "Prompt parts whose requests are rejected."),
+                ("suspects_blocked", "Requests and prompt parts that are rejected."),
                 ("retry_budget", "Retries left of the tightest service."),
                 ("digest_entries_omitted", "Entries beyond the limits of digests."),
                 ("log_lines_dropped", "Log lines dropped for a slow reader."),
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -14,6 +14,7 @@
 from oleandershift.io.call import AttemptOutcome, Call
 from oleandershift.io.callers import CallerRequest, Headers, Responder
 from oleandershift.io.clock import now, remaining, unix_ms
+from oleandershift.io.crashchecks import CrashChecks
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.forwarding import (
     BodyStart,
@@ -40,7 +41,7 @@
 from oleandershift.outliers import OutlierDetector
 from oleandershift.placement import Choice, InFlightRequest, Placement
 from oleandershift.platform import headers
-from oleandershift.prompts import Prompt
+from oleandershift.quarantine import BrokenExchange
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
 from oleandershift.shedding import (
@@ -131,6 +132,9 @@
         self._budget_for = budget_for
         self._log = log
         self._metrics = metrics
+        self._crash_checks = CrashChecks(
+            pool, lambda run: run in state.absent(now()), self._record_unreachable
+        )
         self.draining = False
         self.active_requests = 0
         pool.on_response = self._on_response
@@ -228,17 +232,17 @@
                 return
 
     def _reject_quarantined(self, call: Call, res: Responder) -> bool:
-        """Reject a request whose prompt crashes upstreams; return whether it is one."""
+        """Reject a request that crashes upstreams; return whether it is one."""
         quarantine = self._state.quarantine
-        part = quarantine.rejected_part(now(), call.prompt)
-        if part is None:
+        suspect = quarantine.rejected(now(), call.suspects)
+        if suspect is None:
             return False
-        reason = f"prompt part {part!r} crashes upstreams"
+        reason = f"{suspect.kind.name.lower()} {suspect.name!r} crashes upstreams"
         if res.started:
             self._abort_stream(call, res, reason)
             return True
         retry_after_s = max(
-            MIN_RETRY_AFTER_SECONDS, quarantine.retry_after_s(now(), part)
+            MIN_RETRY_AFTER_SECONDS, quarantine.retry_after_s(now(), suspect)
         )
         self._send_error(call, res, reason, 502, retry_after_s)
         return True
@@ -322,6 +326,9 @@
             and not call.repeatable
         ):
             return False
+        if not self._state.quarantine.may_retry(call.suspects):
+            self._log.info("retry.denied", request=call.id, reason="crashes")
+            return False
         if (
             call.send_count >= max(call.route.max_upstreams, 1)
             and outcome is not AttemptOutcome.NOT_RUN
@@ -349,7 +356,7 @@
                 conn = await self._pool.acquire(upstream, call.repeatable, call.id)
             except (OSError, TimeoutError) as exc:
                 call.failed_connects += 1
-                self._record_unreachable(call, upstream, exc)
+                self._record_unreachable(upstream, exc, call.id)
                 return AttemptOutcome.NOT_SENT
             return await self._exchange_once(call, upstream, in_flight, conn, res)
         finally:
@@ -392,12 +399,11 @@
             # The limit was named since the choice.
             self._state.allowances.book(now(), upstream)
         call.booked_run = None
-        quarantine = self._state.quarantine
-        quarantine.on_sent(now(), call.prompt)
+        self._state.quarantine.on_sent(now(), call.suspects)
         call.answer_began_at = None
         call.send_count += 1
         data = encode_request(call, upstream)
-        sent_at = now()
+        call.sent_at = now()
         ran_before, call.may_have_run = call.may_have_run, True
         exchange = conn.send(data, response_matcher(call.id), call.expects_body)
         try:
@@ -415,22 +421,33 @@
         except BrokenExchangeError as exc:
             self._record_health(call, upstream, False)
             if not call.shows_sound_upstream(now()):
-                quarantine.on_broken(now(), upstream.run, call.prompt, call.id)
+                self._suspect_crash(call, upstream)
             self._log.warning(
                 "attempt.broken",
                 request=call.id,
                 upstream=upstream.name,
                 cause=exc.cause.value,
-                after_ms=round((now() - sent_at) * 1000),
+                after_ms=round((now() - call.sent_at) * 1000),
                 events=call.event_stream.event_count,
-                parts=_shared_part_names(call.prompt),
-                fingerprint=call.fingerprint(),
+                suspects=[suspect.name for suspect in call.suspects.all()],
             )
             if res.started and not call.resumable:
                 self._abort_stream(call, res, f"upstream {exc.cause.value}")
                 return AttemptOutcome.ANSWERED
+            if call.repeatable:
+                await self._crash_checks.wait(upstream)
+                self._state.confirm_crashes(now())
             return AttemptOutcome.UNKNOWN
 
+    def _suspect_crash(self, call: Call, upstream: Upstream) -> None:
+        """Record an exchange that may have ended with its upstream, and find out."""
+        self._state.quarantine.on_broken(
+            BrokenExchange(
+                upstream.run, call.suspects.all(), call.id, call.sent_at, now()
+            )
+        )
+        self._crash_checks.start(upstream)
+
     def _withdraw_attempt(self, call: Call, upstream: Upstream) -> bool:
         """Ask again what the choice asked; return whether the request is not sent.
 
@@ -438,15 +455,16 @@
         """
         instant = now()
         is_booked = call.booked_run is not None
-        refusal = self._eligibility.refusal(instant, upstream.run, is_booked=is_booked)
-        part = self._state.quarantine.rejected_part(instant, call.prompt)
-        if refusal is None and part is None:
+        refusal = self._eligibility.refusal(
+            instant, upstream.run, call.suspects, is_booked=is_booked
+        )
+        if refusal is None:
             return False
         self._log.info(
             "attempt.withdrawn",
             request=call.id,
             upstream=upstream.name,
-            reason="quarantine" if refusal is None else refusal.value,
+            reason=refusal.value,
             chosen_ms=round((instant - call.chosen_at) * 1000),
         )
         return True
@@ -575,11 +593,10 @@
         self, call: Call, upstream: Upstream, exchange: Exchange
     ) -> None:
         """Record a complete answer, unless it may have ended with its upstream."""
-        quarantine = self._state.quarantine
         if exchange.ended_by_close and not call.shows_sound_upstream(now()):
-            quarantine.on_broken(now(), upstream.run, call.prompt, call.id)
+            self._suspect_crash(call, upstream)
         elif call.answer_began_at is not None:
-            quarantine.on_answer(call.answer_began_at, call.prompt)
+            self._state.quarantine.on_answer(call.answer_began_at, call.suspects)
 
     def _record_event(self, call: Call) -> None:
         instant = now()
@@ -590,7 +607,7 @@
             call.answer_began_at = instant
         elif call.shows_sound_upstream(instant) and not call.is_counted_as_answer:
             call.is_counted_as_answer = True
-            self._state.quarantine.on_answer(call.answer_began_at, call.prompt)
+            self._state.quarantine.on_answer(call.answer_began_at, call.suspects)
 
     def _record_start(self, call: Call) -> None:
         if call.team is not None and call.prompt is not None:
@@ -604,15 +621,15 @@
         )
 
     def _record_unreachable(
-        self, call: Call, upstream: Upstream, exc: Exception
+        self, upstream: Upstream, exc: Exception, request: str = ""
     ) -> None:
-        upstream_count = len(self._view.directory.usable(now(), call.service.name))
+        upstream_count = len(self._view.directory.usable(now(), upstream.service))
         self._outliers.record_unreachable(
-            now(), call.service.name, upstream.name, upstream_count
+            now(), upstream.service, upstream.name, upstream_count
         )
         self._log.warning(
             "upstream.unreachable",
-            request=call.id,
+            request=request,
             upstream=upstream.name,
             reason=repr(exc),
         )
@@ -817,11 +834,6 @@
     )
 
 
-def _shared_part_names(prompt: Prompt | None) -> list[str]:
-    """Return the names of the prompt parts that other requests share."""
-    return [part.name for part in prompt.shared_parts] if prompt is not None else []
-
-
 def _placement_fields(choice: Choice | None) -> dict[str, object]:
     """Return the log fields for the inputs of a placement decision."""
     if choice is None:
--- a/src/oleandershift/io/requestresolver.py
+++ b/src/oleandershift/io/requestresolver.py
@@ -1,14 +1,20 @@
 """Resolves the route, team and deadline of a caller's request."""
 
+from functools import partial
+
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.eventframes import EventFramer
 from oleandershift.exceptions import MalformedRequestError
+from oleandershift.fingerprints import RequestContent
+from oleandershift.ids import Fingerprint
 from oleandershift.io.call import Call
 from oleandershift.io.callers import CallerRequest
 from oleandershift.io.clock import now
 from oleandershift.platform import headers
+from oleandershift.prompts import Prompt
 from oleandershift.routing import Configuration, Route, Service, Team
 from oleandershift.state import FleetState
+from oleandershift.suspects import RequestSuspects
 
 _REFUSED_BY_CONFIGURATION = (401, 404)
 
@@ -87,6 +93,9 @@
             deadline=self._arrivals.earliest_arrival(req.arrived_at)
             + timeout_ms / 1000,
             prompt=parsed.prompt,
+            suspects=RequestSuspects(
+                parsed.prompt, partial(_fingerprint, req, team, parsed.prompt)
+            ),
             last_event_id=parsed.last_event_id,
             configuration_version=cfg.version,
             event_stream=EventFramer(last_id=parsed.last_event_id),
@@ -126,6 +135,20 @@
         return team
 
 
+def _fingerprint(
+    req: CallerRequest, team: Team | None, prompt: Prompt | None
+) -> Fingerprint:
+    parts = prompt.parts if prompt is not None else ()
+    return RequestContent(
+        team=team.name if team is not None else None,
+        method=req.method,
+        host=req.header(b"host") or b"",
+        target=req.target,
+        parts=tuple(part.name for part in parts),
+        body=req.body,
+    ).fingerprint()
+
+
 def attempt_id(req: CallerRequest) -> str:
     """Return the attempt id of a request; empty when it has none."""
     return (req.header(headers.ATTEMPT_ID) or b"").decode("latin-1")
--- a/src/oleandershift/logcauses.py
+++ b/src/oleandershift/logcauses.py
@@ -14,11 +14,11 @@
     "stream.disorder": "the stream was cut: {detail}",
     "caller.left": "the caller left before the answer ended",
     "request.error": "internal error: {exception}",
-    "prompt.blocked": "blocked: upstreams {upstreams} crashed under it",
-    "prompt.released": "released: {reason}",
+    "suspect.blocked": "blocked: upstreams {upstreams} crashed under it",
+    "suspect.released": "released: {reason}",
 }
 """Text of the cause for each event that ends a request, or that blocks or releases a
-prompt part."""
+suspect."""
 
 SUCCESS_EVENTS = frozenset({"request.done", "request.late"})
 """Events of requests that ended successfully."""
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True)
 class LogEntry:
-    """One log line about a request or a prompt part.
+    """One log line about a request or a suspect.
 
     Parameters
     ----------
@@ -80,12 +80,12 @@
 
 
 def find_entries(subject: str, lines: Iterable[bytes]) -> list[LogEntry]:
-    """Return the log entries of a request or a prompt part, sorted by time.
+    """Return the log entries of a request or a suspect, sorted by time.
 
     Parameters
     ----------
     subject : str
-        Id of the caller's attempt, or of the part.
+        Id of the caller's attempt, or name of the suspect.
     lines : iterable of bytes
         Logs of one or more gateways; text before the JSON of a line is ignored.
     """
@@ -96,7 +96,7 @@
             entry = _parse_entry(line)
             if entry is not None and subject in (
                 entry.fields.get("request"),
-                entry.fields.get("part"),
+                entry.fields.get("suspect"),
             ):
                 entries.append(entry)
     return sorted(entries, key=lambda entry: entry.time)
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -165,6 +165,22 @@
             return StoreRole.STANDBY
         return StoreRole.FOLLOWER
 
+    def rank(self, now: float, subject: str) -> int:
+        """Return how many VMs come before this one in the order for a subject.
+
+        One VM of all comes first. The order goes by the data centre, and by the VM in
+        its data centre, so that all VMs find it without knowing each other.
+        """
+        centres = {
+            data_centre
+            for (data_centre, _), entry in self._data_centre_digests.items()
+            if _is_live(now, entry)
+        }
+        return max(
+            _count_preceding(subject, self.data_centre, centres),
+            _count_preceding(subject, self.vm, self._live_members(now)),
+        )
+
     def local_peers(self, now: float) -> list[Peer]:
         """Return the peers in the data centre of this VM."""
         return [
@@ -407,6 +423,12 @@
         return peers
 
 
+def _count_preceding(subject: str, member: str, others: Iterable[str]) -> int:
+    """Return how many others precede a member in the order for a subject."""
+    weight = weight_of(subject, member)
+    return sum(weight_of(subject, other) > weight for other in others)
+
+
 def _store(
     digests: dict[tuple[_Sender, int], _ReceivedDigest],
     sender: _Sender,
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -1,6 +1,5 @@
 """State of one VM's view of the fleet, shared by the components of a gateway."""
 
-import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -13,7 +12,7 @@
 from oleandershift.fleetview import FleetView
 from oleandershift.neighbours import PeerTable
 from oleandershift.placement import LoadTracker
-from oleandershift.quarantine import PartChange, PromptQuarantine, QuarantineLimits
+from oleandershift.quarantine import Quarantine, QuarantineLimits, SuspectChange
 from oleandershift.standings import UpstreamStandings
 
 MAX_ANNOUNCEMENTS = 4096
@@ -93,8 +92,8 @@
         Called with each report that begins or ends a limit.
     absences : AbsenceTracker
         Upstreams that this VM found absent.
-    quarantine : PromptQuarantine
-        Prompt parts that crash upstreams.
+    quarantine_limits : QuarantineLimits
+        When and for how long what crashes upstreams is blocked.
     standings : UpstreamStandings
         Upstreams that have turned this VM away.
 
@@ -102,6 +101,8 @@
     ----------
     allowances : Allowances
         Limits that upstreams have named.
+    quarantine : Quarantine
+        Requests and prompt parts that crash upstreams.
     """
 
     peers: PeerTable
@@ -112,21 +113,22 @@
     on_leaving: Callable[[LeavingReport], None] = lambda report: None
     on_limit: Callable[[LimitReport], None] = lambda report: None
     absences: AbsenceTracker = field(default_factory=AbsenceTracker)
-    quarantine: PromptQuarantine = field(
-        default_factory=lambda: PromptQuarantine(QuarantineLimits(), random.Random())
-    )
+    quarantine_limits: QuarantineLimits = field(default_factory=QuarantineLimits)
     standings: UpstreamStandings = field(default_factory=UpstreamStandings)
 
     def __post_init__(self) -> None:
         peers = self.peers
         self.allowances = Allowances(peers.vm, peers.data_centre, peers.fleet)
+        self.quarantine = Quarantine(self.quarantine_limits, peers.rank)
         # Unix time in milliseconds of the latest announcement of each kind.
         self._heard_at: dict[tuple[UpstreamRun, AnnouncementKind], float] = {}
 
     @property
     def eligibility(self) -> Eligibility:
         """Which upstreams may get requests."""
-        return Eligibility(self.view.directory, self.standings, self.allowances)
+        return Eligibility(
+            self.view.directory, self.standings, self.allowances, self.quarantine
+        )
 
     def shares(self, now: float, declared: float) -> Shares:
         """Return the teams' fair shares of the fleet's capacity.
@@ -189,14 +191,19 @@
             self.on_leaving(report)
             self.on_load_change()
 
-    def update_quarantine(self, now: float) -> list[PartChange]:
-        """Block and release prompt parts; return what has changed."""
+    def confirm_crashes(self, now: float) -> None:
+        """Count the broken exchanges whose upstream is known to be gone by now."""
+        absent = self.absent(now)
 
         def is_gone(run: UpstreamRun) -> bool:
             entry = self.view.directory.get(run.upstream)
-            return entry is None or entry.run != run or run in self.absent(now)
+            return entry is None or entry.run != run or run in absent
 
         self.quarantine.confirm(now, is_gone)
+
+    def update_quarantine(self, now: float) -> list[SuspectChange]:
+        """Block and release what crashes upstreams; return what has changed."""
+        self.confirm_crashes(now)
         return self.quarantine.update(now)
 
     def refresh_loads(self, now: float) -> None:
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -239,7 +239,8 @@
     assert gateway.call("/stream/once/x", "a1", **prompt).status == 502
     entries = find_entries("a1", fleet.log(gateway).encode().splitlines())
     (broken,) = [entry for entry in entries if entry.event == "attempt.broken"]
-    assert broken.fields["parts"] == ["aa", "bb"]
+    assert broken.fields["suspects"][:2] == ["aa", "bb"]
+    assert len(broken.fields["suspects"]) == 3
 
 
 def test_large_response_that_breaks_off_looks_incomplete(fleet, gateway):
--- a/tests/integration/test_gateway_crashing_prompts.py
+++ b/tests/integration/test_gateway_crashing_prompts.py
@@ -132,7 +132,7 @@
 
 def test_rejection_says_that_the_request_has_not_run_and_why(fleet):
     crashing = Callers(fleet, CRASHING_PART, "/stream/once/x", CRASH_INTERVAL_SECONDS)
-    blocked = "oleander_prompt_parts_blocked 2.0"
+    blocked = "oleander_suspects_blocked 2.0"
     for gateway in fleet.gateways:
         wait_until(lambda gw=gateway: blocked in gw.metrics(), blocked)
     before = crashing_arrivals(fleet)
@@ -146,4 +146,4 @@
         log = fleet.log(gateway).encode().splitlines()
         cause = find_cause(find_entries(CRASHING_PART, log))
         assert cause.startswith("blocked: upstreams")
-        assert 'blocks_total{change="blocked"} 2.0' in gateway.metrics()
+        assert 'blocks_total{change="blocked",kind="part"} 2.0' in gateway.metrics()
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -7,25 +7,31 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 from storereaders import at
-from upstreams import make_allowances, make_upstream
+from upstreams import make_allowances, make_eligibility, make_upstream
 
 from oleandershift.allowances import Fleet
-from oleandershift.directory import MAX_DEPARTED_RUNS, Directory, UpstreamState
-from oleandershift.eligibility import Eligibility, Refusal
-from oleandershift.ids import VmId
+from oleandershift.directory import (
+    MAX_DEPARTED_RUNS,
+    Directory,
+    UpstreamRun,
+    UpstreamState,
+)
+from oleandershift.eligibility import Refusal
+from oleandershift.ids import Fingerprint, UpstreamId, VmId
+from oleandershift.quarantine import BrokenExchange
 from oleandershift.standings import MAX_AWAY_SECONDS, UpstreamStandings
+from oleandershift.suspects import RequestSuspects
 
 FIRST, SECOND = make_upstream("e1"), make_upstream("e2")
 SERVICE = FIRST.service
 GRACE_SECONDS = 2.4
 EXPIRE_PROBABILITY = 0.3
+REQUEST = RequestSuspects(None, lambda: Fingerprint("request"))
 
 
 @pytest.fixture
 def eligibility():
-    created = Eligibility(
-        Directory(), UpstreamStandings(random.Random(1)), make_allowances()
-    )
+    created = make_eligibility(standings=UpstreamStandings(random.Random(1)))
     created.directory.replace(0.0, at(2), [(at(1), FIRST), (at(2), SECOND)])
     return created
 
@@ -37,12 +43,12 @@
     assert directory.on_leaving(FIRST.run)
     assert not directory.on_leaving(FIRST.run)
     assert eligibility.eligible(1e6, SERVICE) == [SECOND]
-    assert eligibility.refusal(1e6, FIRST.run) is Refusal.LEAVING
+    assert eligibility.refusal(1e6, FIRST.run, REQUEST) is Refusal.LEAVING
     reborn = replace(FIRST, incarnation=2)
     directory.update(at(3), reborn)
     assert eligibility.eligible(0.0, SERVICE) == [reborn, SECOND]
-    assert eligibility.refusal(0.0, reborn.run) is None
-    assert eligibility.refusal(0.0, FIRST.run) is Refusal.NOT_REGISTERED
+    assert eligibility.refusal(0.0, reborn.run, REQUEST) is None
+    assert eligibility.refusal(0.0, FIRST.run, REQUEST) is Refusal.NOT_REGISTERED
 
 
 def test_no_return_is_expected_of_upstreams_that_leave(eligibility):
@@ -55,8 +61,8 @@
     eligibility.standings.on_turned_away(0.0, SECOND.run, 5.0)
     eligibility.directory.remove(0.0, at(3), FIRST.name)
     assert eligibility.eligible(0.0, SERVICE) == []
-    assert eligibility.refusal(0.0, FIRST.run) is Refusal.NOT_REGISTERED
-    assert eligibility.refusal(0.0, SECOND.run) is Refusal.AWAY
+    assert eligibility.refusal(0.0, FIRST.run, REQUEST) is Refusal.NOT_REGISTERED
+    assert eligibility.refusal(0.0, SECOND.run, REQUEST) is Refusal.AWAY
 
 
 def test_departed_runs_are_limited(eligibility):
@@ -73,10 +79,8 @@
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
-        self.eligibility = Eligibility(
-            Directory(GRACE_SECONDS),
-            UpstreamStandings(random.Random(1)),
-            make_allowances(),
+        self.eligibility = make_eligibility(
+            Directory(GRACE_SECONDS), UpstreamStandings(random.Random(1))
         )
         self.directory = self.eligibility.directory
         self.now, self.revision = 0.0, 1
@@ -170,7 +174,7 @@
             assert self.away_until.get(item.run, 0.0) <= self.now
             gone_at = self.gone_at.get(item.run, self.now)
             assert gone_at + GRACE_SECONDS > self.now - 1e-9
-            assert self.eligibility.refusal(self.now, item.run) is None
+            assert self.eligibility.refusal(self.now, item.run, REQUEST) is None
 
     def sound(self):
         """Return the runs that ought to get requests."""
@@ -207,9 +211,9 @@
     eligibility,
 ):
     eligibility.allowances.on_answer(0.0, FIRST.run, 2.0, sent_at=0.0)
-    assert eligibility.refusal(0.0, FIRST.run) is Refusal.LIMITED
-    assert eligibility.refusal(0.0, FIRST.run, is_booked=True) is None
-    assert eligibility.refusal(0.5, FIRST.run) is None
+    assert eligibility.refusal(0.0, FIRST.run, REQUEST) is Refusal.LIMITED
+    assert eligibility.refusal(0.0, FIRST.run, REQUEST, is_booked=True) is None
+    assert eligibility.refusal(0.5, FIRST.run, REQUEST) is None
 
 
 def test_callers_learn_when_a_limit_allows_the_next_request(eligibility):
@@ -224,9 +228,23 @@
     returns = []
     for number in range(200):
         allowances = make_allowances(f"vm{number}", fleet)
-        created = Eligibility(Directory(), UpstreamStandings(), allowances)
+        created = make_eligibility(allowances=allowances)
         created.directory.replace(0.0, at(1), [(at(1), FIRST)])
         allowances.on_answer(0.0, FIRST.run, 2.0, sent_at=0.0)
         returns.append(created.return_s(0.0, SERVICE))
     assert returns.count(None) > 150
     assert all(math.isfinite(item) for item in returns if item is not None)
+
+
+def test_request_that_crashed_upstreams_is_refused_at_each_send(eligibility):
+    assert eligibility.refusal(3.0, FIRST.run, REQUEST) is None
+    for number in range(3):
+        now = float(number)
+        gone = UpstreamRun(UpstreamId(f"gone{number}"), 1)
+        broken = BrokenExchange(gone, REQUEST.all(), "a", now - 0.1, now)
+        eligibility.quarantine.on_broken(broken)
+        eligibility.quarantine.confirm(now, lambda run: True)
+    eligibility.quarantine.update(3.0)
+    other = RequestSuspects(None, lambda: Fingerprint("other"))
+    assert eligibility.refusal(3.0, FIRST.run, REQUEST) is Refusal.QUARANTINED
+    assert eligibility.refusal(3.0, FIRST.run, other) is None
--- a/tests/test_logcauses.py
+++ b/tests/test_logcauses.py
@@ -62,20 +62,17 @@
     assert "cause: refused: too late" in capsys.readouterr().out
 
 
-def test_cause_of_a_prompt_part_is_its_latest_block_or_release():
+def test_cause_of_a_suspect_is_its_latest_block_or_release():
     log = [
-        line("attempt.broken", "a1", parts=["bad"]),
-        line("prompt.blocked", "", part="bad", upstreams=["e1", "e2"]),
+        line("attempt.broken", "a1", suspects=["bad"]),
+        line("suspect.blocked", "", suspect="bad", upstreams=["e1", "e2"]),
     ]
     assert find_cause(read(log, "bad")) == (
         "blocked: upstreams ['e1', 'e2'] crashed under it"
     )
-    released = line(
-        "prompt.released", "", part="bad", reason="an upstream answered it", time="3"
-    )
-    assert (
-        find_cause(read([*log, released], "bad")) == "released: an upstream answered it"
-    )
+    reason = "an upstream answered it"
+    released = line("suspect.released", "", suspect="bad", reason=reason, time="3")
+    assert find_cause(read([*log, released], "bad")) == f"released: {reason}"
 
 
 def test_summary_counts_requests_by_cause(log):
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -6,19 +6,17 @@
 import pytest
 from returns.result import Failure, Success
 from storereaders import UPSTREAMS, Vm, at, registration
-from upstreams import make_allowances, make_upstream
+from upstreams import make_eligibility, make_upstream
 
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import StoreSnapshot
 from oleandershift.directory import REREGISTRATION_SECONDS, Directory
-from oleandershift.eligibility import Eligibility
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import Incarnation, VmId
 from oleandershift.neighbours import Peer, PeerTable, StoreRole
 from oleandershift.objects import StoreError, StoreFailure
 from oleandershift.placement import LoadTracker
 from oleandershift.records import Changes, Record, Snapshot
-from oleandershift.standings import UpstreamStandings
 from oleandershift.state import FleetState, LeavingReport, LeavingSource
 from oleandershift.telling import DigestExchange
 from oleandershift.vmsettings import Address
@@ -125,7 +123,7 @@
 
 def test_new_run_without_a_start_time_is_not_shunned_for_the_leaving_of_another():
     directory = Directory()
-    eligibility = Eligibility(directory, UpstreamStandings(), make_allowances())
+    eligibility = make_eligibility(directory)
     unknown = replace(make_upstream(), incarnation=0)
     directory.replace(0.0, at(1), [(at(1), unknown)])
     directory.on_leaving(unknown.run)
--- a/tests/upstreams.py
+++ b/tests/upstreams.py
@@ -1,8 +1,11 @@
 """Registrations of upstreams for tests."""
 
 from oleandershift.allowances import Allowances, Fleet
-from oleandershift.directory import Upstream, UpstreamState
+from oleandershift.directory import Directory, Upstream, UpstreamState
+from oleandershift.eligibility import Eligibility
 from oleandershift.ids import DataCentreId, ServiceId, UpstreamId, VmId
+from oleandershift.quarantine import Quarantine, QuarantineLimits
+from oleandershift.standings import UpstreamStandings
 
 
 def make_upstream(
@@ -24,3 +27,17 @@
 def make_allowances(vm: str = "vm", fleet: Fleet | None = None) -> Allowances:
     """Return the allowances of a VM that knows of no limit."""
     return Allowances(VmId(vm), DataCentreId("here"), lambda now: fleet or Fleet())
+
+
+def make_eligibility(
+    directory: Directory | None = None,
+    standings: UpstreamStandings | None = None,
+    allowances: Allowances | None = None,
+) -> Eligibility:
+    """Return the eligibility of a VM that knows of nothing wrong."""
+    return Eligibility(
+        directory or Directory(),
+        standings or UpstreamStandings(),
+        allowances or make_allowances(),
+        Quarantine(QuarantineLimits(), lambda now, name: 0),
+    )
