--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -7,9 +7,11 @@
 from itertools import chain
 from typing import NamedTuple
 
-from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
+from oleandershift.ids import DataCentreId, ServiceId, SoftwareVersion, UpstreamId
 from oleandershift.records import START_OF_HISTORY, StorePosition
 
+UNKNOWN_VERSION = SoftwareVersion("")
+
 CONFIRMATION_SECONDS = 5.0
 """Time after which a registration that a restored store still holds is believed again,
 though its removal had been read. The store drops the registration of an upstream that
@@ -71,6 +73,8 @@
         Whether it accepts new requests.
     sequence : int
         Number of the report that it sent last; 0 if unknown.
+    version : SoftwareVersion
+        Version of its software.
     """
 
     name: UpstreamId
@@ -82,6 +86,7 @@
     slots: int
     state: UpstreamState
     sequence: int = 0
+    version: SoftwareVersion = UNKNOWN_VERSION
 
     @property
     def run(self) -> UpstreamRun:
--- a/src/oleandershift/ids.py
+++ b/src/oleandershift/ids.py
@@ -26,6 +26,9 @@
 UpstreamId = NewType("UpstreamId", str)
 """Name of an upstream, unique in the fleet."""
 
+SoftwareVersion = NewType("SoftwareVersion", str)
+"""Version of an upstream's software; versions have no order."""
+
 PromptPartId = NewType("PromptPartId", str)
 """Hash of the content of a prompt part."""
 
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -54,6 +54,9 @@
         What of it may crash upstreams.
     last_event_id : int
         Id of the event after which a stream resumes.
+    resumes : str
+        Id of the attempt that brought the first event of that stream; empty if the
+        caller named none.
     choice : Choice or None
         Upstream of the current attempt; None before the first.
     chosen_at : float
@@ -93,6 +96,7 @@
     suspects: RequestSuspects
     last_event_id: int
     configuration_version: int
+    resumes: str = ""
     tried_runs: set[UpstreamRun] = field(default_factory=set)
     first_byte_at: float = 0.0
     choice: Choice | None = None
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -202,6 +202,13 @@
 
     async def _run_attempts(self, call: Call, res: Responder) -> None:
         self._budget_for(call.service).deposit()
+        if call.last_event_id:
+            self._log.info(
+                "stream.taken-up",
+                request=call.id,
+                resumes=call.resumes,
+                last_event=call.last_event_id,
+            )
         if self._is_overloaded() and self._reject_beyond_share(call, res):
             return
         while True:
@@ -219,6 +226,7 @@
                     "request.retried",
                     request=call.id,
                     upstream=choice.upstream.name,
+                    version=choice.upstream.version,
                     sends=call.send_count,
                     last_event=call.event_stream.last_id,
                     left_ms=round(remaining(call.deadline) * 1000),
@@ -426,6 +434,7 @@
                 "attempt.broken",
                 request=call.id,
                 upstream=upstream.name,
+                version=upstream.version,
                 cause=exc.cause.value,
                 after_ms=round((now() - call.sent_at) * 1000),
                 events=call.event_stream.event_count,
@@ -840,6 +849,7 @@
         return {}
     return {
         "upstream": choice.upstream.name,
+        "version": choice.upstream.version,
         "predicted_ms": round(choice.first_byte_s * 1000),
         "running": choice.load.running,
         "unread": choice.load.prefill_tokens,
--- a/src/oleandershift/io/requestresolver.py
+++ b/src/oleandershift/io/requestresolver.py
@@ -98,6 +98,7 @@
             ),
             last_event_id=parsed.last_event_id,
             configuration_version=cfg.version,
+            resumes=parsed.resumes,
             event_stream=EventFramer(last_id=parsed.last_event_id),
         )
 
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -366,6 +366,7 @@
             upstream=entry.name,
             state=entry.state.value,
             service=entry.service,
+            version=entry.version,
             revision=record.revision,
         )
 
--- a/src/oleandershift/platform/headers.py
+++ b/src/oleandershift/platform/headers.py
@@ -17,6 +17,7 @@
 UPSTREAM_LIMIT = b"server-limit"
 RETRY_AFTER = b"retry-after"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 _PROMPT_PREFIX = b"oleandershift-prompt-prefix"
 _TOKEN_USAGE = b"oleandershift-token-usage"
 _LENGTH_HINT = b"oleandershift-length-hint"
@@ -38,7 +39,7 @@
 """Headers of callers that aren't forwarded, as only the system may set them."""
 
 _SINGLE_VALUED = frozenset(
-    {ATTEMPT_ID, DEADLINE, _PROMPT_PREFIX, _TOKEN_USAGE, LAST_EVENT_ID}
+    {ATTEMPT_ID, DEADLINE, _PROMPT_PREFIX, _TOKEN_USAGE, LAST_EVENT_ID, RESUMES}
 )
 
 
@@ -54,6 +55,9 @@
         Time in milliseconds for which the caller waits.
     last_event_id : int
         Id of the last event received of a stream to resume; 0 for a new stream.
+    resumes : str
+        Id of the caller's attempt that brought the first event of that stream; empty
+        when absent.
     prompt : Prompt or None
         Size and shared prefix parts of the prompt; None for a request without one.
     """
@@ -61,6 +65,7 @@
     attempt_id: str
     timeout_ms: float | None
     last_event_id: int
+    resumes: str
     prompt: Prompt | None
 
 
@@ -81,6 +86,7 @@
         attempt_id=fields.get(ATTEMPT_ID, b"").decode("latin-1"),
         timeout_ms=_parse_milliseconds(fields.get(DEADLINE)),
         last_event_id=_parse_count(LAST_EVENT_ID, fields.get(LAST_EVENT_ID)),
+        resumes=fields.get(RESUMES, b"").decode("latin-1"),
         prompt=_parse_prompt(fields),
     )
 
--- a/src/oleandershift/platform/upstreams.py
+++ b/src/oleandershift/platform/upstreams.py
@@ -5,9 +5,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from oleandershift.directory import Upstream, UpstreamState
+from oleandershift.directory import UNKNOWN_VERSION, Upstream, UpstreamState
 from oleandershift.exceptions import Finding
-from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
+from oleandershift.ids import DataCentreId, ServiceId, SoftwareVersion, UpstreamId
 from oleandershift.platform.settings import parse_address
 from oleandershift.records import MAX_INTEGER
 
@@ -23,6 +23,8 @@
     # Start time of the upstream's process, in Unix milliseconds; sent in digests.
     born: Annotated[int, msgspec.Meta(le=MAX_INTEGER)] = 0
     sequence: int = 0
+    # Of its software, not of the weights.
+    version: str = UNKNOWN_VERSION
 
 
 def decode(name: str, spec: object) -> Result[Upstream, Finding]:
@@ -44,5 +46,6 @@
             slots=raw.slots,
             state=raw.state,
             sequence=raw.sequence,
+            version=SoftwareVersion(raw.version),
         )
     )
--- a/tests/test_platform_upstreams.py
+++ b/tests/test_platform_upstreams.py
@@ -24,6 +24,7 @@
     assert (upstream.host, upstream.port) == ("10.128.0.9", 8080)
     assert upstream.state is UpstreamState.READY
     assert upstream.run == ("i-7f", 1785951685287)
+    assert upstream.version == "v1"
 
 
 @pytest.mark.parametrize(
@@ -40,6 +41,7 @@
         {"slots": "many"},
         {"service": None},
         {"zone": 7},
+        {"version": 2},
     ],
 )
 def test_malformed_registration_is_a_finding(change):
