--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -100,6 +100,8 @@
 
     Attributes
     ----------
+    version : str
+        Version of its software.
     behaviour : Behaviour
         Response to requests for which none is queued.
     queued_behaviours : list of Behaviour
@@ -145,6 +147,7 @@
         self.started_at_ms = int(time.time() * 1000)
         self.address = f"{ip}:{self._server.port}"
         self.port = self._server.port
+        self.version = "v1"
         self.crashing_part: str | None = None
         self.crashing_path: str | None = None
         self.begins_before_crash = False
@@ -219,7 +222,7 @@
             "service": service,
             "address": self.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
