Answer each request before a planned stop ends, and send none on too late

Another operator's callers had requests cut off at the end of the grace, among them some that may not be repeated: taken late, passed on, and ended with the process. Seen here in six cases of test_gateway_stop.py, which failed before: a request whose upstream does not finish got no answer (plain, idempotent and stream), and one that was read in time but whose connect took a second was sent when half a second was left.

Cause: only new requests were refused after 3 s. What was read before could still be queued, connecting or in a retry, and whatever was under way at the exit ended with it.

Change: a planned stop has an instant by which each request is answered, 0.2 s before the exit; deadlines under way are moved to it, and upstreams get it as theirs. After the 3 s each send asks whether the answer can come in time: all its time for a request that may not be repeated, its target for others. What is not sent gets 503, what was sent 504.

--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -1,5 +1,6 @@
 """State of a caller's request while it is processed."""
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -55,6 +56,9 @@
         timeout, no longer waited for.
     suspects : RequestSuspects
         What of it may crash upstreams.
+    answers_until : float
+        Clock time in seconds by which it is answered: its deadline, or the end of a
+        planned stop.
     last_event_id : int
         Id of the event after which a stream resumes.
     resumes : str
@@ -101,6 +105,7 @@
     suspects: RequestSuspects
     last_event_id: int
     configuration_version: int
+    answers_until: float = math.inf
     resumes: str = ""
     version: SoftwareVersion | None = None
     tried_runs: set[UpstreamRun] = field(default_factory=set)
--- a/src/oleandershift/io/forwarding.py
+++ b/src/oleandershift/io/forwarding.py
@@ -130,7 +130,7 @@
     for name, value in req.headers:
         if name not in excluded and name != headers.LAST_EVENT_ID:
             parts.append(b"%b: %b\r\n" % (name, value))
-    remaining_ms = max(1, int(remaining(call.deadline) * 1000))
+    remaining_ms = max(1, int(remaining(call.answers_until) * 1000))
     parts.append(b"%b: %d\r\n" % (headers.DEADLINE, remaining_ms))
     parts.append(b"%b: %b\r\n" % (headers.EXPECT_UPSTREAM, upstream.name.encode()))
     if call.team is not None:
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -46,6 +46,7 @@
 from oleandershift.settings import program_version
 from oleandershift.shedding import LoadShedder
 from oleandershift.state import FleetState
+from oleandershift.stopping import PlannedStop
 from oleandershift.vmsettings import Address, VmSettings
 
 MAINTENANCE_INTERVAL_SECONDS = 0.1
@@ -73,7 +74,10 @@
 """Time after the start of the process in which digests of the other VMs arrive."""
 
 STOP_MARGIN_SECONDS = 0.4
-"""Time before SIGKILL at which the process exits, even with requests in flight."""
+"""Time before SIGKILL at which the process exits."""
+
+LAST_ANSWERS_SECONDS = 0.2
+"""Time before the exit by which each request is answered, so that answers are sent."""
 
 REMOVAL_GRACE_FRACTION = 0.6
 """Fraction of the drain time for which an upstream is kept after its registration has
@@ -479,6 +483,12 @@
             - STOP_MARGIN_SECONDS
         )
         self._log.info("process.stopping", active=self._relay.active_requests)
+        self._relay.stop_by(
+            PlannedStop(
+                serves_until=started_at + UNREADY_SERVING_SECONDS,
+                answers_until=deadline - LAST_ANSWERS_SECONDS,
+            )
+        )
         await asyncio.sleep(UNREADY_SERVING_SECONDS)
         self._caller_listener.close()
         self._relay.reject_new_requests()
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -60,6 +60,7 @@
     LeavingSource,
     LimitReport,
 )
+from oleandershift.stopping import NO_STOP, PlannedStop
 
 CATCH_UP_PAUSE_SECONDS = 0.01
 """Delay of requests that are read just after a pause of the process."""
@@ -140,6 +141,9 @@
         self._crash_checks = CrashChecks(
             pool, lambda run: run in state.absent(now()), self._record_unreachable
         )
+        self._stop = NO_STOP
+        # Deadlines of the calls that are processed.
+        self._timeouts: dict[asyncio.Timeout, Call] = {}
         self.draining = False
         self.active_requests = 0
         pool.on_response = self._on_response
@@ -151,6 +155,14 @@
         cfg = self._view.configuration
         return Limits() if cfg is None else cfg.limits
 
+    def stop_by(self, stop: PlannedStop) -> None:
+        """Answer all requests by the time at which the process stops."""
+        self._stop = stop
+        loop = asyncio.get_running_loop()
+        for timeout, call in self._timeouts.items():
+            call.answers_until = min(call.deadline, stop.answers_until)
+            timeout.reschedule(loop.time() + remaining(call.answers_until))
+
     def reject_new_requests(self) -> None:
         """Reject every request that arrives from now on."""
         self._resolver.shutting_down = True
@@ -181,12 +193,16 @@
         except RefusalError as exc:
             self._reject(req, res, exc)
             return
+        call.answers_until = min(call.deadline, self._stop.answers_until)
+        timeout = asyncio.timeout(remaining(call.answers_until))
+        self._timeouts[timeout] = call
         try:
-            async with asyncio.timeout(remaining(call.deadline)):
+            async with timeout:
                 await self._run_attempts(call, res)
         except TimeoutError:
             self._on_deadline(call, res)
         finally:
+            del self._timeouts[timeout]
             self._withdraw_unstarted(call)
 
     def _reject(
@@ -212,7 +228,7 @@
         if self._is_overloaded() and self._reject_beyond_share(call, res):
             return
         while True:
-            if self._reject_quarantined(call, res):
+            if self._reject_unsendable(call, res):
                 return
             choice = self._choose(call)
             if choice is None:
@@ -256,8 +272,17 @@
             self._send_error(call, res, reason, 503)
         return is_known
 
-    def _reject_quarantined(self, call: Call, res: Responder) -> bool:
-        """Reject a request that crashes upstreams; return whether it is one."""
+    def _may_send(self, call: Call) -> bool:
+        """Return whether a planned stop leaves time for the answer."""
+        return self._stop.allows_send(
+            now(), call.deadline, call.route.target_ms / 1000, call.repeatable
+        )
+
+    def _reject_unsendable(self, call: Call, res: Responder) -> bool:
+        """Reject a request that may go to no upstream; return whether it is one."""
+        if not self._may_send(call):
+            self._give_up(call, res, "shutting down")
+            return True
         quarantine = self._state.quarantine
         suspect = quarantine.rejected(now(), call.suspects)
         if suspect is None:
@@ -429,7 +454,7 @@
         conn: UpstreamConnection,
         res: Responder,
     ) -> AttemptOutcome:
-        if remaining(call.deadline) <= 0:
+        if remaining(call.answers_until) <= 0:
             raise TimeoutError
         if res.caller_has_left():
             raise CallerLeftError
@@ -499,13 +524,13 @@
         refusal = self._eligibility.refusal(
             instant, upstream.run, call.requirements, is_booked=is_booked
         )
-        if refusal is None:
+        if refusal is None and self._may_send(call):
             return False
         self._log.info(
             "attempt.withdrawn",
             request=call.id,
             upstream=upstream.name,
-            reason=refusal.value,
+            reason="shutting down" if refusal is None else refusal.value,
             chosen_ms=round((instant - call.chosen_at) * 1000),
         )
         return True
@@ -835,11 +860,12 @@
         self._send_error(call, res, reason, 502, retry_after_s)
 
     def _on_deadline(self, call: Call, res: Responder) -> None:
-        """End a request whose deadline has passed."""
+        """End a request whose deadline has passed, or that a planned stop ends."""
+        reason = "deadline" if remaining(call.deadline) <= 0 else "shutting down"
         if res.started:
-            self._abort_stream(call, res, "deadline")
+            self._abort_stream(call, res, reason)
             return
-        self._send_error(call, res, "deadline", 504)
+        self._send_error(call, res, reason, 504)
 
     def _send_error(
         self,
--- a/tests/contract/test_gateway_stop.py
+++ b/tests/contract/test_gateway_stop.py
@@ -5,6 +5,7 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 
 import pytest
 import uvloop
@@ -12,8 +13,12 @@
 
 from oleandershift.io import gateway as gateway_module
 from oleandershift.io.clock import now
+from oleandershift.io.decisionlog import DecisionLog
+from oleandershift.io.gateway import Gateway
 from oleandershift.io.listener import Listener
-from standins.gateway_fleet import HOST, KEY
+from oleandershift.io.pool import ConnectionPool
+from standins.behaviours import Behaviour
+from standins.gateway_fleet import HOST, KEY, METRICS_PORT
 
 TIMEOUT_SECONDS = 10.0
 SERVING_SECONDS = 0.3
@@ -29,6 +34,31 @@
     monkeypatch.setattr(gateway_module, "UNREADY_SERVING_SECONDS", SERVING_SECONDS)
 
 
+SHORT_GRACE_MS = 1500.0
+LATE_SEND_SECONDS = 1.0
+
+
+@pytest.fixture
+def short_stop(vm_settings, settings_path, engine):
+    """Return a gateway that has a short time to stop, and its settings."""
+    bounds = replace(vm_settings.bounds, termination_grace_ms=SHORT_GRACE_MS)
+    settings = replace(vm_settings, bounds=bounds)
+    log = DecisionLog(settings.vm, "ERROR")
+    return Gateway(settings, settings_path, METRICS_PORT, log), settings
+
+
+@pytest.fixture
+def slow_connects(monkeypatch):
+    """Let each connection to an upstream take a second."""
+    acquire = ConnectionPool.acquire
+
+    async def acquire_late(pool, *args, **kwargs):
+        await asyncio.sleep(LATE_SEND_SECONDS)
+        return await acquire(pool, *args, **kwargs)
+
+    monkeypatch.setattr(ConnectionPool, "acquire", acquire_late)
+
+
 def make_request(path="/read/x"):
     return (
         f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAuthorization: Bearer {KEY}\r\n"
@@ -147,3 +177,50 @@
         lambda conn: conn.shutdown(socket.SHUT_WR),
     )
     assert now() - stopped_at < vm_settings.bounds.termination_grace_ms / 1000 / 2
+
+
+@pytest.mark.parametrize("path", ["/write/x", "/read/x", "/stream/once/x"])
+def test_stop_answers_a_request_that_its_upstream_does_not_finish(
+    short_stop, engine, path
+):
+    """It was cut off without an answer when the process ended."""
+    engine.behaviour = Behaviour.HANG
+    request = make_request(path)
+
+    def send(conn):
+        conn.sendall(request)
+        while not engine.received:
+            time.sleep(0.01)
+
+    answer = stop_beside(*short_stop, send)
+    assert status_of(answer) == b"HTTP/1.1 504 Gateway Timeout"
+
+
+@pytest.mark.parametrize("path", ["/write/x", "/read/x", "/stream/once/x"])
+def test_request_that_can_t_be_answered_before_the_stop_is_refused_as_not_run(
+    short_stop, engine, slow_connects, path
+):
+    """It was read in time, but sent on when the process was about to end."""
+    request = make_request(path)
+
+    def send(conn):
+        conn.sendall(request)
+        time.sleep(0.1)
+
+    answer = stop_beside(*short_stop, send)
+    assert status_of(answer) == b"HTTP/1.1 503 Service Unavailable"
+    assert engine.received == []
+
+
+@pytest.mark.parametrize("path", ["/write/x", "/read/x", "/stream/once/x"])
+def test_request_that_can_be_answered_before_the_stop_is_served(
+    gateway, vm_settings, engine, slow_connects, path
+):
+    request = make_request(path)
+
+    def send(conn):
+        conn.sendall(request)
+        time.sleep(0.1)
+
+    answer = stop_beside(gateway, vm_settings, send)
+    assert status_of(answer) == b"HTTP/1.1 200 OK"
