--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -207,6 +207,7 @@
     store: MetaStore
     engines: dict[str, ModelEngine] = field(default_factory=dict)
     gateways: list[Gateway] = field(default_factory=list)
+    upstream_proxies: dict[str, Proxy] = field(default_factory=dict)
     max_fds: int = 4096
 
     def add_engine(
@@ -253,6 +254,8 @@
         stop_all([gateway.process for gateway in self.gateways], 0.2)
         for gateway in self.gateways:
             gateway.store_proxy.stop()
+        for proxy in self.upstream_proxies.values():
+            proxy.stop()
         for engine in self.engines.values():
             engine.stop()
         self.store.stop()
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -59,6 +59,7 @@
         self.forwarded_bytes = dict.fromkeys(_Direction, 0)
         self.was_cut = False
         self.closed = threading.Event()
+        self.is_silent = False
         self._client = client
         self._server: socket.socket | None = None
         self._selector = selector
@@ -134,7 +135,10 @@
         self.closed.wait(self._selector.faults_for(self.number).delay_seconds)
 
     def _wait_while_held(self, direction: _Direction) -> None:
-        while self._selector.faults_for(self.number).mode in _HOLDING_MODES[direction]:
+        while (
+            self.is_silent
+            or self._selector.faults_for(self.number).mode in _HOLDING_MODES[direction]
+        ):
             if self.closed.wait(POLL_INTERVAL_SECONDS):
                 return
 
@@ -231,6 +235,13 @@
         for conn in conns:
             conn.cut()
 
+    def silence_all(self) -> None:
+        """Forward nothing more on the open connections, and do not close them."""
+        with self._lock:
+            conns = tuple(self._connections)
+        for conn in conns:
+            conn.is_silent = True
+
     def counters(self) -> ProxyCounters:
         """Return the current counters."""
         with self._lock:
