Split the relay: ends of calls, upstreams' health, what upstreams announce

How calls end moves to io/endings.py, what broken exchanges show of upstreams to io/upstreamhealth.py, and what responses say of them to io/announcements.py.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -16,6 +16,7 @@
 from oleandershift.exceptions import SettingsError
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import Incarnation, VmId
+from oleandershift.io.announcements import Announcements
 from oleandershift.io.callers import (
     CallerConnection,
     CallerRequest,
@@ -206,6 +207,7 @@
             int(IDLE_UPSTREAM_SOCKETS_FRACTION * vm_settings.max_sockets)
         )
         self._metrics = GatewayMetrics()
+        self._announcements = Announcements(self._state, self._pool, log, self._metrics)
         self._outliers = OutlierDetector()
         self._load_shedder = LoadShedder(random.Random())
         self._share_log = ShareLog(log, self._state.demand)
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -6,16 +6,15 @@
 from http import HTTPStatus
 
 from oleandershift.absences import AbsenceProof
-from oleandershift.allowances import AnnouncedLimit, parse_limit
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.directory import Upstream
 from oleandershift.eventframes import EventOrderError
 from oleandershift.exceptions import CallerLeftError
 from oleandershift.io.call import AttemptOutcome, Call
-from oleandershift.io.callers import CallerRequest, Headers, Responder
-from oleandershift.io.clock import now, remaining, unix_ms
-from oleandershift.io.crashchecks import CrashChecks
+from oleandershift.io.callers import CallerRequest, Responder
+from oleandershift.io.clock import now, remaining
 from oleandershift.io.decisionlog import DecisionLog
+from oleandershift.io.endings import CallEndings
 from oleandershift.io.forwarding import (
     BodyStart,
     declared_length,
@@ -30,7 +29,6 @@
 from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.pool import ConnectionPool
 from oleandershift.io.requestresolver import RefusalError, RequestResolver, attempt_id
-from oleandershift.io.sharelog import level_field, rate_fields
 from oleandershift.io.takeups import TakeUps
 from oleandershift.io.upstreamconn import (
     BrokenExchangeError,
@@ -39,27 +37,19 @@
     ResponseHead,
     UpstreamConnection,
 )
+from oleandershift.io.upstreamhealth import UpstreamHealth
 from oleandershift.outliers import OutlierDetector
 from oleandershift.placement import Choice, InFlightRequest, Placement
 from oleandershift.platform import headers
-from oleandershift.quarantine import BrokenExchange
 from oleandershift.retries import RetryBudget
 from oleandershift.routing import Limits, Service
 from oleandershift.shedding import (
     MIN_RETRY_AFTER_SECONDS,
-    AdmissionDecision,
     LoadShedder,
     PendingRequest,
     ShareClass,
 )
-from oleandershift.standings import parse_away_seconds
-from oleandershift.state import (
-    AnnouncementKind,
-    FleetState,
-    LeavingReport,
-    LeavingSource,
-    LimitReport,
-)
+from oleandershift.state import FleetState
 from oleandershift.stopping import NO_STOP, PlannedStop
 
 CATCH_UP_PAUSE_SECONDS = 0.01
@@ -138,17 +128,13 @@
         self._take_ups = take_ups
         self._log = log
         self._metrics = metrics
-        self._crash_checks = CrashChecks(
-            pool, lambda run: run in state.absent(now()), self._record_unreachable
-        )
+        self._endings = CallEndings(log, metrics)
+        self._health = UpstreamHealth(state, outliers, pool, log)
         self._stop = NO_STOP
         # Deadlines of the calls that are processed.
         self._timeouts: dict[asyncio.Timeout, Call] = {}
         self.draining = False
         self.active_requests = 0
-        pool.on_response = self._on_response
-        state.on_leaving = self._on_leaving
-        state.on_limit = self._on_limit
 
     def limits(self) -> Limits:
         """Return the caller limits of the current configuration."""
@@ -191,7 +177,8 @@
         try:
             call = self._resolver.resolve(req)
         except RefusalError as exc:
-            self._reject(req, res, exc)
+            cfg = self._view.configuration
+            self._endings.reject(req, res, exc, cfg.version if cfg else None)
             return
         call.answers_until = min(call.deadline, self._stop.answers_until)
         timeout = asyncio.timeout(remaining(call.answers_until))
@@ -200,27 +187,11 @@
             async with timeout:
                 await self._run_attempts(call, res)
         except TimeoutError:
-            self._on_deadline(call, res)
+            self._endings.on_deadline(call, res)
         finally:
             del self._timeouts[timeout]
             self._withdraw_unstarted(call)
 
-    def _reject(
-        self, req: CallerRequest, res: Responder, rejection: RefusalError
-    ) -> None:
-        cfg = self._view.configuration
-        self._log.info(
-            "request.refused",
-            request=attempt_id(req),
-            status=rejection.status,
-            reason=rejection.detail,
-            configuration=cfg.version if cfg else None,
-        )
-        fields: Headers = []
-        if rejection.status == 503:
-            fields.append((b"retry-after", b"0.5"))
-        res.send(rejection.status, fields, rejection.detail.encode())
-
     async def _run_attempts(self, call: Call, res: Responder) -> None:
         self._budget_for(call.service).deposit()
         if call.is_take_up and not await self._find_version(call, res):
@@ -233,7 +204,9 @@
             choice = self._choose(call)
             if choice is None:
                 self._record_need(call)
-                self._give_up(call, res, "no upstream to send to", self._return_s(call))
+                self._endings.give_up(
+                    call, res, "no upstream to send to", self._return_s(call)
+                )
                 return
             if not call.send_count and not self._admit(call, choice, res):
                 return
@@ -252,7 +225,7 @@
             if outcome is AttemptOutcome.ANSWERED:
                 return
             if not self._may_retry(call, outcome):
-                self._give_up(call, res, f"last attempt: {outcome.value}")
+                self._endings.give_up(call, res, f"last attempt: {outcome.value}")
                 return
 
     async def _find_version(self, call: Call, res: Responder) -> bool:
@@ -269,7 +242,7 @@
         )
         if not is_known:
             reason = "the version that began the stream is not known"
-            self._send_error(call, res, reason, 503)
+            self._endings.send_error(call, res, reason, 503)
         return is_known
 
     def _may_send(self, call: Call) -> bool:
@@ -281,7 +254,7 @@
     def _reject_unsendable(self, call: Call, res: Responder) -> bool:
         """Reject a request that may go to no upstream; return whether it is one."""
         if not self._may_send(call):
-            self._give_up(call, res, "shutting down")
+            self._endings.give_up(call, res, "shutting down")
             return True
         quarantine = self._state.quarantine
         suspect = quarantine.rejected(now(), call.suspects)
@@ -289,12 +262,12 @@
             return False
         reason = f"{suspect.kind.name.lower()} {suspect.name!r} crashes upstreams"
         if res.started:
-            self._abort_stream(call, res, reason)
+            self._endings.abort_stream(call, res, reason)
             return True
         retry_after_s = max(
             MIN_RETRY_AFTER_SECONDS, quarantine.retry_after_s(now(), suspect)
         )
-        self._send_error(call, res, reason, 502, retry_after_s)
+        self._endings.send_error(call, res, reason, 502, retry_after_s)
         return True
 
     def _reject_beyond_share(self, call: Call, res: Responder) -> bool:
@@ -307,7 +280,7 @@
             return False
         call.admission = self._load_shedder.reject_beyond_share(pending)
         retry_after_s = call.admission.retry_after_s
-        self._send_error(call, res, "VM overloaded", 502, retry_after_s)
+        self._endings.send_error(call, res, "VM overloaded", 502, retry_after_s)
         return True
 
     def _admit(self, call: Call, choice: Choice, res: Responder) -> bool:
@@ -336,7 +309,7 @@
         if decision.admitted:
             return True
         detail = "too late" if within_share else "beyond the team's share"
-        self._send_error(call, res, detail, 502, decision.retry_after_s, choice)
+        self._endings.send_error(call, res, detail, 502, decision.retry_after_s, choice)
         return False
 
     def _withdraw_unstarted(self, call: Call) -> None:
@@ -421,7 +394,7 @@
                 conn = await self._pool.acquire(upstream, call.repeatable, call.id)
             except (OSError, TimeoutError) as exc:
                 call.failed_connects += 1
-                self._record_unreachable(upstream, exc, call.id)
+                self._health.record_unreachable(upstream, exc, call.id)
                 return AttemptOutcome.NOT_SENT
             return await self._exchange_once(call, upstream, in_flight, conn, res)
         finally:
@@ -484,9 +457,9 @@
                 call, upstream, in_flight, exchange, head, res
             )
         except BrokenExchangeError as exc:
-            self._record_health(call, upstream, False)
+            self._health.record_outcome(upstream, False)
             if not call.shows_sound_upstream(now()):
-                self._suspect_crash(call, upstream)
+                self._health.suspect_crash(call, upstream)
             self._log.warning(
                 "attempt.broken",
                 request=call.id,
@@ -498,22 +471,12 @@
                 suspects=[suspect.name for suspect in call.suspects.all()],
             )
             if res.started and not call.resumable:
-                self._abort_stream(call, res, f"upstream {exc.cause.value}")
+                self._endings.abort_stream(call, res, f"upstream {exc.cause.value}")
                 return AttemptOutcome.ANSWERED
             if call.repeatable:
-                await self._crash_checks.wait(upstream)
-                self._state.confirm_crashes(now())
+                await self._health.confirm_crash(upstream)
             return AttemptOutcome.UNKNOWN
 
-    def _suspect_crash(self, call: Call, upstream: Upstream) -> None:
-        """Record an exchange that may have ended with its upstream, and find out."""
-        self._state.quarantine.on_broken(
-            BrokenExchange(
-                upstream.run, call.suspects.all(), call.id, call.sent_at, now()
-            )
-        )
-        self._crash_checks.start(upstream)
-
     def _withdraw_attempt(self, call: Call, upstream: Upstream) -> bool:
         """Ask again what the choice asked; return whether the request is not sent.
 
@@ -546,7 +509,7 @@
             load=self._loads.total(upstream.name).running,
         )
         if head.status == HTTPStatus.MISDIRECTED_REQUEST:
-            self._record_absence(upstream, AbsenceProof.ADDRESS_REUSED)
+            self._health.record_absence(upstream, AbsenceProof.ADDRESS_REUSED)
         return AttemptOutcome.NOT_RUN
 
     async def _forward_response(
@@ -569,15 +532,15 @@
             raise BrokenExchangeError(FailureCause.ENDLESS)
         fields = response_headers(head)
         if head.status >= 500:
-            self._record_health(call, upstream, False)
+            self._health.record_outcome(upstream, False)
             if call.repeatable and start.is_whole:
                 if not res.started:
                     call.failed_response = (head.status, fields, start.data)
                 return AttemptOutcome.FAILED
         else:
-            self._record_health(call, upstream, True)
+            self._health.record_outcome(upstream, True)
         if res.started:
-            self._abort_stream(call, res, f"resumed with status {head.status}")
+            self._endings.abort_stream(call, res, f"resumed with status {head.status}")
             return AttemptOutcome.ANSWERED
         call.first_byte_at = call.answer_began_at = now()
         if head.status < 300 and start.is_whole:
@@ -586,7 +549,7 @@
             res.send(head.status, fields, start.data)
         else:
             await self._forward_parts(exchange, head, start, res)
-        self._record_completion(call, head.status)
+        self._endings.complete(call, head.status)
         return AttemptOutcome.ANSWERED
 
     async def _forward_parts(
@@ -652,8 +615,8 @@
             res.start(head.status, response_headers(head))
         self._record_answer(call, upstream, exchange)
         res.finish()
-        self._record_health(call, upstream, True)
-        self._record_completion(call, head.status)
+        self._health.record_outcome(upstream, True)
+        self._endings.complete(call, head.status)
         return AttemptOutcome.ANSWERED
 
     def _begin_stream(self, call: Call, upstream: Upstream) -> None:
@@ -669,7 +632,7 @@
     ) -> None:
         """Record a complete answer, unless it may have ended with its upstream."""
         if exchange.ended_by_close and not call.shows_sound_upstream(now()):
-            self._suspect_crash(call, upstream)
+            self._health.suspect_crash(call, upstream)
         elif call.answer_began_at is not None:
             self._state.quarantine.on_answer(call.answer_began_at, call.suspects)
 
@@ -689,148 +652,6 @@
             size = call.prompt.weighted_tokens
             self._state.demand.record_start(now(), call.team.name, size)
 
-    def _record_health(self, call: Call, upstream: Upstream, healthy: bool) -> None:
-        upstream_count = len(self._view.directory.usable(now(), call.service.name))
-        self._outliers.record(
-            now(), call.service.name, upstream.name, upstream_count, healthy
-        )
-
-    def _record_unreachable(
-        self, upstream: Upstream, exc: Exception, request: str = ""
-    ) -> None:
-        upstream_count = len(self._view.directory.usable(now(), upstream.service))
-        self._outliers.record_unreachable(
-            now(), upstream.service, upstream.name, upstream_count
-        )
-        self._log.warning(
-            "upstream.unreachable",
-            request=request,
-            upstream=upstream.name,
-            reason=repr(exc),
-        )
-        if isinstance(exc, ConnectionRefusedError):
-            self._record_absence(upstream, AbsenceProof.CONNECTION_REFUSED)
-
-    def _on_response(
-        self, upstream: Upstream, head: ResponseHead, sent_at: float | None
-    ) -> None:
-        """Record what an upstream says of itself in a response."""
-        if sent_at is not None and head.status != HTTPStatus.MISDIRECTED_REQUEST:
-            self._record_limit(upstream, head, sent_at)
-        standings = self._state.standings
-        request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
-        if head.get(headers.UPSTREAM_LEAVING) == b"1":
-            self._record_announcement(upstream, AnnouncementKind.LEAVING)
-            report = LeavingReport(upstream.run, LeavingSource.RESPONSE, request)
-            self._state.record_leaving(report)
-        if head.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            away_s = parse_away_seconds(head.get(headers.RETRY_AFTER))
-            if away_s is not None:
-                self._record_announcement(upstream, AnnouncementKind.AWAY)
-            if away_s is not None and standings.on_turned_away(
-                now(), upstream.run, away_s
-            ):
-                self._log.info(
-                    "upstream.away",
-                    upstream=upstream.name,
-                    request=request,
-                    away_s=away_s,
-                )
-
-    def _record_announcement(self, upstream: Upstream, kind: AnnouncementKind) -> None:
-        self._state.on_announcement(upstream.run, kind, unix_ms())
-
-    def _record_limit(
-        self, upstream: Upstream, head: ResponseHead, sent_at: float
-    ) -> None:
-        instant = now()
-        values = head.get_all(headers.UPSTREAM_LIMIT)
-        limit = parse_limit(values)
-        if limit is None and values:
-            return
-        if limit is not None:
-            self._record_announcement(upstream, AnnouncementKind.LIMIT)
-        if self._state.allowances.on_answer(instant, upstream.run, limit, sent_at):
-            request = (head.get(headers.ATTEMPT_ID) or b"").decode("latin-1")
-            announced = AnnouncedLimit(upstream.run, limit, instant)
-            self._on_limit(LimitReport(announced, request))
-
-    def _on_limit(self, report: LimitReport) -> None:
-        announced = report.announced
-        has_begun = announced.limit is not None
-        self._log.info(
-            "upstream.limited" if has_begun else "upstream.unlimited",
-            upstream=announced.run.upstream,
-            limit_per_s=announced.limit,
-            informant=report.informant,
-        )
-
-    def _on_leaving(self, report: LeavingReport) -> None:
-        entry = self._view.directory.get(report.run.upstream)
-        if entry is not None and entry.run == report.run:
-            self._pool.close_idle(entry)
-        source = report.source
-        informant = "request" if source is LeavingSource.RESPONSE else "peer"
-        self._metrics.leaving_reports.labels(source.value).inc()
-        self._log.info(
-            "upstream.leaving",
-            upstream=report.run.upstream,
-            source=source.value,
-            **{informant: report.informant},
-        )
-
-    def _record_absence(self, upstream: Upstream, proof: AbsenceProof) -> None:
-        self._log.info("upstream.absent", upstream=upstream.name, proof=proof.value)
-        self._state.absences.record(now(), upstream, proof)
-        self._state.on_load_change()
-
-    def _record_completion(self, call: Call, status: int) -> None:
-        first_byte_s = max(0.0, call.first_byte_at - call.req.arrived_at)
-        late = first_byte_s > call.route.target_ms / 1000
-        self._observe_latency(call, first_byte_s)
-        fields = {
-            "request": call.id,
-            "team": call.team.name if call.team else None,
-            "status": status,
-            "first_ms": round(first_byte_s * 1000),
-            "total_ms": round((now() - call.req.arrived_at) * 1000),
-            "events": call.event_stream.event_count,
-            "sends": call.send_count,
-            **_placement_fields(call.choice),
-            **_admission_fields(call.admission),
-        }
-        if status >= 400:
-            self._log.info("request.failed", **fields, reason="its own answer")
-            self._count_request(call, "failed")
-        elif late:
-            self._log.info("request.late", **fields)
-            self._count_request(call, "late")
-        else:
-            log = self._log.info if call.was_retried else self._log.debug
-            log("request.done", **fields)
-            self._count_request(call, "in-time")
-
-    def _observe_latency(self, call: Call, first_byte_s: float) -> None:
-        kind = call.route.semantics.value
-        self._metrics.first_byte.labels(kind).observe(first_byte_s)
-        if call.choice is not None and call.prompt is not None:
-            error = abs(call.choice.first_byte_s - first_byte_s)
-            self._metrics.prediction_error.observe(error)
-
-    def _abort_stream(self, call: Call, res: Responder, reason: str) -> None:
-        """Close the caller's connection so that a broken stream looks incomplete."""
-        self._log.warning(
-            "stream.cut",
-            request=call.id,
-            reason=reason,
-            events=call.event_stream.event_count,
-        )
-        self._count_request(call, "cut")
-        res.abort()
-
-    def _count_request(self, call: Call, outcome: str) -> None:
-        self._metrics.requests.labels(call.route.semantics.value, outcome).inc()
-
     def _return_s(self, call: Call) -> float:
         """Return the seconds until an upstream of the service accepts requests."""
         return_s = self._eligibility.return_s(
@@ -838,66 +659,6 @@
         )
         return max(MIN_RETRY_AFTER_SECONDS, return_s or 0.0)
 
-    def _give_up(
-        self,
-        call: Call,
-        res: Responder,
-        reason: str,
-        retry_after_s: float = MIN_RETRY_AFTER_SECONDS,
-    ) -> None:
-        """End a request whose last attempt failed, or that no upstream can serve."""
-        if res.started:
-            self._abort_stream(call, res, reason)
-            return
-        if call.failed_response is not None:
-            status, fields, body = call.failed_response
-            res.send(status, fields, body)
-            self._log.info(
-                "request.failed", request=call.id, status=status, reason=reason
-            )
-            self._count_request(call, "failed")
-            return
-        self._send_error(call, res, reason, 502, retry_after_s)
-
-    def _on_deadline(self, call: Call, res: Responder) -> None:
-        """End a request whose deadline has passed, or that a planned stop ends."""
-        reason = "deadline" if remaining(call.deadline) <= 0 else "shutting down"
-        if res.started:
-            self._abort_stream(call, res, reason)
-            return
-        self._send_error(call, res, reason, 504)
-
-    def _send_error(
-        self,
-        call: Call,
-        res: Responder,
-        reason: str,
-        unknown_status: int,
-        retry_after_s: float = MIN_RETRY_AFTER_SECONDS,
-        choice: Choice | None = None,
-    ) -> None:
-        """Send 503 if no upstream can have run the request, else `unknown_status`."""
-        status = unknown_status if call.may_have_run else 503
-        fields: Headers = []
-        if status == 503:
-            fields.append((b"retry-after", b"%.2f" % retry_after_s))
-        self._log.info(
-            "request.refused",
-            request=call.id,
-            status=status,
-            reason=reason,
-            route=call.route.name,
-            team=call.team.name if call.team else None,
-            configuration=call.configuration_version,
-            sends=call.send_count,
-            left_ms=round(remaining(call.deadline) * 1000),
-            retry_after_s=round(retry_after_s, 2) if status == 503 else None,
-            **_placement_fields(choice or call.choice),
-            **_admission_fields(call.admission),
-        )
-        self._count_request(call, "refused" if status == 503 else "unknown")
-        res.send(status, fields, reason.encode())
-
 
 def _pending_request(call: Call) -> PendingRequest | None:
     """Return what load shedding decides by; None if the call is no generation."""
@@ -910,31 +671,3 @@
         target_s=call.route.target_ms / 1000,
         remaining_s=remaining(call.deadline),
     )
-
-
-def _placement_fields(choice: Choice | None) -> dict[str, object]:
-    """Return the log fields for the inputs of a placement decision."""
-    if choice is None:
-        return {}
-    return {
-        "upstream": choice.upstream.name,
-        "version": choice.upstream.version,
-        "predicted_ms": round(choice.first_byte_s * 1000),
-        "running": choice.load.running,
-        "unread": choice.load.prefill_tokens,
-        "held": choice.load.kv_tokens,
-        "uncached": choice.uncached_tokens,
-        "home": choice.is_home,
-    }
-
-
-def _admission_fields(decision: AdmissionDecision | None) -> dict[str, object]:
-    """Return the log fields for the inputs of an admission decision."""
-    if decision is None:
-        return {}
-    return {
-        "share": decision.share.value,
-        "max_delay_ms": round(decision.max_delay_s * 1000),
-        **rate_fields(decision.rate),
-        "share_level": level_field(decision.level),
-    }
