Repeat a killing request in the soak, and let two versions serve its streams

One call in 121 repeats a request that crashes its upstream; it may reach three more later than 4 s after the third crash. Two of five upstreams are of another software version, and callers take broken streams up at any gateway; two streams may have events of both.

--- a/src/oleandershift/crashnotices.py
+++ b/src/oleandershift/crashnotices.py
@@ -53,6 +53,7 @@
         self._peers = peers
         self._quarantine = quarantine
         self._pending: dict[Suspect, _PendingNews] = {}
+        self._was_hub = False
         self._refresh_at = 0.0
 
     def receive(self, now: float, notice: CrashNotice) -> None:
@@ -65,6 +66,10 @@
         """Return the notice to send now, if one is due."""
         self._announce(now, self._quarantine.take_news())
         is_hub = self._peers.is_hub(now)
+        if is_hub and not self._was_hub:
+            # The hub before may have ended with news that it had not passed on.
+            self._announce(now, self._quarantine.often_suspected())
+        self._was_hub = is_hub
         records = self._due_news(now)
         if not records and is_hub and now >= self._refresh_at:
             self._refresh_at = now + REFRESH_SECONDS
--- a/standins/gateway_soak.py
+++ b/standins/gateway_soak.py
@@ -30,6 +30,7 @@
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 from standins.soak_judge import (
     CRASHING_PART,
+    CRASHING_PATH,
     DEADLINE_SECONDS,
     MAX_FREEZE_SECONDS,
     STORE,
@@ -44,7 +45,10 @@
     "/stream/once/x",
     "/read/x",
     "/write/x",
+    CRASHING_PATH,
 )
+PATH_WEIGHTS = (30, 30, 30, 30, 1)
+VERSIONS = ("v1", "v2")
 CALLERS = 12
 CALLS_PER_CONNECTION = 20
 MEAN_PAUSE_SECONDS = 0.02
@@ -111,18 +115,46 @@
         rng: random.Random,
         attempt_id: str,
     ) -> bool:
-        path = rng.choice(PATHS)
+        (path,) = rng.choices(PATHS, PATH_WEIGHTS)
+        body = b"the same" if path == CRASHING_PATH else None
         sent_at = time.monotonic()
         try:
-            res = call_on(conn, path, attempt_id, **_prompt_headers(path, rng))
+            res = call_on(conn, path, attempt_id, body, **_prompt_headers(path, rng))
         except (OSError, http.client.HTTPException):
             res = None
-        self._history.calls.append(
-            GatewayCall(attempt_id, path, gateway.name, sent_at, res)
-        )
+        call = GatewayCall(attempt_id, path, gateway.name, sent_at, res)
+        self._history.calls.append(call)
+        if path.startswith("/stream/resumable/"):
+            self._take_up(call, rng)
         time.sleep(rng.uniform(0, 2 * MEAN_PAUSE_SECONDS))
         return res is not None and res.headers.get("connection") != "close"
 
+    def _take_up(self, call: GatewayCall, rng: random.Random) -> None:
+        """Go on with a stream that broke off after an event, at any gateway."""
+        res = call.response
+        last_event = res.body.count(b"\n\n") if res is not None else 0
+        if res is None or res.status != 200 or res.whole or not last_event:
+            return
+        gateway = rng.choice(self._fleet.gateways)
+        attempt_id = f"{call.attempt_id}-again"
+        headers = {"Resumes": call.attempt_id, "Last-Event-Id": str(last_event)}
+        sent_at = time.monotonic()
+        try:
+            resumed = gateway.call(call.path, attempt_id, None, **headers)
+        except (OSError, http.client.HTTPException):
+            resumed = None
+        self._history.calls.append(
+            GatewayCall(
+                attempt_id,
+                call.path,
+                gateway.name,
+                sent_at,
+                resumed,
+                resumes=call.attempt_id,
+                last_event=last_event,
+            )
+        )
+
 
 def _prompt_headers(path: str, rng: random.Random) -> dict[str, str]:
     """Return the headers of a stream's prompt; some have a part that crashes."""
@@ -303,6 +335,8 @@
             proxies[engine.name] = proxy
             engine.address = f"127.0.0.1:{proxy.port}"
             engine.crashing_part = CRASHING_PART
+            engine.crashing_path = CRASHING_PATH
+            engine.version = VERSIONS[number % len(VERSIONS)]
             engine.on_restart = upstreams.register
             upstreams.register(engine)
         callers = _Callers(fleet, history, seed)
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -42,6 +42,8 @@
         Number of the first event to send, from 1; greater if a stream is resumed.
     parts : tuple of str
         Names of the parts of its prompt.
+    version : str
+        Software version of the upstream.
     """
 
     attempt_id: str
@@ -51,6 +53,7 @@
     received_at: float
     first_event: int
     parts: tuple[str, ...] = ()
+    version: str = "v1"
 
 
 @dataclass
@@ -289,6 +292,7 @@
             time.monotonic(),
             first_event,
             _prompt_parts(exchange),
+            self.version,
         )
         with self._lock:
             self._ledger.append(executed)
--- a/standins/soak_judge.py
+++ b/standins/soak_judge.py
@@ -4,6 +4,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import TypeAlias
 
 from standins.gateway_fleet import KEY, GatewayResponse
@@ -36,6 +37,13 @@
 """After so many crashes and the contact time, so many more requests with the part may
 reach upstreams."""
 
+CRASHING_PATH = "/read/killer"
+REPEATED_CRASHES_TO_LEARN = 3
+"""Likewise for a request that is repeated."""
+
+MAX_MIXED_STREAMS = 2
+"""Streams that may have events of several software versions."""
+
 Run: TypeAlias = tuple[str, int]
 """Name of an upstream and number of its run."""
 
@@ -47,7 +55,21 @@
 
 @dataclass(frozen=True)
 class GatewayCall:
-    """One call as its caller saw it; `response` is None if the connection broke."""
+    """One call as its caller saw it.
+
+    Parameters
+    ----------
+    attempt_id, path, gateway, key : str
+        What was sent where.
+    sent_at : float
+        Monotonic time at which it was sent.
+    response : GatewayResponse or None
+        None if the connection broke.
+    resumes : str
+        Attempt that began the stream which it goes on with; empty without one.
+    last_event : int
+        Last event that was received of that stream.
+    """
 
     attempt_id: str
     path: str
@@ -55,6 +77,8 @@
     sent_at: float
     response: GatewayResponse | None
     key: str = KEY
+    resumes: str = ""
+    last_event: int = 0
 
 
 @dataclass
@@ -115,6 +139,8 @@
     return [
         *violations,
         *_crash_violations(history),
+        *_repeated_crash_violations(history),
+        *_version_violations(history),
         *_store_violations(history),
         *_leaving_violations(history),
         *_away_violations(history),
@@ -144,7 +170,7 @@
     if call.path.startswith("/stream/"):
         return res.body == b"".join(
             b"id: %d\ndata: %b\n\n" % (number, call.attempt_id.encode())
-            for number in range(1, 6)
+            for number in range(call.last_event + 1, 6)
         )
     return res.body.endswith(b" ran " + call.attempt_id.encode())
 
@@ -277,6 +303,46 @@
     return [f"{len(late)} requests crashed upstreams late: {', '.join(late)}"]
 
 
+def _repeated_crash_violations(history: SoakHistory) -> list[str]:
+    """Find a request that went on crashing upstreams."""
+    reached_at = sorted(
+        req.received_at
+        for requests in history.arrivals.values()
+        for req in requests
+        if req.path == CRASHING_PATH
+    )
+    if len(reached_at) < REPEATED_CRASHES_TO_LEARN:
+        return []
+    known_at = reached_at[REPEATED_CRASHES_TO_LEARN - 1] + CONTACT_SECONDS
+    late = [
+        at
+        for at in reached_at
+        if at > known_at
+        and not _was_disturbed(history, history.disturbances, at - CONTACT_SECONDS, at)
+    ]
+    if len(late) <= MAX_LATE_CRASHES:
+        return []
+    return [f"a request crashed {len(late)} upstreams after the third"]
+
+
+def _version_violations(history: SoakHistory) -> list[str]:
+    """Find streams with events of several software versions."""
+    executed = defaultdict(list)
+    for requests in history.arrivals.values():
+        for req in requests:
+            executed[req.attempt_id].append(req)
+    mixed = set()
+    for call in history.calls:
+        attempts = [*executed[call.resumes], *executed[call.attempt_id]]
+        attempts.sort(key=lambda req: req.received_at)
+        for previous, req in pairwise(attempts):
+            if req.first_event > 1 and req.version != previous.version:
+                mixed.add(call.attempt_id)
+    if len(mixed) <= MAX_MIXED_STREAMS:
+        return []
+    return [f"{len(mixed)} streams of several versions: {', '.join(sorted(mixed))}"]
+
+
 def _was_disturbed(
     history: SoakHistory, names: Iterable[str], start: float, end: float
 ) -> bool:
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -2,10 +2,11 @@
 
 import pytest
 
-from standins.gateway_fleet import GatewayResponse
+from standins.gateway_fleet import KEY, GatewayResponse
 from standins.modelengine import ExecutedRequest, ReceivedRequest
 from standins.soak_judge import (
     CRASHING_PART,
+    CRASHING_PATH,
     STORE,
     GatewayCall,
     SoakHistory,
@@ -34,6 +35,33 @@
     return {"e1": [ReceivedRequest("a", received_at, run)]}
 
 
+def killer(received_at):
+    return ExecutedRequest("a", CRASHING_PATH, "team", b"a", received_at, 1)
+
+
+def stream_of(attempt, received_at, first_event, version):
+    return ExecutedRequest(
+        attempt, "/stream/x", "team", b"", received_at, first_event, (), version
+    )
+
+
+def streams(count, version, again=""):
+    """Return a history of streams that go on at a version, in one answer or again."""
+    calls, executed = [], []
+    for number in range(count):
+        name = f"s{number}"
+        broken = GatewayResponse(200, {}, b"", whole=False, seconds=0.1)
+        calls.append(GatewayCall(name, "/stream/x", "vm", 0.0, broken))
+        executed.append(stream_of(name, 1.0, 1, "v1"))
+        executed.append(stream_of(name + again, 2.0, 3, version))
+        if again:
+            calls.append(
+                GatewayCall(name + again, "/stream/x", "vm", 0.0, broken, KEY, name, 2)
+            )
+    return SoakHistory(calls, {"e1": executed})
+
+
+BROKEN = GatewayCall("a", CRASHING_PATH, "vm", 0.0, None)
 CRASHED_LATE = [crashing_request(20.0 + number) for number in range(4)]
 VIOLATIONS = [
     SoakHistory([call()], {"e1": CRASHED_LATE}, crashed_at=[1.0] * 5),
@@ -43,6 +71,9 @@
     SoakHistory([call(res=response(504, seconds=9.0))], {}),
     SoakHistory([], {"e1": [executed_request()]}),
     SoakHistory([call()], {}, {("e1", 1): 1.0}, received=received(9.0)),
+    SoakHistory([BROKEN], {"e1": [killer(at) for at in (1, 1, 1, 6, 7, 8, 9)]}),
+    streams(3, "v2"),
+    streams(3, "v2", "-again"),
 ]
 
 
@@ -51,6 +82,19 @@
     assert find_violations(history)
 
 
+@pytest.mark.parametrize(
+    "history",
+    [
+        SoakHistory([BROKEN], {"e1": [killer(at) for at in (1, 1, 1, 4, 4, 6, 7, 8)]}),
+        streams(3, "v1"),
+        streams(3, "v1", "-again"),
+        streams(2, "v2"),
+    ],
+)
+def test_what_the_rules_allow_is_no_violation(history):
+    assert find_violations(history) == []
+
+
 def test_disturbed_drain_and_broken_response_are_allowed():
     for name in ("vm", STORE):
         disturbed = SoakHistory(
