--- a/src/oleandershift/crashnotices.py
+++ b/src/oleandershift/crashnotices.py
@@ -9,7 +9,7 @@
 from oleandershift.quarantine import Quarantine
 from oleandershift.suspects import Suspect
 
-REPEATS = 3
+REPEATS = 5
 """Number of times that news are sent, as datagrams may be lost."""
 
 REPEAT_SECONDS = 0.2
