--- a/tests/integration/test_gateway_crashing_prompts.py
+++ b/tests/integration/test_gateway_crashing_prompts.py
@@ -1,14 +1,18 @@
 """Prompt parts that crash each upstream that begins to answer them."""
 
-import itertools
-import threading
-import time
 from collections.abc import Iterator
 
 import pytest
+from repeatingcallers import RepeatingCallers
 
 from oleandershift.logcauses import find_cause, find_entries
-from standins.gateway_fleet import GatewayFleet, running_fleet, wait_until
+from standins.gateway_fleet import (
+    Gateway,
+    GatewayFleet,
+    GatewayResponse,
+    running_fleet,
+    wait_until,
+)
 
 GATEWAYS, ENGINES = 3, 4
 CRASHING_PART = "bad"
@@ -45,47 +49,17 @@
     }
 
 
-class Callers:
-    """Callers that send requests with the same first part to all gateways in turn.
-
-    Parameters
-    ----------
-    fleet : GatewayFleet
-        The gateways.
-    middle : str
-        Second part of their prompts; the third is new each time.
-    path : str
-        Path of the requests.
-    interval_s : float
-        Seconds between two requests.
-    """
-
-    def __init__(
-        self, fleet: GatewayFleet, middle: str, path: str, interval_s: float
-    ) -> None:
-        self._gateways = itertools.cycle(fleet.gateways)
-        self._middle = middle
-        self._path = path
-        self._interval_s = interval_s
-        self._ends_at = time.monotonic() + RUN_SECONDS
-        self.answers: list[tuple[float, int]] = []
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-
-    def join(self) -> None:
-        """Wait for the last answer."""
-        self._thread.join()
-
-    def _run(self) -> None:
-        for number, gateway in enumerate(self._gateways):
-            sent_at = time.monotonic()
-            if sent_at > self._ends_at:
-                return
-            attempt = f"{self._middle}{number}"
-            headers = prompt_headers("first", self._middle, attempt)
-            answer = gateway.call(self._path, attempt, **headers)
-            self.answers.append((sent_at, answer.status if answer.whole else 0))
-            time.sleep(max(0.0, sent_at + self._interval_s - time.monotonic()))
+def start_callers(
+    fleet: GatewayFleet, middle: str, path: str, interval_s: float
+) -> RepeatingCallers:
+    """Send requests whose prompts share the first two parts."""
+
+    def call(gateway: Gateway, number: int) -> GatewayResponse:
+        attempt = f"{middle}{number}"
+        headers = prompt_headers("first", middle, attempt)
+        return gateway.call(path, attempt, **headers)
+
+    return RepeatingCallers(fleet, call, interval_s, RUN_SECONDS)
 
 
 def crashing_arrivals(fleet: GatewayFleet) -> list[float]:
@@ -108,14 +82,18 @@
 
 def assert_crashes_end(fleet: GatewayFleet, path: str) -> None:
     """Send requests that crash upstreams, and sound ones, and judge what arrives."""
-    crashing = Callers(fleet, CRASHING_PART, path, CRASH_INTERVAL_SECONDS)
-    sound = Callers(fleet, "good", "/stream/once/x", SOUND_INTERVAL_SECONDS)
+    crashing = start_callers(fleet, CRASHING_PART, path, CRASH_INTERVAL_SECONDS)
+    sound = start_callers(fleet, "good", "/stream/once/x", SOUND_INTERVAL_SECONDS)
     crashing.join()
     sound.join()
     known_at = all_known_at(fleet)
     late = [at for at in crashing_arrivals(fleet) if at > known_at]
     assert len(late) <= MAX_LATE_ARRIVALS
-    served = [status == 200 for at, status in sound.answers if at > known_at]
+    served = [
+        answer.status == 200 and answer.whole
+        for at, answer in sound.answers
+        if at > known_at
+    ]
     assert sum(served) > MIN_SERVED_FRACTION * len(served)
 
 
@@ -131,7 +109,9 @@
 
 
 def test_rejection_says_that_the_request_has_not_run_and_why(fleet):
-    crashing = Callers(fleet, CRASHING_PART, "/stream/once/x", CRASH_INTERVAL_SECONDS)
+    crashing = start_callers(
+        fleet, CRASHING_PART, "/stream/once/x", CRASH_INTERVAL_SECONDS
+    )
     blocked = "oleander_suspects_blocked 2.0"
     for gateway in fleet.gateways:
         wait_until(lambda gw=gateway: blocked in gw.metrics(), blocked)
--- a/tests/integration/test_gateway_crashing_requests.py
+++ b/tests/integration/test_gateway_crashing_requests.py
@@ -1,13 +1,17 @@
 """Requests that crash each upstream that begins to run them, and are repeated."""
 
 import itertools
-import threading
-import time
 from collections.abc import Iterator
 
 import pytest
+from repeatingcallers import RepeatingCallers
 
-from standins.gateway_fleet import GatewayFleet, GatewayResponse, running_fleet
+from standins.gateway_fleet import (
+    Gateway,
+    GatewayFleet,
+    GatewayResponse,
+    running_fleet,
+)
 
 GATEWAYS, ENGINES = 3, 4
 CRASHING_PATH = "killer"
@@ -44,46 +48,15 @@
         yield running
 
 
-class Caller:
-    """Sends one request again and again, to all gateways in turn.
-
-    Parameters
-    ----------
-    fleet : GatewayFleet
-        The gateways.
-    path : str
-        Path of the request.
-    interval_s : float
-        Seconds between two requests.
-    headers : dict
-        Header fields beyond the usual ones.
-    """
-
-    def __init__(
-        self, fleet: GatewayFleet, path: str, interval_s: float, headers: dict[str, str]
-    ) -> None:
-        self._gateways = itertools.cycle(fleet.gateways)
-        self._path = path
-        self._interval_s = interval_s
-        self._headers = headers
-        self._ends_at = time.monotonic() + RUN_SECONDS
-        self.answers: list[tuple[float, GatewayResponse]] = []
-        self._thread = threading.Thread(target=self._run)
-        self._thread.start()
-
-    def join(self) -> None:
-        """Wait for the last answer."""
-        self._thread.join()
-
-    def _run(self) -> None:
-        for number, gateway in enumerate(self._gateways):
-            sent_at = time.monotonic()
-            if sent_at > self._ends_at:
-                return
-            attempt = f"{self._path}{number}"
-            answer = gateway.call(self._path, attempt, b"same", **self._headers)
-            self.answers.append((sent_at, answer))
-            time.sleep(max(0.0, sent_at + self._interval_s - time.monotonic()))
+def start_caller(
+    fleet: GatewayFleet, path: str, interval_s: float, headers: dict[str, str]
+) -> RepeatingCallers:
+    """Send one request again and again."""
+
+    def call(gateway: Gateway, number: int) -> GatewayResponse:
+        return gateway.call(path, f"{path}{number}", b"same", **headers)
+
+    return RepeatingCallers(fleet, call, interval_s, RUN_SECONDS)
 
 
 def arrivals(fleet: GatewayFleet) -> list[float]:
@@ -112,8 +85,8 @@
 def test_repeated_request_does_not_crash_one_upstream_after_the_other(
     fleet, path, headers
 ):
-    repeated = Caller(fleet, path + CRASHING_PATH, REPEAT_SECONDS, headers)
-    sound = Caller(fleet, "/read/sound", SOUND_INTERVAL_SECONDS, {})
+    repeated = start_caller(fleet, path + CRASHING_PATH, REPEAT_SECONDS, headers)
+    sound = start_caller(fleet, "/read/sound", SOUND_INTERVAL_SECONDS, {})
     repeated.join()
     sound.join()
     from_at = counted_from(fleet)
