--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -256,8 +256,8 @@
                 if self.queued_behaviours
                 else self.behaviour
             )
-        if self.resumed_behaviour is not None and "Last-Event-Id" in exchange.headers:
-            behaviour = self.resumed_behaviour
+        if self._uses_resumed_behaviour(exchange):
+            behaviour = self.resumed_behaviour or behaviour
         expected_instance = exchange.headers.get("Oleandershift-Expect-Instance")
         if expected_instance is not None and expected_instance != self.name:
             headers = {"Oleandershift-Instance-Id": self.name}
@@ -271,6 +271,18 @@
         else:
             self._execute(exchange, attempt_id, behaviour)
 
+    def _uses_resumed_behaviour(self, exchange: Exchange) -> bool:
+        """Return whether a request is answered as one that resumes a stream.
+
+        An answer without an event would be the upstream's own complete one to a caller
+        that takes a stream up.
+        """
+        is_own_answer = (
+            self.resumed_behaviour is Behaviour.ERROR_EMPTY
+            and "Resumes" in exchange.headers
+        )
+        return "Last-Event-Id" in exchange.headers and not is_own_answer
+
     def _refuse(self, exchange: Exchange, req: ReceivedRequest) -> None:
         retry_after = self.retry_after
         away = {} if retry_after is None else {"Retry-After": retry_after}
