Call the repeating callers in the test of silent connections

Its Load was RepeatingCallers again, with four threads and an end of its own. The requests go on for a second past the bound in place of half a second; the assertions stay. Only this test file changes.

--- a/tests/integration/test_gateway_silent_connections.py
+++ b/tests/integration/test_gateway_silent_connections.py
@@ -1,13 +1,20 @@
 """Open connections that go silent for good, while new ones work."""
 
 import itertools
-import threading
 import time
 from collections.abc import Iterator
 
 import pytest
-
-from standins.gateway_fleet import GatewayFleet, configuration, route, running_fleet
+from repeatingcallers import RepeatingCallers
+
+from standins.gateway_fleet import (
+    Gateway,
+    GatewayFleet,
+    GatewayResponse,
+    configuration,
+    route,
+    running_fleet,
+)
 from standins.proxy import Proxy
 
 CONTACT_SECONDS = 4.0
@@ -15,6 +22,8 @@
 """Bounds of the platform's pages (`contactMs`, `configApplyMs`, `drainMs`)."""
 
 CALLERS = 4
+INTERVAL_SECONDS = 0.02
+RUN_SECONDS = 1.0 + CONTACT_SECONDS + APPLY_SECONDS + 1.0
 MIN_SERVED_FRACTION = 0.5
 
 
@@ -37,44 +46,22 @@
     fleet.store.put("servers", name, {**entry, "address": f"127.0.0.1:{port}"})
 
 
-class Load:
-    """Callers that send requests one after the other to all gateways."""
-
-    def __init__(self, fleet: GatewayFleet) -> None:
-        self._fleet = fleet
-        self._numbers = itertools.count()
-        self._stopping = threading.Event()
-        self.answers: list[tuple[float, int]] = []
-        self._threads = [threading.Thread(target=self._run) for _ in range(CALLERS)]
-        for thread in self._threads:
-            thread.start()
-
-    def stop(self) -> None:
-        """Wait for the last answers."""
-        self._stopping.set()
-        for thread in self._threads:
-            thread.join()
+def start_callers(fleet: GatewayFleet) -> list[RepeatingCallers]:
+    def call(gateway: Gateway, number: int) -> GatewayResponse:
+        return gateway.call("/read/x", f"a{next(numbers)}")
 
-    def served(self, since: float) -> float:
-        """Return the fraction of the requests sent since then that were served."""
-        statuses = [status for at, status in self.answers if at >= since]
-        return statuses.count(200) / len(statuses)
-
-    def _run(self) -> None:
-        for gateway in itertools.cycle(self._fleet.gateways):
-            if self._stopping.is_set():
-                return
-            sent_at = time.monotonic()
-            answer = gateway.call("/read/x", f"a{next(self._numbers)}")
-            self.answers.append((sent_at, answer.status))
-            time.sleep(0.02)
+    numbers = itertools.count()
+    return [
+        RepeatingCallers(fleet, call, INTERVAL_SECONDS, RUN_SECONDS)
+        for _ in range(CALLERS)
+    ]
 
 
 @pytest.mark.parametrize("silent", ["upstreams", "store"])
 def test_changes_are_in_force_in_time_though_open_connections_went_silent(
     fleet, silent
 ):
-    load = Load(fleet)
+    callers = start_callers(fleet)
     time.sleep(1.0)
     proxies = {
         "upstreams": list(fleet.upstream_proxies.values()),
@@ -89,11 +76,17 @@
     register(fleet, "e0", "draining")
     time.sleep(APPLY_SECONDS)
     statuses = [gateway.call("/new/x", "new").status for gateway in fleet.gateways]
-    time.sleep(0.5)
-    load.stop()
+    for caller in callers:
+        caller.join()
     assert statuses == [200] * len(fleet.gateways)
     late = [
         at for at in fleet.engines["e0"].arrivals if at > changed_at + APPLY_SECONDS
     ]
     assert late == []
-    assert load.served(since=changed_at) >= MIN_SERVED_FRACTION
+    served = [
+        answer.status == 200
+        for caller in callers
+        for at, answer in caller.answers
+        if at >= changed_at
+    ]
+    assert sum(served) >= MIN_SERVED_FRACTION * len(served)
