Count the watches of agents over a whole call, not at one instant

A watch is a call of 2 s that is sent again when it ends, and the test looked at one instant. Traced twice for 6 s in steps of 0.5 ms, with the agents of the test: 6 waited, but for some milliseconds each 2 s of each of the two watchers, out of phase (5, 4 or 3 for 36 of 10,544 looks, and 29 of 10,498); never more than 6.

The test now takes the most that wait in 2.5 s, longer than a call: a released agent that goes on makes it 9, a watcher that is missing 3. The bound, 2 * 3, and the time after which it holds are as before, and more instants are judged.

--- a/tests/integration/test_agents.py
+++ b/tests/integration/test_agents.py
@@ -26,6 +26,9 @@
 WATCH_END_SECONDS = 4.0
 """The watches of an agent end this soon after it releases the role (docs/TABLE.md)."""
 
+OBSERVED_SECONDS = 2.5
+"""Longer than a call of a watch, so that each watch is seen."""
+
 
 def put_row(platform: Platform, kind: str, name: str, value: dict[str, object]) -> int:
     current = platform.store.get(kind, name)
@@ -147,6 +150,16 @@
         assert rows.counters().waiting_watches <= watchers * kinds
 
 
+def most_waiting_watches(rows: Platform) -> int:
+    """Return the most watches at one time; some pause between two of their calls."""
+    until = time.monotonic() + OBSERVED_SECONDS
+    most = 0
+    while time.monotonic() < until:
+        most = max(most, rows.counters().waiting_watches)
+        time.sleep(0.01)
+    return most
+
+
 def test_watch_ends_after_the_agent_releases_the_role(
     rows: Platform, new_agents: Callable[..., list[AgentProcess]]
 ) -> None:
@@ -164,7 +177,7 @@
         agent.start()
     wait_until(lambda: all(len(a.member_states()) == 3 for a in created), "members")
     time.sleep(WATCH_END_SECONDS)
-    assert rows.counters().waiting_watches == 2 * 3
+    assert most_waiting_watches(rows) == 2 * 3
 
 
 def test_watch_handover_loses_no_edit(
