Ask the quarantine in one way which suspects of a request were blocked

No behaviour changes. Whether a suspect was blocked stood in a set and in its case; it is the set now, asked by one function. What is dropped leaves the set of changes, so that an update looks at known cases only. Crashes since an answer are listed once an update, not three times.

--- a/src/oleandershift/quarantine.py
+++ b/src/oleandershift/quarantine.py
@@ -190,11 +190,6 @@
         """Time of the latest crash."""
         return self.known_crashes[-1].crashed_at if self.known_crashes else _NEVER
 
-    @property
-    def was_blocked(self) -> bool:
-        """Whether it was blocked, and has not been answered since."""
-        return self.blocked_until > _NEVER
-
     def add(self, crash: _Crash) -> bool:
         """Add a crash; return False if it is known already."""
         if any(crash.is_same_as(known) for known in self.known_crashes):
@@ -235,11 +230,12 @@
     ) -> None:
         self._limits = limits
         self._rank = rank
-        self._cases: OrderedDict[Suspect, _Case] = OrderedDict()
+        self._cases: dict[Suspect, _Case] = {}
         self._answered_at: OrderedDict[Suspect, float] = OrderedDict()
         self._broken: list[BrokenExchange] = []
         self._suspected_requests = 0
-        # Cases to look at in the next update, and those with a block that may end.
+        # Cases to look at in the next update, and those that were blocked and have not
+        # been answered since.
         self._changed: set[Suspect] = set()
         self._blocked: set[Suspect] = set()
         self._news: set[Suspect] = set()
@@ -247,17 +243,16 @@
 
     def rejected(self, now: float, suspects: RequestSuspects) -> Suspect | None:
         """Return a suspect for which a request must not be sent, if it has one."""
-        if self._blocked:
-            for suspect in self._known(suspects):
-                if self._rejects(now, suspect):
-                    return suspect
+        for suspect in self._blocked_of(suspects):
+            if self._rejects(now, suspect):
+                return suspect
         return None
 
     def retry_after_s(self, now: float, suspect: Suspect) -> float:
         """Return the seconds until a request with a rejected suspect may be sent."""
-        case = self._cases.get(suspect)
-        if case is None or not case.was_blocked:
+        if suspect not in self._blocked:
             return 0.0
+        case = self._cases[suspect]
         turns = self._rank(now, suspect.name).bit_length()
         turn_at = case.blocked_until + turns * PROBE_SECONDS
         return max(0.0, turn_at - now, case.probed_until - now)
@@ -275,10 +270,8 @@
 
     def on_sent(self, now: float, suspects: RequestSuspects) -> None:
         """Record that a request is sent, which may probe a suspect after its block."""
-        if self._blocked:
-            for suspect in self._known(suspects):
-                if suspect in self._blocked:
-                    self._cases[suspect].probed_until = now + PROBE_SECONDS
+        for suspect in self._blocked_of(suspects):
+            self._cases[suspect].probed_until = now + PROBE_SECONDS
 
     def on_broken(self, broken: BrokenExchange) -> None:
         """Record an exchange that broke off before or just after its first event."""
@@ -295,11 +288,15 @@
         suspects : RequestSuspects
             Suspects of the request.
         """
-        answered = suspects.all() if self._suspected_requests else suspects.parts
-        for suspect in answered:
+        for suspect in self._carried(suspects):
             if self._record_answer(suspect, began_at):
                 self._news.add(suspect)
 
+    @property
+    def has_unconfirmed(self) -> bool:
+        """Whether an exchange broke off whose upstream may have crashed."""
+        return bool(self._broken)
+
     def confirm(self, now: float, is_gone: Callable[[UpstreamRun], bool]) -> None:
         """Count the broken exchanges whose upstream has crashed.
 
@@ -384,11 +381,9 @@
         """Block and release suspects; return what has changed."""
         changes = []
         for suspect in self._changed | self._blocked:
-            case = self._cases.get(suspect)
-            change = (
-                self._update_block(now, suspect, case) if case is not None else None
-            )
-            if case is not None and change is not None:
+            case = self._cases[suspect]
+            change = self._update_block(now, suspect, case)
+            if change is not None:
                 changes.append(_to_change(suspect, case, change))
         self._changed.clear()
         if now >= self._forget_at:
@@ -399,37 +394,33 @@
     def _update_block(
         self, now: float, suspect: Suspect, case: _Case
     ) -> BlockChange | None:
-        crashes = case.crashes
+        crashes, was_in_force = case.crashes, case.is_blocked
         if not crashes:
-            was_blocked = case.is_blocked
             case.clear_block()
             self._blocked.discard(suspect)
-            return BlockChange.ANSWERED if was_blocked else None
+            return BlockChange.ANSWERED if was_in_force else None
         last_at = crashes[-1].crashed_at
-        if last_at > case.counted_until and self._is_too_many(suspect, case):
-            was_blocked = case.is_blocked
-            self._block(now, case)
+        if last_at > case.counted_until and self._is_too_many(suspect, crashes):
+            self._block(now, case, crashes)
             self._blocked.add(suspect)
-            newly_blocked = case.is_blocked and not was_blocked
+            newly_blocked = case.is_blocked and not was_in_force
             return BlockChange.BLOCKED if newly_blocked else None
         if case.is_blocked and now >= case.blocked_until:
             case.is_blocked = False
             return BlockChange.EXPIRED
         return None
 
-    def _is_too_many(self, suspect: Suspect, case: _Case) -> bool:
+    def _is_too_many(self, suspect: Suspect, crashes: list[_Crash]) -> bool:
         """Return whether crashes block a suspect; after a block, a single one does."""
-        if case.was_blocked:
+        if suspect in self._blocked:
             return True
-        crashes = case.crashes
         limit = self._limits.crashes
         if suspect.kind is SuspectKind.REQUEST:
             return len(crashes) >= limit and _count_attempts(crashes) > 1
         events = _count_events(crashes)
         return events >= limit or (events > 1 and len(crashes) > limit)
 
-    def _block(self, now: float, case: _Case) -> None:
-        crashes = case.crashes
+    def _block(self, now: float, case: _Case, crashes: list[_Crash]) -> None:
         further = max(0, len(crashes) - self._limits.crashes)
         block_s = min(self._limits.block_s * BLOCK_GROWTH**further, MAX_BLOCK_SECONDS)
         case.counted_until = crashes[-1].crashed_at
@@ -438,20 +429,23 @@
         case.probed_until = _NEVER
 
     def _rejects(self, now: float, suspect: Suspect) -> bool:
+        """Return whether requests with a suspect that was blocked are rejected."""
         case = self._cases[suspect]
-        if not case.was_blocked:
-            return False
         if case.is_blocked or now < case.probed_until:
             return True
         # With each turn twice as many VMs may probe it.
         turns = int((now - case.blocked_until) / PROBE_SECONDS)
         return self._rank(now, suspect.name).bit_length() > turns
 
-    def _known(self, suspects: RequestSuspects) -> list[Suspect]:
-        known = [suspect for suspect in suspects.parts if suspect in self._cases]
-        if self._suspected_requests and suspects.request in self._cases:
-            known.append(suspects.request)
-        return known
+    def _blocked_of(self, suspects: RequestSuspects) -> list[Suspect]:
+        """Return those that were blocked and have not been answered since."""
+        if not self._blocked:
+            return []
+        return [item for item in self._carried(suspects) if item in self._blocked]
+
+    def _carried(self, suspects: RequestSuspects) -> tuple[Suspect, ...]:
+        """Return the suspects, without the request itself if none is suspected."""
+        return suspects.all() if self._suspected_requests else suspects.parts
 
     def _record_answer(self, suspect: Suspect, began_at: float) -> bool:
         """Record an answer; return whether it clears a suspect of crashes."""
@@ -487,7 +481,7 @@
     def _least_suspected(self) -> Suspect:
         """Return the oldest suspect with one crash, or the one with the fewest."""
         for suspect, case in self._cases.items():
-            if len(case.crashes) <= 1 and not case.was_blocked:
+            if len(case.crashes) <= 1 and suspect not in self._blocked:
                 return suspect
         return min(
             self._cases,
@@ -499,6 +493,7 @@
 
     def _drop(self, suspect: Suspect) -> None:
         del self._cases[suspect]
+        self._changed.discard(suspect)
         self._blocked.discard(suspect)
         self._news.discard(suspect)
         self._suspected_requests -= suspect.kind is SuspectKind.REQUEST
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -200,6 +200,8 @@
 
     def confirm_crashes(self, now: float) -> None:
         """Count the broken exchanges whose upstream is known to be gone by now."""
+        if not self.quarantine.has_unconfirmed:
+            return
         absent = self.absent(now)
 
         def is_gone(run: UpstreamRun) -> bool:
