Decode once which attempt began a stream

No behaviour changes. The choice of the service and the key of the stream each worked it out from Resumes and Last-Event-Id, with conditions that differed in form.

--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -61,6 +61,8 @@
         planned stop.
     last_event_id : int
         Id of the event after which a stream resumes.
+    began_as : str
+        Id of the attempt that began the stream, this one or an earlier one.
     resumes : str
         Id of the attempt that brought the first event of that stream; empty if the
         caller named none.
@@ -105,6 +107,7 @@
     suspects: RequestSuspects
     last_event_id: int
     configuration_version: int
+    began_as: str
     answers_until: float = math.inf
     resumes: str = ""
     version: SoftwareVersion | None = None
@@ -140,8 +143,7 @@
     def stream_key(self) -> StreamKey:
         """Key by which VMs know the stream."""
         team = self.team.name if self.team is not None else None
-        began_as = self.resumes if self.is_take_up and self.resumes else self.id
-        return stream_key(team, self.service.name, began_as)
+        return stream_key(team, self.service.name, self.began_as)
 
     @property
     def was_retried(self) -> bool:
--- a/src/oleandershift/io/requestresolver.py
+++ b/src/oleandershift/io/requestresolver.py
@@ -83,8 +83,7 @@
             self._state.demand.record_request(
                 now(), team.name, parsed.prompt.weighted_tokens
             )
-        began_as = parsed.resumes if parsed.last_event_id else ""
-        service_name = route.service_for(began_as or parsed.attempt_id)
+        service_name = route.service_for(parsed.began_as)
         return Call(
             id=parsed.attempt_id,
             req=req,
@@ -99,6 +98,7 @@
             ),
             last_event_id=parsed.last_event_id,
             configuration_version=cfg.version,
+            began_as=parsed.began_as,
             resumes=parsed.resumes,
             event_stream=EventFramer(last_id=parsed.last_event_id),
         )
--- a/src/oleandershift/platform/headers.py
+++ b/src/oleandershift/platform/headers.py
@@ -68,6 +68,11 @@
     resumes: str
     prompt: Prompt | None
 
+    @property
+    def began_as(self) -> str:
+        """Id of the attempt that began the stream, this one or an earlier one."""
+        return self.resumes if self.last_event_id and self.resumes else self.attempt_id
+
 
 def parse(headers: Iterable[tuple[bytes, bytes]]) -> CallerHeaders:
     """Decode the headers of a request, whose names are in lower case.
