Check the address of a query where that of a digest is checked

A query of another VM without a valid address was logged beside the check of digests, by a line that lacked the value; one check serves both. Notices of streams follow the tick of their caller, which is as long as the interval that they kept beside it. A tick copies the streams that it tells instead of all that are untold. Versions that other VMs recorded are forgotten when they count no more; a hub kept what it read each 20 s for good.

--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -263,13 +263,13 @@
         if isinstance(message, StreamNotice):
             self._on_stream_notice(instant, message)
             return
-        if isinstance(message, StreamQuery):
-            self._on_stream_query(instant, message)
-            return
         if not Address(message.host, message.port).is_valid:
             why = f"no address to send to: {message.host}:{message.port}"
             self._log.warning("digest.damaged", sender=sender, why=why)
             return
+        if isinstance(message, StreamQuery):
+            self._on_stream_query(instant, message)
+            return
         forward_to = self._digest_exchange.receive(instant, message)
         if self._digest_exchange.sums_peers(instant):
             self.on_load_change()
@@ -284,9 +284,6 @@
                         waiter.set_result(group.version)
 
     def _on_stream_query(self, instant: float, query: StreamQuery) -> None:
-        if not Address(query.host, query.port).is_valid:
-            self._log.warning("digest.damaged", sender=query.vm, why="no address")
-            return
         answer = self._stream_exchange.answer(query)
         if answer is not None:
             self._send(encode(answer.notice), answer.peers)
--- a/src/oleandershift/streamnotices.py
+++ b/src/oleandershift/streamnotices.py
@@ -10,8 +10,6 @@
 from oleandershift.streamversions import StreamVersions
 from oleandershift.vmsettings import Address
 
-NOTICE_INTERVAL_SECONDS = 0.1
-
 LOCAL_KEEPERS = 2
 REMOTE_KEEPERS = 1
 """VMs of the own and of other data centres that remember a VM's streams with it."""
@@ -59,16 +57,12 @@
         self._this_vm = this_vm
         self._peers = peers
         self._versions = versions
-        self._due_at = 0.0
 
     def next_notice(self, now: float) -> AddressedStreamNotice | None:
-        """Return the notice to send now, if one is due."""
-        if now < self._due_at:
-            return None
+        """Return the notice of streams that others have to be told of, if any."""
         untold = self._versions.take_untold(MAX_STREAMS_IN_NOTICE)
         if not untold:
             return None
-        self._due_at = now + NOTICE_INTERVAL_SECONDS
         groups = tuple(
             StreamGroup(version, tuple(keys)) for version, keys in untold.items()
         )
--- a/src/oleandershift/streamversions.py
+++ b/src/oleandershift/streamversions.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
+from itertools import islice
 
 import msgspec
 
@@ -97,6 +98,8 @@
             for version in previous - registered.get(service, frozenset()):
                 self._ended_at[service, version] = now
         self._registered = dict(registered)
+        if now >= self._inherited_until:
+            self._inherited = None
         self._ended_at = {
             (service, version): at
             for (service, version), at in self._ended_at.items()
@@ -170,7 +173,7 @@
             Largest number of streams; further ones are left for the next call.
         """
         told: defaultdict[SoftwareVersion, list[StreamKey]] = defaultdict(list)
-        for key, stream in list(self._untold.items())[:limit]:
+        for key, stream in list(islice(self._untold.items(), limit)):
             told[stream.version].append(key)
             del self._untold[key]
             stream.tellings_left -= 1
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -90,6 +90,16 @@
     assert started.only_version(MEMORY_SECONDS, SERVICE) == V1
 
 
+def test_records_that_are_read_later_change_nothing_after_a_minute(versions):
+    """A hub reads the registrations again and again."""
+    later = MEMORY_SECONDS + 1.0
+    for number in range(3):
+        versions.inherit([{SERVICE: (V2,)}])
+        serve(versions, later + number, V1)
+        assert versions.only_version(later + number, SERVICE) == V1
+        assert versions.record(later + number) == {SERVICE: (V1,)}
+
+
 def test_service_without_an_upstream_has_no_version(versions):
     serve(versions, 1.0)
     assert versions.only_version(1.0, SERVICE) is None
