Use one class for a message with its recipients

No behaviour changes. The transport sends any of them by one function. Tests name the field message; their assertions stay.

--- a/src/oleandershift/crashnotices.py
+++ b/src/oleandershift/crashnotices.py
@@ -5,7 +5,7 @@
 
 from oleandershift.digests import CrashNotice, SuspectRecord
 from oleandershift.ids import VmId
-from oleandershift.neighbours import Peer, PeerTable
+from oleandershift.neighbours import Addressed, PeerTable
 from oleandershift.quarantine import Quarantine
 from oleandershift.suspects import Suspect
 
@@ -18,14 +18,6 @@
 """Interval at which a hub repeats what is known, for VMs that have started since."""
 
 
-@dataclass(frozen=True, slots=True)
-class AddressedNotice:
-    """A notice with its recipients."""
-
-    notice: CrashNotice
-    peers: list[Peer]
-
-
 @dataclass(slots=True)
 class _PendingNews:
     sends_left: int
@@ -62,7 +54,7 @@
         if news and self._peers.is_hub(now):
             self._announce(now, news)
 
-    def next_notice(self, now: float) -> AddressedNotice | None:
+    def next_notice(self, now: float) -> Addressed[CrashNotice] | None:
         """Return the notice to send now, if one is due."""
         self._announce(now, self._quarantine.take_news())
         is_hub = self._peers.is_hub(now)
@@ -80,7 +72,7 @@
         peers = self._peers.local_peers(now)
         if is_hub:
             peers += self._peers.remote_hubs(now, all_members=True)
-        return AddressedNotice(CrashNotice(self._vm, records), peers)
+        return Addressed(CrashNotice(self._vm, records), peers)
 
     def _announce(self, now: float, suspects: Iterable[Suspect]) -> None:
         for suspect in suspects:
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -26,7 +26,7 @@
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.listener import Listener
 from oleandershift.limitnotices import LimitExchange
-from oleandershift.neighbours import Peer
+from oleandershift.neighbours import Addressed, Peer
 from oleandershift.state import FleetState, LimitReport
 from oleandershift.streamnotices import StreamExchange
 from oleandershift.telling import DigestExchange
@@ -169,12 +169,12 @@
         """Send notices about upstreams and streams if it is time for them."""
         addressed = self._notice_exchange.next_notice(now())
         if addressed is not None:
-            self._send(encode(addressed.notice), addressed.peers)
+            self._send_addressed(addressed)
         for item in self._limit_exchange.next_notices(now()):
-            self._send(encode(item.notice), item.peers)
+            self._send_addressed(item)
         streams = self._stream_exchange.next_notice(now())
         if streams is not None:
-            self._send(encode(streams.notice), streams.peers)
+            self._send_addressed(streams)
 
     async def ask_for_stream(self, key: StreamKey) -> SoftwareVersion | None:
         """Ask the other VMs which version began a stream; None if none knows it."""
@@ -185,7 +185,7 @@
         try:
             for _ in range(STREAM_QUERIES):
                 for item in self._stream_exchange.queries(now(), key):
-                    self._send(encode(item.query), item.peers)
+                    self._send_addressed(item)
                 await asyncio.wait([answer], timeout=STREAM_ANSWER_SECONDS)
                 if answer.done():
                     return answer.result()
@@ -201,7 +201,7 @@
             self._urgent_timer.cancel()
             self._urgent_timer = None
         for addressed in self._digest_exchange.next_digests(now()):
-            self._send(encode(addressed.digest), addressed.peers)
+            self._send_addressed(addressed)
 
     async def fetch_snapshot(
         self, peer: Peer, req: SnapshotRequest
@@ -240,6 +240,9 @@
             return _WHOLE_SNAPSHOT
         return result.unwrap()
 
+    def _send_addressed(self, addressed: Addressed[PeerMessage]) -> None:
+        self._send(encode(addressed.message), addressed.peers)
+
     def _send(self, data: bytes, peers: Iterable[Peer]) -> None:
         if self._transport is None:
             return
@@ -286,11 +289,11 @@
     def _on_stream_query(self, instant: float, query: StreamQuery) -> None:
         answer = self._stream_exchange.answer(query)
         if answer is not None:
-            self._send(encode(answer.notice), answer.peers)
+            self._send_addressed(answer)
             return
         forwarded = self._stream_exchange.forwarded(instant, query)
         if forwarded is not None:
-            self._send(encode(forwarded.query), forwarded.peers)
+            self._send_addressed(forwarded)
 
 
 def _exchange_snapshot(
--- a/src/oleandershift/limitnotices.py
+++ b/src/oleandershift/limitnotices.py
@@ -9,7 +9,7 @@
 from oleandershift.digests import LimitEntry, LimitNotice, Scope, ServiceNeed
 from oleandershift.directory import UpstreamRun
 from oleandershift.ids import DataCentreId, ServiceId, VmId
-from oleandershift.neighbours import Peer, PeerTable
+from oleandershift.neighbours import Addressed, Peer, PeerTable
 
 NOTICE_INTERVAL_SECONDS = 0.25
 """Time between two notices; a tenth of the shortest time for keeping a new limit."""
@@ -23,14 +23,6 @@
 _Sender = TypeVar("_Sender", VmId, DataCentreId)
 
 
-@dataclass(frozen=True, slots=True)
-class AddressedLimitNotice:
-    """A notice with its recipients."""
-
-    notice: LimitNotice
-    peers: list[Peer]
-
-
 @dataclass(frozen=True, slots=True)
 class _ReceivedNeeds:
     needs: Mapping[ServiceId, float]
@@ -87,7 +79,7 @@
             if self._allowances.on_notice(announced, is_local=heard_here)
         ]
 
-    def next_notices(self, now: float) -> list[AddressedLimitNotice]:
+    def next_notices(self, now: float) -> list[Addressed[LimitNotice]]:
         """Return the notices to send now, if they are due."""
         if now < self._due_at or not self._allowances.has_limits:
             return []
@@ -127,7 +119,7 @@
         limits: Iterable[AnnouncedLimit],
         needs: Mapping[ServiceId, float],
         peers: list[Peer],
-    ) -> AddressedLimitNotice:
+    ) -> Addressed[LimitNotice]:
         largest = sorted(needs.items(), key=lambda item: item[1], reverse=True)
         notice = LimitNotice(
             self._this_vm.vm,
@@ -139,7 +131,7 @@
                 for service, rate in largest[:MAX_ENTRIES]
             ),
         )
-        return AddressedLimitNotice(notice, peers)
+        return Addressed(notice, peers)
 
 
 def _recent(
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -1,15 +1,15 @@
 """Digests and addresses of the other VMs, and recipients of this VM's digests."""
 
 from collections import defaultdict
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from copy import copy
 from dataclasses import dataclass
 from enum import Enum
-from typing import TypeVar
+from typing import Generic, TypeVar
 
 from oleandershift.allowances import Fleet
 from oleandershift.demand import TeamRate
-from oleandershift.digests import Digest, Scope, TeamDemand, UpstreamWork
+from oleandershift.digests import Digest, PeerMessage, Scope, TeamDemand, UpstreamWork
 from oleandershift.directory import UpstreamRun
 from oleandershift.hashing import weight_of
 from oleandershift.ids import DataCentreId, TeamId, UpstreamId, VmId
@@ -61,6 +61,17 @@
     address: Address
 
 
+_Message = TypeVar("_Message", bound=PeerMessage, covariant=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Addressed(Generic[_Message]):
+    """A message with its recipients."""
+
+    message: _Message
+    peers: Sequence[Peer]
+
+
 @dataclass(frozen=True, slots=True)
 class Registration:
     """What a VM has in the store.
--- a/src/oleandershift/streamnotices.py
+++ b/src/oleandershift/streamnotices.py
@@ -1,12 +1,9 @@
 """Exchange of the versions that streams began at, between VMs."""
 
-from collections.abc import Sequence
-from dataclasses import dataclass
-
 from oleandershift.digests import Scope, StreamGroup, StreamNotice, StreamQuery
 from oleandershift.hashing import ranked
 from oleandershift.ids import StreamKey
-from oleandershift.neighbours import Peer, PeerTable
+from oleandershift.neighbours import Addressed, Peer, PeerTable
 from oleandershift.streamversions import StreamVersions
 from oleandershift.vmsettings import Address
 
@@ -18,22 +15,6 @@
 """Limit of a notice, which then fits into one packet of 1500 bytes."""
 
 
-@dataclass(frozen=True, slots=True)
-class AddressedStreamNotice:
-    """A notice with its recipients."""
-
-    notice: StreamNotice
-    peers: Sequence[Peer]
-
-
-@dataclass(frozen=True, slots=True)
-class AddressedStreamQuery:
-    """A query with its recipients."""
-
-    query: StreamQuery
-    peers: Sequence[Peer]
-
-
 class StreamExchange:
     """Creates this VM's notices and queries about streams and applies those of others.
 
@@ -58,7 +39,7 @@
         self._peers = peers
         self._versions = versions
 
-    def next_notice(self, now: float) -> AddressedStreamNotice | None:
+    def next_notice(self, now: float) -> Addressed[StreamNotice] | None:
         """Return the notice of streams that others have to be told of, if any."""
         untold = self._versions.take_untold(MAX_STREAMS_IN_NOTICE)
         if not untold:
@@ -67,26 +48,24 @@
             StreamGroup(version, tuple(keys)) for version, keys in untold.items()
         )
         notice = StreamNotice(self._this_vm.vm, groups)
-        return AddressedStreamNotice(notice, self._keepers(now))
+        return Addressed(notice, self._keepers(now))
 
     def receive(self, now: float, notice: StreamNotice) -> None:
         """Apply another VM's notice."""
         for group in notice.groups:
             self._versions.learn(now, group.version, group.keys)
 
-    def queries(self, now: float, key: StreamKey) -> list[AddressedStreamQuery]:
+    def queries(self, now: float, key: StreamKey) -> list[Addressed[StreamQuery]]:
         """Return the queries that ask all VMs for a stream."""
         return [
-            AddressedStreamQuery(
-                self._query(key, Scope.VM), self._peers.local_peers(now)
-            ),
-            AddressedStreamQuery(
+            Addressed(self._query(key, Scope.VM), self._peers.local_peers(now)),
+            Addressed(
                 self._query(key, Scope.DATA_CENTRE),
                 self._peers.remote_hubs(now, all_members=True),
             ),
         ]
 
-    def answer(self, query: StreamQuery) -> AddressedStreamNotice | None:
+    def answer(self, query: StreamQuery) -> Addressed[StreamNotice] | None:
         """Return the answer to another VM's query, if this VM knows the stream."""
         version = self._versions.known(query.key)
         if version is None:
@@ -95,14 +74,16 @@
         asker = Peer(
             query.vm, self._this_vm.data_centre, Address(query.host, query.port)
         )
-        return AddressedStreamNotice(notice, [asker])
+        return Addressed(notice, [asker])
 
-    def forwarded(self, now: float, query: StreamQuery) -> AddressedStreamQuery | None:
+    def forwarded(
+        self, now: float, query: StreamQuery
+    ) -> Addressed[StreamQuery] | None:
         """Return a query of another data centre's VM for the VMs of this one."""
         if query.scope is not Scope.DATA_CENTRE or not self._peers.is_hub(now):
             return None
         local = StreamQuery(query.vm, query.host, query.port, Scope.VM, query.key)
-        return AddressedStreamQuery(local, self._peers.local_peers(now))
+        return Addressed(local, self._peers.local_peers(now))
 
     def _query(self, key: StreamKey, scope: Scope) -> StreamQuery:
         address = self._this_vm.address
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -1,11 +1,9 @@
 """Exchange of digests between VMs: what is sent, to which VMs, and when."""
 
-from dataclasses import dataclass
-
 from oleandershift.digests import Digest, Scope
 from oleandershift.directory import UpstreamRun
 from oleandershift.ids import Incarnation, Seq
-from oleandershift.neighbours import Peer
+from oleandershift.neighbours import Addressed, Peer
 from oleandershift.state import FleetState, LeavingReport, LeavingSource
 from oleandershift.summaries import (
     MAX_LEAVING_IN_DIGEST,
@@ -36,14 +34,6 @@
 """Longest time between two regular digests; two may be lost before a VM expires."""
 
 
-@dataclass(frozen=True, slots=True)
-class AddressedDigest:
-    """A digest with its recipients."""
-
-    digest: Digest
-    peers: list[Peer]
-
-
 class DigestExchange:
     """Creates this VM's digests and applies those of other VMs.
 
@@ -104,7 +94,7 @@
         """Return the time for which urgent changes are coalesced."""
         return URGENT_DELAY_SECONDS_PER_VM * self._peers.known_count(now)
 
-    def next_digests(self, now: float) -> list[AddressedDigest]:
+    def next_digests(self, now: float) -> list[Addressed[Digest]]:
         """Return this VM's digest, and on a hub also that of its data centre.
 
         Each may come in several parts.
@@ -187,11 +177,11 @@
 
     def _address(
         self, scope: Scope, summary: Summary, peers: list[Peer]
-    ) -> list[AddressedDigest]:
+    ) -> list[Addressed[Digest]]:
         """Return the digests for the parts of a summary."""
         count = len(summary.parts)
         return [
-            AddressedDigest(self._digest(scope, content, part, count), peers)
+            Addressed(self._digest(scope, content, part, count), peers)
             for part, content in enumerate(summary.parts)
         ]
 
--- a/standins/emulator.py
+++ b/standins/emulator.py
@@ -29,13 +29,13 @@
     VmId,
 )
 from oleandershift.io.gateway import MAINTENANCE_INTERVAL_SECONDS
-from oleandershift.neighbours import Peer, PeerTable
+from oleandershift.neighbours import Addressed, Peer, PeerTable
 from oleandershift.placement import InFlightRequest, LoadTracker, Location, Placement
 from oleandershift.prompts import PrefixPart, Prompt
 from oleandershift.routing import Service
 from oleandershift.shedding import LoadShedder, PendingRequest
 from oleandershift.state import FleetState
-from oleandershift.telling import AddressedDigest, DigestExchange
+from oleandershift.telling import DigestExchange
 from oleandershift.vmsettings import Address
 from standins.batching import BatchEngine, EngineEvent, Job
 from standins.deployments import (
@@ -342,18 +342,18 @@
         for addressed in vm.exchange.next_digests(self._now):
             self._send_digest(vm, addressed)
 
-    def _send_digest(self, vm: _Vm, addressed: AddressedDigest) -> None:
+    def _send_digest(self, vm: _Vm, addressed: Addressed[Digest]) -> None:
         for peer in addressed.peers:
             other = self._vms_by_name[peer.vm]
             delay_s = self._one_way_delay_s(vm.region, other.region)
             self._schedule(
-                self._now + delay_s, self._receive_digest, other, addressed.digest
+                self._now + delay_s, self._receive_digest, other, addressed.message
             )
 
     def _receive_digest(self, vm: _Vm, digest: Digest) -> None:
         peers = vm.exchange.receive(self._now, digest)
         if peers:
-            self._send_digest(vm, AddressedDigest(digest, peers))
+            self._send_digest(vm, Addressed(digest, peers))
         if vm.exchange.sums_peers(self._now):
             self._schedule_urgent_digest(vm)
 
--- a/tests/test_crashnotices.py
+++ b/tests/test_crashnotices.py
@@ -86,7 +86,7 @@
                 addressed = vm.exchange.next_notice(self.now)
                 if addressed is not None:
                     vm.sent += len(addressed.peers)
-                    notice = decode_datagram(encode(addressed.notice)).unwrap()
+                    notice = decode_datagram(encode(addressed.message)).unwrap()
                     for peer in addressed.peers:
                         if self._is_up(peer) and self._rng.random() >= LOSS:
                             other = self._by_name[peer.vm]
@@ -106,10 +106,10 @@
         for addressed in vm.digests.next_digests(self.now):
             for peer in filter(self._is_up, addressed.peers):
                 forward_to = self._by_name[peer.vm].digests.receive(
-                    self.now, addressed.digest
+                    self.now, addressed.message
                 )
                 for local in filter(self._is_up, forward_to):
-                    self._by_name[local.vm].digests.receive(self.now, addressed.digest)
+                    self._by_name[local.vm].digests.receive(self.now, addressed.message)
 
     def start(self) -> None:
         """Register all VMs with each other and let them find their hubs."""
--- a/tests/test_departure_times.py
+++ b/tests/test_departure_times.py
@@ -274,7 +274,7 @@
             instant = self.fleet.loop.time()
             if self.exchange.is_due(instant):
                 for addressed in self.exchange.next_digests(instant):
-                    self._send(addressed.digest, addressed.peers)
+                    self._send(addressed.message, addressed.peers)
             self.sync.set_role(self.peers.store_role(instant))
             self.view.directory.expire(instant)
 
--- a/tests/test_limitnotices.py
+++ b/tests/test_limitnotices.py
@@ -85,7 +85,7 @@
                     self._deliver(item)
 
     def _deliver(self, item):
-        notice = decode_datagram(encode(item.notice)).unwrap()
+        notice = decode_datagram(encode(item.message)).unwrap()
         for peer in item.peers:
             self.sent += 1
             if peer.vm not in self.lost:
@@ -226,4 +226,4 @@
     vm.exchange.receive(100.0, notice)
     assert vm.allowances.wait_s(100.0, UPSTREAM) >= 0.0
     for item in vm.exchange.next_notices(100.0 + NOTICE_INTERVAL_SECONDS):
-        encode(item.notice)
+        encode(item.message)
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -357,7 +357,7 @@
     exchanges = make_exchanges(*"abcdef")
     for sender, state in exchanges.values():
         state.view.directory.update(at(1), make_upstream())
-        digest = sender.next_digests(0.0)[0].digest
+        digest = sender.next_digests(0.0)[0].message
         for receiver, _ in exchanges.values():
             receiver.receive(0.0, digest)
     hub = next(vm for vm, (_, state) in exchanges.items() if state.peers.is_hub(0.0))
@@ -372,7 +372,7 @@
     exchanges[teller][1].record_leaving(
         LeavingReport(run, LeavingSource.RESPONSE, "a1")
     )
-    digest = exchanges[teller][0].next_digests(0.1)[0].digest
+    digest = exchanges[teller][0].next_digests(0.1)[0].message
     for vm, (exchange, _) in exchanges.items():
         if vm != teller:
             exchange.receive(0.1, digest)
@@ -391,5 +391,5 @@
     announced = set()
     for tick in range(8):
         for addressed in exchange.next_digests(tick * 0.25):
-            announced.update(addressed.digest.leaving)
+            announced.update(addressed.message.leaving)
     assert announced == runs
--- a/tests/test_streamversions.py
+++ b/tests/test_streamversions.py
@@ -200,14 +200,14 @@
             for vm in self.vms:
                 for addressed in vm.digests.next_digests(self.now):
                     for other in self.reached(addressed.peers):
-                        forward = other.digests.receive(self.now, addressed.digest)
+                        forward = other.digests.receive(self.now, addressed.message)
                         for local in self.reached(forward):
-                            local.digests.receive(self.now, addressed.digest)
+                            local.digests.receive(self.now, addressed.message)
                 serve(vm.versions, self.now, V1, V2)
                 notice = vm.exchange.next_notice(self.now)
                 if notice is not None:
                     for other in self.reached(notice.peers, self.loss):
-                        other.exchange.receive(self.now, notice.notice)
+                        other.exchange.receive(self.now, notice.message)
 
     def reached(self, peers, loss=0.0):
         """Yield the VMs that a datagram reaches."""
@@ -220,19 +220,19 @@
         """Return what a VM learns when it asks all others."""
         for item in vm.exchange.queries(self.now, stream):
             for other in self.reached(item.peers):
-                self._answer(vm, other, item.query)
+                self._answer(vm, other, item.message)
         return vm.versions.known(stream)
 
     def _answer(self, asker, vm, query):
         answer = vm.exchange.answer(query)
         if answer is not None:
-            asker.exchange.receive(self.now, answer.notice)
+            asker.exchange.receive(self.now, answer.message)
             return
         forwarded = vm.exchange.forwarded(self.now, query)
         if forwarded is not None:
-            assert forwarded.query.scope is Scope.VM
+            assert forwarded.message.scope is Scope.VM
             for other in self.reached(forwarded.peers):
-                self._answer(asker, other, forwarded.query)
+                self._answer(asker, other, forwarded.message)
 
     def kill(self, *vms):
         """Let VMs end."""
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -61,9 +61,9 @@
     for now in (0.0, 0.1):
         addressed = hub.next_digests(now)
         for item in addressed:
-            is_lost = now > 0 and item.digest.part in lost_parts
-            if item.digest.scope is Scope.DATA_CENTRE and not is_lost:
-                table.merge(now, item.digest)
+            is_lost = now > 0 and item.message.part in lost_parts
+            if item.message.scope is Scope.DATA_CENTRE and not is_lost:
+                table.merge(now, item.message)
     return table
 
 
@@ -83,7 +83,7 @@
     names = [f"vm{number}" for number in range(20)]
     for name in names:
         other, _ = make_exchange(name, make_peer("vm"))
-        state.peers.merge(0.1, other.next_digests(0.1)[0].digest)
+        state.peers.merge(0.1, other.next_digests(0.1)[0].message)
     assert exchange.sums_peers(0.1) == state.peers.is_hub(0.1)
 
 
@@ -103,8 +103,8 @@
     for _ in range(3):
         addressed = hub.next_digests(0.2)
     for item in addressed:
-        if item.digest.scope is Scope.DATA_CENTRE:
-            table.merge(0.2, item.digest)
+        if item.message.scope is Scope.DATA_CENTRE:
+            table.merge(0.2, item.message)
     assert table.remote_loads(0.3) == {}
 
 
@@ -135,9 +135,9 @@
     state.loads.begin(0.0, make_upstream(), make_prompt(100))
     addressed = exchange.next_digests(0.0)[0]
     assert [peer.vm for peer in addressed.peers] == ["b"]
-    assert addressed.digest.scope is Scope.VM
+    assert addressed.message.scope is Scope.VM
     assert [
-        (w.upstream, w.running, w.prefill_tokens) for w in addressed.digest.work
+        (w.upstream, w.running, w.prefill_tokens) for w in addressed.message.work
     ] == [("e1", 1, 100)]
 
 
@@ -145,7 +145,7 @@
     exchange, _ = exchange_with_state
     exchange.receive(0.0, make_data_centre_digest(REMOTE, "x"))
     digests = exchange.next_digests(0.0)
-    assert [addressed.digest.scope for addressed in digests] == [
+    assert [addressed.message.scope for addressed in digests] == [
         Scope.VM,
         Scope.DATA_CENTRE,
     ]
@@ -183,7 +183,7 @@
     upstream = make_upstream()
     state.absences.record(0.0, upstream, AbsenceProof.CONNECTION_REFUSED)
     assert exchange.is_urgent(0.0)
-    own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
+    own, summary = (addressed.message for addressed in exchange.next_digests(0.0))
     assert own.absent == summary.absent == (upstream.run,)
     assert not exchange.is_urgent(0.0)
 
@@ -192,9 +192,9 @@
     exchange, state = exchange_with_state
     other, other_state = make_exchange("b", make_peer("a"))
     other_state.absences.record(0.0, make_upstream(), AbsenceProof.CONNECTION_REFUSED)
-    exchange.receive(0.0, other.next_digests(0.0)[0].digest)
+    exchange.receive(0.0, other.next_digests(0.0)[0].message)
     assert exchange.is_urgent(0.0)
-    own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
+    own, summary = (addressed.message for addressed in exchange.next_digests(0.0))
     assert own.absent == ()
     assert summary.absent == (make_upstream().run,)
     assert not exchange.is_urgent(0.0)
@@ -216,10 +216,10 @@
     register(state, make_upstream())
     state.record_leaving(leaving_report)
     assert exchange.is_urgent(0.0)
-    own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
+    own, summary = (addressed.message for addressed in exchange.next_digests(0.0))
     assert own.leaving == summary.leaving == (leaving_report.run,)
     assert not exchange.is_urgent(0.0)
-    assert exchange.next_digests(0.1)[0].digest.leaving == (leaving_report.run,)
+    assert exchange.next_digests(0.1)[0].message.leaving == (leaving_report.run,)
 
 
 def make_data_centre():
@@ -228,7 +228,7 @@
     exchanges = {peer.vm: make_exchange(peer.vm, *peers) for peer in peers}
     for sender, state in exchanges.values():
         register(state, make_upstream())
-        digest = sender.next_digests(0.0)[0].digest
+        digest = sender.next_digests(0.0)[0].message
         for receiver, _ in exchanges.values():
             receiver.receive(0.0, digest)
     (hub,) = [vm for vm, (_, state) in exchanges.items() if state.peers.is_hub(0.0)]
@@ -239,9 +239,9 @@
     _, vm, exchanges = make_data_centre()
     exchange, state = exchanges[vm]
     state.record_leaving(leaving_report)
-    assert exchange.next_digests(0.1)[0].digest.leaving == (leaving_report.run,)
+    assert exchange.next_digests(0.1)[0].message.leaving == (leaving_report.run,)
     register(state, replace(make_upstream(), state=UpstreamState.DRAINING), 2)
-    assert exchange.next_digests(0.2)[0].digest.leaving == ()
+    assert exchange.next_digests(0.2)[0].message.leaving == ()
 
 
 def test_hub_announces_upstreams_that_the_store_lists_as_draining(exchange_with_state):
@@ -249,11 +249,11 @@
     register(state, replace(make_upstream(), state=UpstreamState.DRAINING))
     assert state.peers.is_hub(0.0)
     assert exchange.is_urgent(0.0)
-    own, summary = (addressed.digest for addressed in exchange.next_digests(0.0))
+    own, summary = (addressed.message for addressed in exchange.next_digests(0.0))
     assert own.leaving == summary.leaving == (make_upstream().run,)
     assert not exchange.is_urgent(0.0)
     state.view.directory.remove(0.1, at(2), make_upstream().name)
-    assert exchange.next_digests(0.1)[0].digest.leaving == ()
+    assert exchange.next_digests(0.1)[0].message.leaving == ()
 
 
 def test_vm_that_is_told_of_a_leaving_upstream_sends_it_nothing_and_passes_it_on(
@@ -268,7 +268,7 @@
     for state in (told_state, teller_state):
         register(state, make_upstream())
     teller_state.record_leaving(leaving_report)
-    digest = teller.next_digests(0.0)[0].digest
+    digest = teller.next_digests(0.0)[0].message
     told.receive(0.0, digest)
     told.receive(0.1, digest)
     service = make_upstream().service
@@ -276,13 +276,13 @@
     assert [(item.source, item.informant) for item in reports] == [
         (LeavingSource.DIGEST, "b")
     ]
-    assert told.next_digests(0.1)[0].digest.leaving == (leaving_report.run,)
+    assert told.next_digests(0.1)[0].message.leaving == (leaving_report.run,)
 
 
 def test_only_a_hub_passes_on_a_leaving_upstream_ahead_of_schedule(leaving_report):
     hub, teller, exchanges = make_data_centre()
     exchanges[teller][1].record_leaving(leaving_report)
-    digest = exchanges[teller][0].next_digests(0.1)[0].digest
+    digest = exchanges[teller][0].next_digests(0.1)[0].message
     for vm, (exchange, _) in exchanges.items():
         exchange.receive(0.1, digest)
         assert exchange.is_urgent(0.1) == (vm == hub)
@@ -290,4 +290,4 @@
 
 def test_digests_have_consecutive_sequence_numbers(exchange_with_state):
     exchange, _ = exchange_with_state
-    assert [exchange.next_digests(0.0)[0].digest.seq for _ in range(3)] == [1, 2, 3]
+    assert [exchange.next_digests(0.0)[0].message.seq for _ in range(3)] == [1, 2, 3]
