--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Harness of the review's script cases."""
