--- a/review/common/callers.py
+++ b/review/common/callers.py
@@ -1,6 +1,8 @@
 """Callers of the cases."""
 
 import http.client
+from collections.abc import Mapping
+from types import MappingProxyType
 
 from review.common.harness import HOST, KEY, Gateway
 
@@ -12,6 +14,7 @@
     attempt: str,
     body: bytes = b"case=17",
     deadline_ms: int = 4000,
+    extra: Mapping[str, str] = MappingProxyType({}),
 ) -> tuple[int, bytes]:
     """Send a request on a new connection; return status and body of its answer.
 
@@ -19,7 +22,9 @@
     """
     conn = http.client.HTTPConnection(gateway.ip, gateway.frontend, timeout=10)
     try:
-        conn.request(method, path, body=body, headers=_fields(attempt, deadline_ms))
+        conn.request(
+            method, path, body=body, headers={**_fields(attempt, deadline_ms), **extra}
+        )
         res = conn.getresponse()
         return res.status, res.read()
     except (OSError, http.client.HTTPException) as exc:
