--- a/review/2/case.py
+++ b/review/2/case.py
@@ -103,7 +103,7 @@
 
 
 def submit(fleet: Fleet, acked_at: float, record: Record) -> set[str]:
-    """Submit at all gateways; return what was sent when version 2 had to be in force."""
+    """Submit at all gateways; return what was sent after `APPLY_SECONDS`."""
     late: set[str] = set()
     for count in itertools.count():
         elapsed_s = time.monotonic() - acked_at
