Review case 5: silent channels to the store keep a version from being in force

Open channels to the store go silent while new ones work; a follower still sends submissions to the old service when it is in touch again, 5 s after the acknowledgement (configApplyMs is 2.5 s).

--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -203,8 +203,14 @@
     store: MetaStore
     gateways: list[Gateway] = field(default_factory=list)
 
-    def add_gateway(self) -> Gateway:
-        """Write the settings of a gateway and start it."""
+    def add_gateway(self, store_port: int | None = None) -> Gateway:
+        """Write the settings of a gateway and start it.
+
+        Parameters
+        ----------
+        store_port : int or None
+            Port at which it reaches the store; None for the store's own.
+        """
         number = len(self.gateways) + 1
         ip = free_ip("127.31")
         gateway = Gateway(
@@ -221,7 +227,7 @@
                 ip=ip,
                 frontend=gateway.frontend,
                 readiness=gateway.readiness,
-                store=f"127.0.0.1:{self.store.port}",
+                store=f"127.0.0.1:{store_port or self.store.port}",
             )
         )
         self.gateways.append(gateway)
