--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -255,9 +255,11 @@
 
 
 @contextmanager
-def running_fleet(config: dict[str, object]) -> Iterator[Fleet]:
+def running_fleet(
+    config: dict[str, object], store: MetaStore | None = None
+) -> Iterator[Fleet]:
     """Run a store with a configuration; end what the case has started."""
-    store = MetaStore()
+    store = store or MetaStore()
     store.start()
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(Path(folder), store)
