--- a/review/2/case.py
+++ b/review/2/case.py
@@ -28,7 +28,7 @@
 """Maximum number of output tokens of a client that means no limit."""
 
 OUTPUT_TOKENS = UNLIMITED if TROUBLE else 80
-REPEAT_SECONDS = 0.3
+DRAFT_INTERVAL_SECONDS = 0.3
 APPLY_SECONDS = 2.5
 """Time after which a version is in force (`configApplyMs`)."""
 
@@ -79,7 +79,7 @@
 
 
 def draft(gateway: Gateway, stopped: threading.Event) -> None:
-    """Ask for a draft again and again, as a client does that is told to come back."""
+    """Ask for one draft after another, each a request of its own."""
     usage = {
         "Oleandershift-Model": "m",
         "Oleandershift-Token-Usage": f"1460,{OUTPUT_TOKENS}",
@@ -88,7 +88,7 @@
     for count in itertools.count():
         attempt = f"draft-{gateway.name}-{count}"
         call(gateway, "POST", "/draft/case", attempt, extra=usage)
-        if stopped.wait(REPEAT_SECONDS):
+        if stopped.wait(DRAFT_INTERVAL_SECONDS):
             return
 
 
--- a/review/common/harness.py
+++ b/review/common/harness.py
@@ -342,6 +342,8 @@
     run : callable
         Writes to the record and returns whether the rule held.
     """
+    # So that the processes end though the case is stopped from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(ROOT / "review" / name / "record.txt")
     try:
         held = run(record)
