--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -108,6 +108,9 @@
     era : int
         Era of the store in which `revision` was read. VMs of an earlier version do not
         send it.
+    read_age_ms : int
+        Milliseconds since the store last answered the sender; 0 if it does not read the
+        store. VMs of an earlier version do not send it.
     """
 
     vm: VmId
@@ -128,6 +131,7 @@
     parts: int = 1
     leaving: tuple[UpstreamRun, ...] = ()
     era: int = 0
+    read_age_ms: int = 0
 
     @property
     def position(self) -> StorePosition:
--- a/src/oleandershift/fleetview.py
+++ b/src/oleandershift/fleetview.py
@@ -1,6 +1,7 @@
 """A VM's view of the fleet: the configuration in force and the known upstreams."""
 
 from oleandershift.directory import Directory
+from oleandershift.freshness import StoreFreshness
 from oleandershift.routing import Configuration
 
 
@@ -14,12 +15,15 @@
 
     Attributes
     ----------
+    freshness : StoreFreshness
+        Up to when VMs have read the store.
     reads_store : bool
         Whether this VM reads the store itself, and its last calls succeeded.
     """
 
     def __init__(self, grace_s: float = 0.0) -> None:
         self.reads_store = False
+        self.freshness = StoreFreshness()
         self.configuration: Configuration | None = None
         self.directory = Directory(grace_s)
 
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -78,6 +78,8 @@
         Decision of the load shedder; None before it, and for plain services.
     admitted : AdmittedRequest or None
         What is counted in the admitted rate of its team.
+    connected_at : float
+        Clock time in seconds at which its connection was ready.
     sent_at : float
         Clock time in seconds of the latest attempt.
     send_count : int
@@ -118,6 +120,7 @@
     share: ShareClass | None = None
     admission: AdmissionDecision | None = None
     admitted: AdmittedRequest | None = None
+    connected_at: float = 0.0
     sent_at: float = 0.0
     send_count: int = 0
     failed_connects: int = 0
--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -47,6 +47,8 @@
         Clock time in seconds at which the last byte was read.
     keep_alive : bool
         Whether the connection may be reused for another request.
+    began_at : float
+        Clock time in seconds at which the first byte was read.
     """
 
     method: bytes
@@ -55,6 +57,7 @@
     body: bytes
     arrived_at: float
     keep_alive: bool
+    began_at: float = 0.0
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; None when it is absent or repeated."""
@@ -161,6 +164,7 @@
 class _PartialRequest:
     """A request of which only a part has been read."""
 
+    began_at: float
     target: list[bytes] = field(default_factory=list)
     headers: Headers = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
@@ -291,7 +295,7 @@
 
     def on_message_begin(self) -> None:
         """Start a request, and its header timeout unless another one is in progress."""
-        self._partial = _PartialRequest()
+        self._partial = _PartialRequest(now())
         if self._task is None:
             self._start_timer(self.handler.limits().header_timeout_ms / 1000)
 
@@ -343,6 +347,7 @@
             body=b"".join(partial.body),
             arrived_at=now(),
             keep_alive=self._parser.should_keep_alive(),
+            began_at=partial.began_at,
         )
         self._queue.append(req)
         if self._task is None:
--- a/src/oleandershift/io/endings.py
+++ b/src/oleandershift/io/endings.py
@@ -59,6 +59,7 @@
             "total_ms": round((now() - call.req.arrived_at) * 1000),
             "events": call.event_stream.event_count,
             "sends": call.send_count,
+            **_phase_fields(call),
             **_placement_fields(call.choice),
             **_admission_fields(call.admission),
         }
@@ -155,6 +156,17 @@
         self._metrics.requests.labels(call.route.semantics.value, outcome).inc()
 
 
+def _phase_fields(call: Call) -> dict[str, object]:
+    """Return the log fields for the phases of a call up to its latest send."""
+    arrived_at = call.req.arrived_at
+    return {
+        "read_ms": round((arrived_at - call.req.began_at) * 1000),
+        "chosen_ms": round((call.chosen_at - arrived_at) * 1000),
+        "connected_ms": round((call.connected_at - arrived_at) * 1000),
+        "sent_ms": round((call.sent_at - arrived_at) * 1000),
+    }
+
+
 def _placement_fields(choice: Choice | None) -> dict[str, object]:
     """Return the log fields for the inputs of a placement decision."""
     if choice is None:
--- a/src/oleandershift/io/feed.py
+++ b/src/oleandershift/io/feed.py
@@ -8,6 +8,7 @@
 
 from returns.result import Failure, Result, Success
 
+from oleandershift.io.clock import now
 from oleandershift.neighbours import StoreRole
 from oleandershift.objects import StoreError, StoreFailure
 from oleandershift.records import Changes, Snapshot, StorePosition
@@ -83,18 +84,40 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRead:
-    """All objects of a kind were listed."""
+    """All objects of a kind were listed.
+
+    Parameters
+    ----------
+    kind : str
+        The kind.
+    snapshot : Snapshot
+        The objects.
+    until : float or None
+        Instant up to which they are known to be complete, seconds; None for now.
+    """
 
     kind: str
     snapshot: Snapshot
+    until: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class ChangesRead:
-    """A watch returned, with or without changes."""
+    """A watch returned, with or without changes.
+
+    Parameters
+    ----------
+    kind : str
+        The kind.
+    changes : Changes
+        What has changed.
+    until : float or None
+        Instant up to which it is known to be complete, seconds; None for now.
+    """
 
     kind: str
     changes: Changes
+    until: float | None = None
 
 
 FeedEvent: TypeAlias = StoreCallFailed | SnapshotRead | ChangesRead
@@ -202,16 +225,19 @@
             return Failure(StoreFailure(StoreError.OUTCOME_UNKNOWN, detail))
 
     def _read_snapshot(self) -> Result[FeedEvent, StoreFailure]:
+        started_at = now()
         result = self._store.snapshot(self._kind)
         if isinstance(result, Failure):
             return Failure(result.failure())
-        self._position = result.unwrap().position
-        return result.map(lambda snapshot: SnapshotRead(self._kind, snapshot))
+        snapshot = result.unwrap()
+        self._position = snapshot.position
+        return Success(SnapshotRead(self._kind, snapshot, started_at))
 
     def _watch(self, position: StorePosition) -> Result[FeedEvent, StoreFailure]:
         # Other VMs rely on this one only after its first watch has succeeded, and only
         # an answer tells that the store has come back from a copy.
         timeout_s = 0.0 if self._resuming else self.timing.watch_timeout_s
+        started_at = now()
         result = self._store.watch(self._kind, position.revision, timeout_s)
         if isinstance(result, Failure):
             return Failure(result.failure())
@@ -221,4 +247,27 @@
             return Failure(StoreFailure(StoreError.GONE, detail))
         self._resuming = False
         self._position = changes.position
-        return Success(ChangesRead(self._kind, changes))
+        until = complete_until(started_at, now(), timeout_s, changes)
+        return Success(ChangesRead(self._kind, changes, until))
+
+
+def complete_until(
+    started_at: float, ended_at: float, timeout_s: float, changes: Changes
+) -> float:
+    """Return the instant up to which the answer to a watch is complete, seconds.
+
+    An answer without changes was given at the watch's timeout. One with changes may
+    have been under way for long.
+
+    Parameters
+    ----------
+    started_at, ended_at : float
+        Start and end of the call, seconds.
+    timeout_s : float
+        Time for which the watch waits for changes, seconds.
+    changes : Changes
+        The answer.
+    """
+    if changes.records:
+        return started_at
+    return min(ended_at, started_at + timeout_s)
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -56,6 +56,9 @@
 SETTINGS_POLL_SECONDS = 1.0
 """The settings file may change without a signal."""
 
+LATE_LOOP_SECONDS = 0.2
+"""Delay of a tick of the event loop from which on it is logged."""
+
 UNREADY_SERVING_SECONDS = 3.0
 """Time after SIGTERM for which requests are accepted. The load balancer probes once a
 second and stops sending after two failures."""
@@ -348,6 +351,7 @@
             instant = now()
             self._arrivals.tick(instant)
             self._loop_delay.tick(instant)
+            self._log_late_loop(instant)
             self._outliers.on_tick(instant)
             self._update_shares(instant)
             self._peer_transport.send_due_digests()
@@ -364,6 +368,17 @@
                 next_poll = instant + SETTINGS_POLL_SECONDS
                 self._poll_settings()
 
+    def _log_late_loop(self, instant: float) -> None:
+        delay_s = self._loop_delay.last_s
+        if delay_s >= LATE_LOOP_SECONDS:
+            self._log.warning(
+                "loop.late",
+                delay_ms=round(delay_s * 1000),
+                active=self._relay.active_requests,
+                caller_connections=len(self._caller_connections),
+                store_age_s=round(self._view.freshness.age_s(instant), 2),
+            )
+
     def _update_quarantine(self, instant: float) -> None:
         for change in self._state.update_quarantine(instant):
             blocked = change.change is BlockChange.BLOCKED
@@ -388,6 +403,7 @@
         values = {
             "configuration_version": cfg.version if cfg else 0,
             "reads_store": self._view.reads_store,
+            "store_age_seconds": self._view.freshness.age_s(instant),
             "upstreams_revision": directory.position.revision,
             "store_era": directory.position.era,
             "upstreams": len(directory.entries()),
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -90,6 +90,7 @@
             for name, text in (
                 ("configuration_version", "Version in force."),
                 ("reads_store", "Whether this VM reads the store itself."),
+                ("store_age_seconds", "Time since the store answered any VM."),
                 ("upstreams_revision", "Store revision of the list of upstreams."),
                 ("store_era", "How often the store has come back from a copy."),
                 ("upstreams", "Upstreams believed in."),
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -392,6 +392,7 @@
             await self._wait_for_limit(call, upstream)
             try:
                 conn = await self._pool.acquire(upstream, call.repeatable, call.id)
+                call.connected_at = now()
             except (OSError, TimeoutError) as exc:
                 call.failed_connects += 1
                 self._health.record_unreachable(upstream, exc, call.id)
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -1,6 +1,7 @@
 """Keeps the fleet view in sync with the platform's store."""
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
@@ -59,6 +60,7 @@
         self._role = StoreRole.FOLLOWER
         self._lost_kinds: set[str] = set()
         self._read_kinds: set[str] = set()
+        self._read_until = dict.fromkeys(KINDS, -math.inf)
         self._configuration_record: Record | None = None
         self._upstream_records = RecordLog()
 
@@ -137,7 +139,8 @@
         if isinstance(event, StoreCallFailed):
             self._on_call_failed(event, read_at)
             return
-        self._on_call_succeeded(event.kind, read_at)
+        read_until = read_at if event.until is None else event.until
+        self._on_call_succeeded(event.kind, read_at, read_until)
         if event.kind == configuration.KIND:
             self._apply_configuration_records(event)
         elif isinstance(event, SnapshotRead):
@@ -237,12 +240,14 @@
         if event.kind == upstreams.KIND:
             self._view.directory.on_store_lost(failed_at)
 
-    def _on_call_succeeded(self, kind: str, read_at: float) -> None:
+    def _on_call_succeeded(self, kind: str, read_at: float, until: float) -> None:
         self._metrics.store_events.labels(kind, "answered").inc()
         if kind in self._lost_kinds:
             self._lost_kinds.discard(kind)
             self._log.info("store.regained", kind=kind)
         self._read_kinds.add(kind)
+        self._read_until[kind] = max(self._read_until[kind], until)
+        self._view.freshness.on_read(min(self._read_until.values()))
         self._update_reads_store()
         if kind == upstreams.KIND:
             self._view.directory.on_store_recovered(read_at)
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -115,7 +115,7 @@
         absent = self._state.absences.absent(now)
         own_summary = summarise(1, loads, rates, absent, leaving)
         self.omitted_entries += own_summary.omitted
-        addressed = self._address(Scope.VM, own_summary, local_peers)
+        addressed = self._address(now, Scope.VM, own_summary, local_peers)
         if is_hub:
             discover_hubs = self._seq % HUB_DISCOVERY_INTERVAL_DIGESTS == 0
             summary = self._peers.data_centre_summary(
@@ -123,7 +123,7 @@
             )
             hubs = self._peers.remote_hubs(now, discover_hubs)
             self.omitted_entries += summary.omitted
-            addressed += self._address(Scope.DATA_CENTRE, summary, hubs)
+            addressed += self._address(now, Scope.DATA_CENTRE, summary, hubs)
         return addressed
 
     def receive(self, now: float, digest: Digest) -> list[Peer]:
@@ -134,6 +134,9 @@
         for run in digest.leaving:
             report = LeavingReport(run, LeavingSource.DIGEST, digest.vm)
             self._state.record_leaving(report)
+        if digest.reads_store:
+            read_until = now - max(0, digest.read_age_ms) / 1000
+            self._state.view.freshness.on_told(read_until)
         is_new_summary = self._peers.merge(now, digest)
         if is_new_summary and self._peers.is_hub(now):
             return self._peers.local_peers(now)
@@ -176,20 +179,32 @@
         return frozenset((ordered[start:] + ordered)[:MAX_LEAVING_IN_DIGEST])
 
     def _address(
-        self, scope: Scope, summary: Summary, peers: list[Peer]
+        self, now: float, scope: Scope, summary: Summary, peers: list[Peer]
     ) -> list[Addressed[Digest]]:
         """Return the digests for the parts of a summary."""
         count = len(summary.parts)
         return [
-            Addressed(self._digest(scope, content, part, count), peers)
+            Addressed(self._digest(now, scope, content, part, count), peers)
             for part, content in enumerate(summary.parts)
         ]
 
+    def _read_age_ms(self, now: float) -> int:
+        """Return the milliseconds since the store answered; 0 if it is not read."""
+        view = self._state.view
+        if not view.reads_store:
+            return 0
+        return max(0, round((now - view.freshness.own_read_until) * 1000))
+
     def _digest(
-        self, scope: Scope, content: SummaryPart, part: int, parts: int
+        self,
+        now: float,
+        scope: Scope,
+        content: SummaryPart,
+        part: int,
+        parts: int,
     ) -> Digest:
-        cfg = self._state.view.configuration
-        position = self._state.view.directory.position
+        view = self._state.view
+        cfg, position = view.configuration, view.directory.position
         return Digest(
             vm=self._this_vm.vm,
             data_centre=self._this_vm.data_centre,
@@ -204,9 +219,10 @@
             work=content.work,
             demand=content.demand,
             absent=content.absent,
-            reads_store=self._state.view.reads_store,
+            reads_store=view.reads_store,
             part=part,
             parts=parts,
             leaving=content.leaving,
             era=position.era,
+            read_age_ms=self._read_age_ms(now),
         )
