Accept few of the callers' connections in one iteration of the event loop

Cause: up to 64 connections were accepted in an iteration, each with a request behind it. Nothing bounded it.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -99,6 +99,11 @@
 CALLER_BACKLOG = 512
 """Connections that wait to be accepted; further ones wait seconds for a second try."""
 
+CALLER_BATCH = 8
+"""Callers' connections that are accepted in one iteration of the event loop. Each
+brings a request, and what was taken before, digests and snapshots wait for the end of
+the iteration."""
+
 IDLE_UPSTREAM_SOCKETS_FRACTION = 0.25
 """Fraction of the sockets that idle connections to upstreams may take."""
 
@@ -264,6 +269,7 @@
             protocol_factory(self._relay, self._caller_connections),
             log,
             CALLER_BACKLOG,
+            CALLER_BATCH,
         )
         self._settings_stamp = _file_stamp(path)
         self._registry = VmRegistry(
--- a/src/oleandershift/io/listener.py
+++ b/src/oleandershift/io/listener.py
@@ -7,10 +7,6 @@
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.vmsettings import Address
 
-MAX_BATCH = 64
-"""Connections accepted in one iteration of the event loop, which also has requests to
-handle."""
-
 RETRY_SECONDS = 0.1
 """Pause after a failed accept. It fails again while no descriptor is free."""
 
@@ -31,6 +27,8 @@
         Receives failed accepts.
     backlog : int
         Length of the queue.
+    max_batch : int
+        Connections that are accepted in one iteration of the loop.
 
     Attributes
     ----------
@@ -44,11 +42,13 @@
         factory: Callable[[], asyncio.Protocol],
         log: DecisionLog,
         backlog: int,
+        max_batch: int,
     ) -> None:
         self._address = address
         self._factory = factory
         self._log = log
         self._backlog = backlog
+        self._max_batch = max_batch
         self._socket: socket.socket | None = None
         self._retry: asyncio.TimerHandle | None = None
         self._opening: set[asyncio.Task[None]] = set()
@@ -98,7 +98,7 @@
     def _accept_batch(self) -> bool:
         """Accept connections; return whether more may wait."""
         assert self._socket is not None
-        for _ in range(MAX_BATCH):
+        for _ in range(self._max_batch):
             try:
                 conn, _ = self._socket.accept()
             except BlockingIOError:
--- a/src/oleandershift/io/peers.py
+++ b/src/oleandershift/io/peers.py
@@ -48,6 +48,9 @@
 """Connections of other VMs that wait to be accepted; several times the VMs of a data
 centre, which all ask at once after a change."""
 
+SNAPSHOT_BATCH = 64
+"""Connections of other VMs that are accepted in one iteration of the event loop."""
+
 STREAM_ANSWER_SECONDS = 0.1
 """Time in which another VM says which version began a stream; several round trips
 between regions."""
@@ -138,6 +141,7 @@
             lambda: asyncio.StreamReaderProtocol(asyncio.StreamReader(), serve),
             self._log,
             SNAPSHOT_BACKLOG,
+            SNAPSHOT_BATCH,
         )
         self._listener.open()
 
--- a/tests/contract/test_listener.py
+++ b/tests/contract/test_listener.py
@@ -5,11 +5,12 @@
 
 import uvloop
 
-from oleandershift.io.listener import MAX_BATCH, Listener
+from oleandershift.io.listener import Listener
 from oleandershift.vmsettings import Address
 from standins.ports import free_port
 
 HOST = "127.0.0.1"
+BATCH = 64
 
 
 class EchoProtocol(asyncio.Protocol):
@@ -26,10 +27,10 @@
 
 def test_stop_does_not_cut_off_connections_that_wait_to_be_accepted():
     port = free_port()
-    count = MAX_BATCH + 1
+    count = BATCH + 1
 
     async def close_while_callers_wait():
-        listener = Listener(Address(HOST, port), EchoProtocol, None, 2 * count)
+        listener = Listener(Address(HOST, port), EchoProtocol, None, 2 * count, BATCH)
         listener.open()
         conns = [socket.create_connection((HOST, port), 2.0) for _ in range(count)]
         for conn in conns:
