--- a/tests/contract/test_upstream_connection.py
+++ b/tests/contract/test_upstream_connection.py
@@ -59,6 +59,28 @@
     await asyncio.sleep(0.05)
 
 
+def test_request_does_not_wait_for_the_end_of_a_late_iteration():
+    """The upstream may leave between the check before the send and that end."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        async def send_in_a_late_iteration():
+            loop = asyncio.get_running_loop()
+            _, conn = await loop.create_connection(
+                lambda: UpstreamConnection(lambda head, sent_at: None),
+                *server.getsockname(),
+            )
+            accepted, _ = server.accept()
+            with accepted:
+                conn.send(REQUEST, lambda head: True)
+                # Nothing of the loop runs meanwhile.
+                accepted.settimeout(WAIT_SECONDS)
+                received = accepted.recv(len(REQUEST))
+            conn.close()
+            return received
+
+        assert uvloop.run(send_in_a_late_iteration()) == REQUEST
+
+
 @pytest.mark.parametrize(("with_response", "end"), [(False, "reset"), (True, "closed")])
 def test_close_during_a_request_resets_the_connection(with_response, end):
     """A slow link delivers buffered bytes after a close, but not after a reset."""
