Rely on what other VMs have read of the store only for as long as it is fresh

Cause: a digest said that its sender reads the store, not up to when. A reader whose watch hears nothing was relied on until its call ended, 3.5 s later on a hub and 16 s on a standby; each VM judged by its own calls whether the store is out. Change: an answer of the store proves its content up to an instant; digests carry its age, and all VMs act on the age of the newest one. From 1.7 s on each reads the store itself, readers with hanging calls on new connections; of several that begin, the first by rank goes on. A hub's watch takes 1 s in place of 2.5 s. A VM that reads no news of a kind between two checks is behind, whichever VMs were ahead; it used to wait for the same VM twice. An outage that only the hub noticed drops nothing elsewhere. Tests changed: directories are told of outages by instants at which the store was read, in place of calls that fail; the bound of the readers' calls follows the hub's watch (test_change_of_an_upstream_is_not_read_by_every_vm); feeds of tests have a set clock.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -138,6 +138,10 @@
         """Return up to where in the store's history the sender has read upstreams."""
         return StorePosition(self.era, self.revision)
 
+    def read_until(self, received_at: float) -> float:
+        """Return the instant up to which the sender has read the store, seconds."""
+        return received_at - max(0, self.read_age_ms) / 1000
+
 
 class CrashRecord(msgspec.Struct, array_like=True, frozen=True):
     """Crash of an upstream before it had answered a request.
--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -8,6 +8,7 @@
 from itertools import chain
 from typing import NamedTuple
 
+from oleandershift.freshness import REREGISTRATION_SECONDS, StoreFreshness
 from oleandershift.ids import DataCentreId, ServiceId, SoftwareVersion, UpstreamId
 from oleandershift.records import START_OF_HISTORY, StorePosition
 
@@ -22,19 +23,14 @@
 """Limit of the runs that are remembered as leaving, the oldest of which are forgotten;
 more than the upstreams of the largest planned fleet."""
 
-MIN_OUTAGE_SECONDS = 1.0
-"""Time without an answer of the store from which on registrations may have lapsed; a
-single connection that was cut is no outage. They lapse after three missed reports, each
-of which is due after more than a second."""
+REMOVAL_TELLING_SECONDS = 4.0
+"""Time for which other VMs are told of a removal; more than that for which an upstream
+that leaves goes on to serve."""
 
 REMOVAL_MEMORY_SECONDS = 60.0
 """Time for which the position of a removal is remembered; three times the history that
 the store keeps, so longer than a watch can lag behind."""
 
-REREGISTRATION_SECONDS = 2.0
-"""Registrations that lapsed during an outage of the store are renewed within this time
-after it recovered (platform contract)."""
-
 
 class UpstreamState(Enum):
     """State that an upstream reports."""
@@ -131,10 +127,10 @@
     """The upstreams that this VM knows.
 
     The store removes registrations that were not renewed, including those of upstreams
-    that could not reach it during an outage, and not every VM notices an outage. An
-    entry that disappears without having been in state draining is therefore kept for a
-    grace period. Around a known outage it is kept until `REREGISTRATION_SECONDS` after
-    the store recovered.
+    that could not reach it during an outage. Around an outage, an entry that disappears
+    without having been in state draining is therefore kept until
+    `REREGISTRATION_SECONDS` after the store recovered, and at any other time for a
+    grace period, as the word of an outage takes a moment.
 
     A run that leaves never accepts requests again, whoever said so and whatever is read
     later: a report that an upstream sent before may reach the store after it. A report
@@ -150,6 +146,8 @@
     grace_s : float
         Grace period in seconds without an outage; shorter than the time for which a
         leaving upstream continues to serve.
+    freshness : StoreFreshness or None
+        Up to when the store has been read; None for one that is never out.
 
     Attributes
     ----------
@@ -159,8 +157,11 @@
         Whether a complete list has been received.
     """
 
-    def __init__(self, grace_s: float = 0.0) -> None:
+    def __init__(
+        self, grace_s: float = 0.0, freshness: StoreFreshness | None = None
+    ) -> None:
         self._grace_s = grace_s
+        self._freshness = freshness or StoreFreshness()
         self._entries: dict[UpstreamId, Upstream] = {}
         self._positions: dict[UpstreamId, StorePosition] = {}
         self._lapse_deadlines: dict[UpstreamId, float] = {}
@@ -177,24 +178,11 @@
         self._leaving: tuple[frozenset[UpstreamRun], frozenset[UpstreamRun]] | None = (
             None
         )
-        self._lost_at: float | None = None
-        self._recovered_at = -math.inf
         self.position = START_OF_HISTORY
         self._listed_position = START_OF_HISTORY
         self._list_grace_end = -math.inf
         self.loaded = False
 
-    def on_store_lost(self, now: float) -> None:
-        """Start an outage of the store."""
-        if self._lost_at is None:
-            self._lost_at = now
-
-    def on_store_recovered(self, now: float) -> None:
-        """End an outage of the store."""
-        if self._lost_at is not None and now >= self._lost_at + MIN_OUTAGE_SECONDS:
-            self._recovered_at = now
-        self._lost_at = None
-
     def replace(
         self,
         now: float,
@@ -223,7 +211,7 @@
         is_restored = self.loaded and position.era > self.position.era
         if is_restored:
             # What the copy lacks is registered again as after an outage.
-            self._recovered_at = max(self._recovered_at, now)
+            self._freshness.on_recovered(now)
         listed = {entry.name: (changed, entry) for changed, entry in entries}
         missing = [name for name in self._entries if name not in listed]
         if removals is None:
@@ -456,7 +444,7 @@
             position,
             now + REMOVAL_MEMORY_SECONDS,
             incarnation,
-            self._is_outage(now),
+            self._freshness.may_lack_registrations(now),
             sequence,
         )
 
@@ -471,10 +459,6 @@
             and removal.incarnation in (None, entry.incarnation)
         )
 
-    def _is_outage(self, now: float) -> bool:
-        """Return whether registrations may be missing as reports did not arrive."""
-        return self._lost_at is not None or now < self._reregistered_at
-
     def _is_superseded(self, entry: Upstream) -> bool:
         """Return whether a later run of an upstream is known."""
         known = self._entries.get(entry.name)
@@ -520,7 +504,7 @@
         if entry.state is UpstreamState.READY and deadline > now:
             self._forget_results()
             known = self._lapse_deadlines.get(name, deadline)
-            is_outage = self._is_outage(now)
+            is_outage = self._freshness.may_lack_registrations(now)
             # A VM that does not know of the outage would end the use too early.
             self._lapse_deadlines[name] = known if is_outage else min(known, deadline)
             return None
@@ -538,14 +522,9 @@
         return entry
 
     def _lapse_deadline(self, now: float) -> float:
-        if self._lost_at is not None:
+        if self._freshness.is_out(now):
             return now + REREGISTRATION_SECONDS
-        return max(now + self._grace_s, self._reregistered_at)
-
-    @property
-    def _reregistered_at(self) -> float:
-        """Time by which registrations that lapsed in the last outage are renewed."""
-        return self._recovered_at + REREGISTRATION_SECONDS
+        return max(now + self._grace_s, self._freshness.reregistered_at)
 
 
 def _is_late_report(removal: _Removal, entry: Upstream) -> bool:
--- a/src/oleandershift/fleetview.py
+++ b/src/oleandershift/fleetview.py
@@ -25,7 +25,7 @@
         self.reads_store = False
         self.freshness = StoreFreshness()
         self.configuration: Configuration | None = None
-        self.directory = Directory(grace_s)
+        self.directory = Directory(grace_s, self.freshness)
 
     def update_configuration(self, cfg: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
--- a/src/oleandershift/io/feed.py
+++ b/src/oleandershift/io/feed.py
@@ -1,5 +1,6 @@
 """Threads that watch kinds of objects in the platform's store."""
 
+import math
 import random
 import threading
 from collections.abc import Callable
@@ -39,11 +40,11 @@
 
 
 HUB_TIMING = FeedTiming(
-    watch_timeout_s=2.5, retry_base_delay_s=0.1, max_retry_delay_s=0.5
+    watch_timeout_s=1.0, retry_base_delay_s=0.1, max_retry_delay_s=0.5
 )
-"""Timing on a hub, whose reads other VMs rely on. A dead connection is detected after
-the watch timeout and a margin of 1 s, within the 4 s that a VM may be disconnected. A
-recovered store is noticed within a fifth of the time for applying a configuration."""
+"""Timing on a hub, whose reads other VMs rely on: the watch returns before they would
+read the store themselves (`READER_TTL_SECONDS`). A recovered store is noticed within a
+fifth of the time for applying a configuration."""
 
 RELAXED_TIMING = FeedTiming(
     watch_timeout_s=15.0, retry_base_delay_s=1.0, max_retry_delay_s=5.0
@@ -65,6 +66,9 @@
     def era(self) -> int:
         """Return the latest era of the store that an answer has named."""
 
+    def close(self) -> None:
+        """Close the connections that carry no call."""
+
     def snapshot(self, kind: str) -> Result[Snapshot, StoreFailure]:
         """Return all objects of a kind."""
 
@@ -159,6 +163,7 @@
         self._stopped = threading.Event()
         self._position = position
         self._failures = 0
+        self._read_until = -math.inf
         self._watching = threading.Event()
         self._resuming = position is not None
         self.timing = HUB_TIMING
@@ -231,13 +236,14 @@
             return Failure(result.failure())
         snapshot = result.unwrap()
         self._position = snapshot.position
+        self._read_until = started_at
         return Success(SnapshotRead(self._kind, snapshot, started_at))
 
     def _watch(self, position: StorePosition) -> Result[FeedEvent, StoreFailure]:
         # Other VMs rely on this one only after its first watch has succeeded, and only
         # an answer tells that the store has come back from a copy.
-        timeout_s = 0.0 if self._resuming else self.timing.watch_timeout_s
         started_at = now()
+        timeout_s = 0.0 if self._resuming else self._wait_s(started_at)
         result = self._store.watch(self._kind, position.revision, timeout_s)
         if isinstance(result, Failure):
             return Failure(result.failure())
@@ -247,8 +253,17 @@
             return Failure(StoreFailure(StoreError.GONE, detail))
         self._resuming = False
         self._position = changes.position
-        until = complete_until(started_at, now(), timeout_s, changes)
-        return Success(ChangesRead(self._kind, changes, until))
+        self._read_until = complete_until(started_at, now(), timeout_s, changes)
+        return Success(ChangesRead(self._kind, changes, self._read_until))
+
+    def _wait_s(self, now: float) -> float:
+        """Return for how long the next watch may wait for changes, seconds.
+
+        An answer with changes does not show up to when it is complete, so that the next
+        one has to come earlier.
+        """
+        timeout_s = self.timing.watch_timeout_s
+        return min(timeout_s, max(0.0, self._read_until + timeout_s - now))
 
 
 def complete_until(
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -13,6 +13,7 @@
 
 from oleandershift.arrivals import ArrivalClock
 from oleandershift.demand import DemandMeter
+from oleandershift.digests import SnapshotRequest
 from oleandershift.exceptions import SettingsError
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import Incarnation, VmId
@@ -372,6 +373,7 @@
             self._state.update_stream_versions(instant)
             self._registry.on_tick()
             self._store_sync.set_role(self._peers.store_role(instant))
+            self._store_sync.on_tick(instant)
             self._view.directory.expire(instant)
             self._state.allowances.expire(instant)
             self._pool.close_expired()
@@ -449,10 +451,11 @@
     async def _catch_up(self) -> None:
         """Fetch snapshots from VMs that have read more of the store than this one.
 
-        While the store answers this VM, the other VM has to be ahead in two checks in a
-        row, as changes reach VMs at different times.
+        While the store answers this VM, another VM has to be ahead in two checks in a
+        row, between which no configuration or no upstream was read here: changes reach
+        VMs at different times.
         """
-        previous_vm: VmId | None = None
+        previous: SnapshotRequest | None = None
         unreachable_until: dict[VmId, float] = {}
         delay_s = CATCH_UP_INTERVAL_SECONDS
         while True:
@@ -463,15 +466,13 @@
                 vm: until for vm, until in unreachable_until.items() if until > instant
             }
             peer = self._find_fresher_peer(unreachable_until)
-            if peer is None or (
-                peer.vm != previous_vm and not self._store_sync.relies_on_peers
-            ):
-                previous_vm = peer.vm if peer else None
+            req = self._store_sync.request() if peer is not None else None
+            is_behind = self._store_sync.relies_on_peers or _has_stood(previous, req)
+            previous = req
+            if peer is None or req is None or not is_behind:
                 continue
             asked_at = now()
-            snapshot = await self._peer_transport.fetch_snapshot(
-                peer, self._store_sync.request()
-            )
+            snapshot = await self._peer_transport.fetch_snapshot(peer, req)
             if snapshot is None:
                 unreachable_until[peer.vm] = now() + UNREACHABLE_SECONDS
                 delay_s = CATCH_UP_RETRY_SECONDS
@@ -539,6 +540,18 @@
         )
 
 
+def _has_stood(
+    previous: SnapshotRequest | None, current: SnapshotRequest | None
+) -> bool:
+    """Return whether one of the kinds that a VM reads is as it was."""
+    if previous is None or current is None:
+        return False
+    return (
+        previous.configuration == current.configuration
+        or previous.position == current.position
+    )
+
+
 def _file_stamp(path: Path) -> tuple[int, int]:
     """Return the modification time in ns and the size; zeros if out of reach."""
     try:
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -22,7 +22,7 @@
     WatchableStore,
 )
 from oleandershift.io.gatewaymetrics import GatewayMetrics
-from oleandershift.neighbours import StoreRole
+from oleandershift.neighbours import READER_TTL_SECONDS, StoreRole
 from oleandershift.platform import configuration, upstreams
 from oleandershift.recordlog import RecordLog
 from oleandershift.records import Record, StorePosition
@@ -57,10 +57,12 @@
         self._log = log
         self._metrics = metrics
         self._feeds: list[Feed] = []
+        self._store: WatchableStore | None = None
+        self._repeat_at = -math.inf
         self._role = StoreRole.FOLLOWER
         self._lost_kinds: set[str] = set()
         self._read_kinds: set[str] = set()
-        self._read_until = dict.fromkeys(KINDS, -math.inf)
+        self._read_until: dict[str, float] = {}
         self._configuration_record: Record | None = None
         self._upstream_records = RecordLog()
 
@@ -72,6 +74,7 @@
     def start(self, store: WatchableStore, loop: asyncio.AbstractEventLoop) -> None:
         """Start watching a store, and stop watching the previous one."""
         self.stop()
+        self._store = store
         feeds = self._feeds
 
         def deliver(event: FeedEvent) -> None:
@@ -91,26 +94,46 @@
         self._log.info("store.role", role=role.value, previous=self._role.value)
         if self._role is StoreRole.FOLLOWER:
             self._read_kinds.clear()
+            if self._store is not None:
+                # Those that have rested for long may be silent.
+                self._store.close()
         elif role is StoreRole.FOLLOWER:
             self._lost_kinds.clear()
-            self._view.directory.on_store_recovered(now())
-        elif role is StoreRole.HUB:
-            self._repeat_calls()
+        is_promoted = self._role is StoreRole.STANDBY and role is StoreRole.HUB
         self._role = role
+        self._repeat_at = now() + READER_TTL_SECONDS
+        if is_promoted:
+            self._repeat_calls()
         self._update_reads_store()
         for feed in self._feeds:
             feed.set_role(role)
 
+    def on_tick(self, now: float) -> None:
+        """Call the store anew if no VM has been answered for long.
+
+        The connections may be silent. Calls that fail are repeated by their feeds.
+        """
+        if self._role is StoreRole.FOLLOWER or self._lost_kinds:
+            return
+        age_s = self._view.freshness.age_s(now)
+        if READER_TTL_SECONDS < age_s < math.inf and now >= self._repeat_at:
+            self._log.warning("store.silent", age_s=round(age_s, 2))
+            self._repeat_at = now + READER_TTL_SECONDS
+            self._repeat_calls()
+
     def _repeat_calls(self) -> None:
-        """Call the store anew, as a standby's watch may hang for long.
+        """Call the store anew, on new connections, as a watch may hang for long.
 
         Other VMs rely on a hub, so this one reads the store only once it is answered.
         """
         self._read_kinds.clear()
+        if self._store is not None:
+            self._store.close()
         for number, feed in enumerate(self._feeds):
             feed.stop()
-            self._feeds[number] = feed.successor()
-            self._feeds[number].start()
+            successor = self._feeds[number] = feed.successor()
+            successor.set_role(self._role)
+            successor.start()
 
     def stop(self) -> None:
         """Stop all feeds."""
@@ -137,7 +160,7 @@
         """
         read_at = now() if read_at is None else read_at
         if isinstance(event, StoreCallFailed):
-            self._on_call_failed(event, read_at)
+            self._on_call_failed(event)
             return
         read_until = read_at if event.until is None else event.until
         self._on_call_succeeded(event.kind, read_at, read_until)
@@ -224,7 +247,7 @@
             )
         self._view.directory.advance(snapshot.position)
 
-    def _on_call_failed(self, event: StoreCallFailed, failed_at: float) -> None:
+    def _on_call_failed(self, event: StoreCallFailed) -> None:
         self._metrics.store_events.labels(event.kind, event.failure.error.value).inc()
         if event.kind not in self._lost_kinds:
             failure = event.failure
@@ -237,8 +260,6 @@
         self._lost_kinds.add(event.kind)
         self._read_kinds.discard(event.kind)
         self._update_reads_store()
-        if event.kind == upstreams.KIND:
-            self._view.directory.on_store_lost(failed_at)
 
     def _on_call_succeeded(self, kind: str, read_at: float, until: float) -> None:
         self._metrics.store_events.labels(kind, "answered").inc()
@@ -246,11 +267,9 @@
             self._lost_kinds.discard(kind)
             self._log.info("store.regained", kind=kind)
         self._read_kinds.add(kind)
-        self._read_until[kind] = max(self._read_until[kind], until)
-        self._view.freshness.on_read(min(self._read_until.values()))
+        self._read_until[kind] = max(self._read_until.get(kind, -math.inf), until)
+        self._view.freshness.on_read(read_at, min(self._read_until.values()))
         self._update_reads_store()
-        if kind == upstreams.KIND:
-            self._view.directory.on_store_recovered(read_at)
 
     def _update_reads_store(self) -> None:
         is_reader = self._role is not StoreRole.FOLLOWER
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -29,9 +29,9 @@
 """VMs of a data centre that watch the store: the hub and its successor."""
 
 READER_TTL_SECONDS = 1.7
-"""Time without a digest of a VM that reads the store after which a follower watches the
-store itself. A new hub reads the store earlier, as it takes over when the digest of its
-predecessor expires; 0.8 s of the shortest time for applying a configuration remain."""
+"""Age of what other VMs have read of the store from which on a VM reads it itself. A
+new hub reads it earlier, as it takes over when the digest of its predecessor expires;
+0.8 s of the shortest time for applying a configuration remain."""
 
 
 class StoreRole(Enum):
@@ -129,7 +129,8 @@
         self._vm_digests: dict[tuple[VmId, int], _ReceivedDigest] = {}
         self._data_centre_digests: dict[tuple[DataCentreId, int], _ReceivedDigest] = {}
         self._digests_known_at = digests_known_at
-        self._reader_seen_at = digests_known_at
+        # Instant up to which VMs on which this one relies have read the store.
+        self._read_until = digests_known_at
 
     def add_registered(self, now: float, peers: Iterable[Peer]) -> None:
         """Add or update registered VMs."""
@@ -155,8 +156,8 @@
         ):
             return False
         self._refresh_peer(now, digest)
-        if digest.reads_store:
-            self._reader_seen_at = max(self._reader_seen_at, now)
+        if digest.reads_store and self._reads_before(digest):
+            self._read_until = max(self._read_until, digest.read_until(now))
         if digest.scope is Scope.VM:
             _store(self._vm_digests, digest.vm, _ReceivedDigest(digest, now))
             return False
@@ -180,7 +181,9 @@
         """Return whether this VM watches the store, and how closely.
 
         A follower relies on any VM that reads the store, as every digest names what its
-        sender has read. Without one for `READER_TTL_SECONDS` it watches the store.
+        sender has read, and up to when. If that is `READER_TTL_SECONDS` ago, it watches
+        the store. In its own data centre it relies on VMs of higher rank only, so that
+        one of several that begin to read goes on.
         Until the other VMs' digests have arrived, registered VMs count as live.
         """
         members = self._live_members(now)
@@ -189,7 +192,7 @@
         rank = self._rank_among(members)
         if rank == 0:
             return StoreRole.HUB
-        if rank < STORE_READERS or now > self._reader_seen_at + READER_TTL_SECONDS:
+        if rank < STORE_READERS or now > self._read_until + READER_TTL_SECONDS:
             return StoreRole.STANDBY
         return StoreRole.FOLLOWER
 
@@ -390,6 +393,11 @@
         preference = weight_of(self.vm, digest.vm)
         return digest.configuration, digest.position, is_local, preference
 
+    def _reads_before(self, digest: Digest) -> bool:
+        """Return whether this VM relies on what the sender of a digest reads."""
+        is_local = digest.data_centre == self.data_centre
+        return not is_local or self._weight(digest.vm) > self._own_weight
+
     def _live_members(self, now: float) -> set[VmId]:
         """Return the other live VMs of the data centre."""
         return {digest.vm for digest in self._data_centre_vm_digests(now)}
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -135,8 +135,7 @@
             report = LeavingReport(run, LeavingSource.DIGEST, digest.vm)
             self._state.record_leaving(report)
         if digest.reads_store:
-            read_until = now - max(0, digest.read_age_ms) / 1000
-            self._state.view.freshness.on_told(read_until)
+            self._state.view.freshness.on_told(now, digest.read_until(now))
         is_new_summary = self._peers.merge(now, digest)
         if is_new_summary and self._peers.is_hub(now):
             return self._peers.local_peers(now)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -35,7 +35,8 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> ManualClock:
     """Return the clock of what VMs read of the store, which the test sets."""
     manual_clock = ManualClock()
-    monkeypatch.setattr("oleandershift.io.storesync.now", manual_clock)
+    for module in ("storesync", "feed"):
+        monkeypatch.setattr(f"oleandershift.io.{module}.now", manual_clock)
     return manual_clock
 
 
--- a/tests/integration/test_gateway_followers.py
+++ b/tests/integration/test_gateway_followers.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from oleandershift.io.feed import HUB_TIMING
 from standins.gateway_fleet import (
     GatewayFleet,
     configuration,
@@ -21,7 +22,6 @@
 CONFIGURATION_APPLY_SECONDS = 2.5
 """`configApplyMs` of the gateways' settings."""
 
-HUB_WATCH_SECONDS = 2.5
 WATCHED_KINDS = 2
 
 
@@ -51,7 +51,7 @@
         entry = fleet.engines["e1"].entry("model", "one")
         fleet.store.put("servers", "e1", {**entry, "slots": 10 + number})
         time.sleep(interval_s)
-    timeouts = WATCHED_KINDS * (changes * interval_s / HUB_WATCH_SECONDS + 1)
+    timeouts = WATCHED_KINDS * (changes * interval_s / HUB_TIMING.watch_timeout_s + 1)
     assert fleet.store.calls - calls_before <= READERS * changes + timeouts
 
 
--- a/tests/test_departure_times.py
+++ b/tests/test_departure_times.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 from loops import VirtualLoop
@@ -17,7 +17,7 @@
 from oleandershift.fleetview import FleetView
 from oleandershift.hashing import ranked
 from oleandershift.ids import DataCentreId, Incarnation, ServiceId, VmId
-from oleandershift.io.feed import Feed
+from oleandershift.io.feed import ChangesRead, Feed, SnapshotRead
 from oleandershift.io.gateway import (
     CATCH_UP_INTERVAL_SECONDS,
     MAINTENANCE_INTERVAL_SECONDS,
@@ -71,6 +71,7 @@
 
     def __init__(self):
         self.result = None
+        self.started_at = 0.0
 
     def snapshot(self, kind):
         """Return the prepared list."""
@@ -201,6 +202,18 @@
         self._peer_transport = vm
 
 
+class VirtualSync(StoreSync):
+    """Store sync whose calls are made anew in virtual time."""
+
+    def __init__(self, vm):
+        super().__init__(vm.view, lambda previous, run: None, SilentLog(), METRICS)
+        self._vm = vm
+
+    def _repeat_calls(self):
+        self._read_kinds.clear()
+        self._vm.repeat_calls()
+
+
 class VirtualVm:
     """A VM without its callers and upstreams."""
 
@@ -215,9 +228,7 @@
         self.state = FleetState(
             self.peers, self.view, LoadTracker(10.0), DemandMeter(4.0)
         )
-        self.sync = StoreSync(
-            self.view, lambda previous, run: None, SilentLog(), METRICS
-        )
+        self.sync = VirtualSync(self)
         self.exchange = DigestExchange(self.peer, Incarnation(1), self.state)
         # Stretched times.
         self.loop_delay_s = 0.0
@@ -231,9 +242,28 @@
     def start(self):
         """Start the tasks of the VM."""
         tasks = [self._maintain(), self._run_catch_up()]
-        tasks += [self._drive(feed) for feed in self.sync._feeds]
+        self._drivers = self._start_feeds(self.fleet.rng.uniform(0.0, 0.5))
         return [self.fleet.loop.create_task(task) for task in tasks]
 
+    def stop_feeds(self):
+        """End the calls of all feeds."""
+        for driver in self._drivers:
+            driver.cancel()
+
+    def repeat_calls(self):
+        """Give up all calls to the store and make them anew."""
+        self.stop_feeds()
+        previous = self.sync._feeds
+        self.sync._feeds = [self._make_feed(feed._kind) for feed in previous]
+        for feed, old in zip(self.sync._feeds, previous, strict=True):
+            feed._position, feed._resuming = old._position, True
+            feed.set_role(self.sync._role)
+        self._drivers = self._start_feeds()
+
+    def _start_feeds(self, delay_s=0.0):
+        create_task = self.fleet.loop.create_task
+        return [create_task(self._drive(feed, delay_s)) for feed in self.sync._feeds]
+
     def uses(self, upstream):
         """Return whether the VM sends requests to an upstream."""
         usable = self.view.directory.usable(self.fleet.loop.time(), ServiceId("s"))
@@ -280,6 +310,7 @@
                 for addressed in self.exchange.next_digests(instant):
                     self._send(addressed.message, addressed.peers)
             self.sync.set_role(self.peers.store_role(instant))
+            self.sync.on_tick(instant)
             self.view.directory.expire(instant)
 
     def _send(self, digest, peers):
@@ -290,19 +321,26 @@
                 self.fleet.loop.call_later(delay_s, receiver.receive, digest)
 
     def _make_feed(self, kind):
+        store = PreparedStore()
+
         def deliver(event):
+            if isinstance(event, SnapshotRead) or (
+                isinstance(event, ChangesRead) and event.changes.records
+            ):
+                # The feed has seen no time pass during its call.
+                event = replace(event, until=store.started_at)
             delay_s = self.loop_delay_s
             self.fleet.loop.call_later(delay_s, self.sync.on_event, event)
 
-        feed = Feed(PreparedStore(), kind, deliver, self.fleet.rng)
+        feed = Feed(store, kind, deliver, self.fleet.rng)
         feed._stopped = StopEvent()
         feed._watching = asyncio.Event()
         feed.set_role(StoreRole.FOLLOWER)
         return feed
 
-    async def _drive(self, feed):
+    async def _drive(self, feed, delay_s):
         """Run a feed in virtual time, as its thread does."""
-        await asyncio.sleep(self.fleet.rng.uniform(0.0, 0.5))
+        await asyncio.sleep(delay_s)
         while True:
             if feed._position is not None and not feed._watching.is_set():
                 await feed._watching.wait()
@@ -311,6 +349,7 @@
             try:
                 feed._step()
             except PendingCall as call:
+                feed._store.started_at = self.fleet.loop.time()
                 result = await self.fleet.store.perform(self.name, feed._kind, call)
                 feed._store.result = result
                 feed._step()
@@ -367,6 +406,8 @@
         """End all tasks."""
         for task in self._tasks:
             task.cancel()
+        for vm in self.vms.values():
+            vm.stop_feeds()
         self.loop.run_until_complete(
             asyncio.gather(*self._tasks, return_exceptions=True)
         )
@@ -392,7 +433,7 @@
 
     def make(seed=1, drain_s=DRAIN_SECONDS, local_vms=LOCAL_VMS):
         loop = VirtualLoop()
-        for module in ("storesync", "gateway"):
+        for module in ("storesync", "gateway", "feed"):
             monkeypatch.setattr(f"oleandershift.io.{module}.now", loop.time)
         fleet = VirtualFleet(loop, seed, drain_s, local_vms)
         fleets.append(fleet)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -5,11 +5,11 @@
 
 from oleandershift.directory import (
     CONFIRMATION_SECONDS,
-    REREGISTRATION_SECONDS,
     Directory,
     Upstream,
     UpstreamState,
 )
+from oleandershift.freshness import REREGISTRATION_SECONDS, StoreFreshness
 from oleandershift.ids import DataCentreId, ServiceId, UpstreamId
 
 
@@ -35,8 +35,15 @@
 
 
 @pytest.fixture
-def directory():
-    directory = Directory()
+def freshness():
+    freshness = StoreFreshness()
+    freshness.on_read(2.0, 2.0)
+    return freshness
+
+
+@pytest.fixture
+def directory(freshness):
+    directory = Directory(freshness=freshness)
     directory.replace(
         0.0, at(10), with_revision(make_upstream("u1"), make_upstream("u2"))
     )
@@ -53,26 +60,25 @@
     assert usable_names(directory, 1.0) == {"u2"}
 
 
-def test_entry_that_lapses_in_an_outage_is_kept_until_the_store_recovers(directory):
-    directory.on_store_lost(4.0)
+def test_entry_that_lapses_in_an_outage_is_kept_until_the_store_recovers(
+    directory, freshness
+):
     assert not directory.remove(5.0, at(11), UpstreamId("u1"))
-    directory.on_store_recovered(6.0)
+    freshness.on_read(6.0, 6.0)
     directory.expire(6.0)
     assert usable_names(directory, 6.0) == {"u1", "u2"}
 
 
-def test_entry_not_renewed_after_the_outage_expires(directory):
-    directory.on_store_lost(4.0)
-    directory.on_store_recovered(6.0)
+def test_entry_not_renewed_after_the_outage_expires(directory, freshness):
+    freshness.on_read(6.0, 6.0)
     directory.replace(6.1, at(12), with_revision(make_upstream("u2")))
     assert usable_names(directory, 6.1) == {"u1", "u2"}
     directory.expire(6.0 + REREGISTRATION_SECONDS)
     assert usable_names(directory, 6.0 + REREGISTRATION_SECONDS) == {"u2"}
 
 
-def test_entry_renewed_after_the_outage_is_kept(directory):
-    directory.on_store_lost(4.0)
-    directory.on_store_recovered(6.0)
+def test_entry_renewed_after_the_outage_is_kept(directory, freshness):
+    freshness.on_read(6.0, 6.0)
     directory.replace(6.1, at(12), with_revision(make_upstream("u2")))
     directory.update(at(13), make_upstream("u1"))
     directory.expire(20.0)
@@ -81,7 +87,6 @@
 
 def test_draining_entry_is_removed_immediately_in_an_outage(directory):
     directory.update(at(11), make_upstream("u1", UpstreamState.DRAINING))
-    directory.on_store_lost(4.0)
     assert directory.remove(5.0, at(12), UpstreamId("u1"))
 
 
@@ -187,12 +192,11 @@
 
 
 def test_registrations_that_lapsed_in_the_outage_are_used_as_the_copy_lists_them(
-    directory,
+    directory, freshness
 ):
-    directory.on_store_lost(0.5)
     directory.remove(4.0, at(11), UpstreamId("u1"))
     directory.remove(4.0, at(12), UpstreamId("u2"))
-    directory.on_store_recovered(5.0)
+    freshness.on_read(5.0, 5.0)
     restored(directory, 5.0, make_upstream("u1"), make_upstream("u2"))
     assert usable_names(directory, 5.0) == {"u1", "u2"}
     assert usable_names(directory, 9.0) == {"u1", "u2"}
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -68,7 +68,7 @@
 
 
 @pytest.fixture
-def feed(store, events):
+def feed(clock, store, events):
     new_feed = Feed(store, "config", events.append, random.Random(1))
     new_feed._stopped = FakeStopEvent()
     return new_feed
@@ -125,7 +125,7 @@
 
 
 @pytest.fixture
-def running_feed(events):
+def running_feed(clock, events):
     new_feed = Feed(CountingStore(), "config", events.append, random.Random(1))
     new_feed.set_role(StoreRole.FOLLOWER)
     new_feed.start()
@@ -202,3 +202,58 @@
         0.0,
         feed.timing.watch_timeout_s,
     ]
+
+
+def test_watch_after_changes_shows_within_a_second_how_old_the_knowledge_is(
+    clock, feed, store, events
+):
+    """An answer with changes may have been under way since the start of its call."""
+    timeout_s = feed.timing.watch_timeout_s
+    store.snapshots = [Success(Snapshot(1, ()))]
+    store.watches = [changes(2, (Record("main", 2, {}), False)), changes(2)]
+    feed._step()
+    feed._step()
+    clock.instant += 0.7
+    feed._step()
+    assert store.waits == [timeout_s, pytest.approx(timeout_s - 0.7)]
+
+
+class SlowStore(FakeStore):
+    """Store whose answers take time."""
+
+    def __init__(self, clock, answer_s):
+        super().__init__()
+        self._clock = clock
+        self._answer_s = answer_s
+
+    def snapshot(self, kind):
+        """Return the next prepared snapshot after some time."""
+        self._clock.instant += self._answer_s
+        return super().snapshot(kind)
+
+    def watch(self, kind, revision, wait_seconds):
+        """Return the next prepared changes after some time."""
+        self._clock.instant += self._answer_s
+        return super().watch(kind, revision, wait_seconds)
+
+
+@pytest.mark.parametrize(
+    ("answer_s", "records", "age_s"),
+    [(0.4, (), 0.0), (1.3, (), 0.3), (0.4, ((Record("main", 2, {}), False),), 0.4)],
+    ids=["early", "late", "changes"],
+)
+def test_answer_proves_no_more_than_the_store_can_have_known(
+    clock, events, answer_s, records, age_s
+):
+    """A watch is answered at its timeout; one with changes at any time before."""
+    store = SlowStore(clock, answer_s)
+    feed = Feed(store, "config", events.append, random.Random(1))
+    feed._stopped = FakeStopEvent()
+    store.snapshots = [Success(Snapshot(1, ()))]
+    store.watches = [changes(2, *records)]
+    feed._step()
+    assert events[-1].until == pytest.approx(clock.instant - answer_s)
+    feed._resuming = False
+    feed._read_until = clock.instant
+    feed._step()
+    assert events[-1].until == pytest.approx(clock.instant - age_s)
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -10,8 +10,9 @@
 
 from oleandershift.demand import DemandMeter
 from oleandershift.digests import StoreSnapshot
-from oleandershift.directory import REREGISTRATION_SECONDS, Directory
+from oleandershift.directory import Directory
 from oleandershift.fleetview import FleetView
+from oleandershift.freshness import REREGISTRATION_SECONDS
 from oleandershift.ids import Incarnation, VmId
 from oleandershift.neighbours import Peer, PeerTable, StoreRole
 from oleandershift.objects import StoreError, StoreFailure
@@ -289,6 +290,9 @@
         self._stopped = threading.Event()
         self._is_told = False
 
+    def close(self):
+        """Close no connections."""
+
     def snapshot(self, kind):
         """Return the registration."""
         records = (registration("u1", 10),) if kind == UPSTREAMS else ()
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -179,6 +179,9 @@
         self.answered = threading.Event()
         self._records = tuple(Record(name, 5, registration()) for name in names)
 
+    def close(self):
+        """Close no connections."""
+
     def snapshot(self, kind):
         """Return the upstreams after the release."""
         self.released.wait(10.0)
@@ -259,6 +262,9 @@
         self.hanging = set()
         self.answered = 0
 
+    def close(self):
+        """Close no connections."""
+
     def snapshot(self, kind):
         """Return an empty list."""
         return Success(Snapshot(7, ()))
