Tell other VMs of removed registrations in digests

What callers saw: requests from a VM that is late reached an upstream that had been removed 4 s and more before (DRAIN). For one, a VM needs a digest that names a later position, its next look, a connection, the answer and the iteration that applies it, each of which waits for a late event loop; the exchange is given up after a second. Change: for 4 s, a hub's digests name the removals that it read while the store was well, with the time for which it still uses the upstreams. A VM ends their use without counting anything else as read; a later registration is not affected. Cost: 30 bytes a removal in a digest, 8 in a part at most.

--- a/src/oleandershift/digests.py
+++ b/src/oleandershift/digests.py
@@ -66,6 +66,27 @@
     admitted: int
 
 
+class RemovedUpstream(msgspec.Struct, array_like=True, frozen=True, order=True):
+    """Upstream whose registration was removed.
+
+    Parameters
+    ----------
+    upstream : UpstreamId
+        The upstream.
+    incarnation : int
+        Its run, as in `UpstreamRun`.
+    revision : int
+        Store revision of the removal.
+    left_ms : int
+        Milliseconds for which the sender still uses it.
+    """
+
+    upstream: UpstreamId
+    incarnation: int
+    revision: int
+    left_ms: int
+
+
 class Digest(msgspec.Struct, array_like=True, frozen=True):
     """State of one VM, or the sum over the VMs of a data centre.
 
@@ -111,6 +132,9 @@
     read_age_ms : int
         Milliseconds since the store last answered the sender; 0 if it does not read the
         store. VMs of an earlier version do not send it.
+    removed : tuple of RemovedUpstream
+        From a hub, registrations that were removed lately though the store was well.
+        VMs of an earlier version do not send it.
     """
 
     vm: VmId
@@ -132,6 +156,7 @@
     leaving: tuple[UpstreamRun, ...] = ()
     era: int = 0
     read_age_ms: int = 0
+    removed: tuple[RemovedUpstream, ...] = ()
 
     @property
     def position(self) -> StorePosition:
--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -301,6 +301,50 @@
         deadline = self._lapse_deadline(now) if grace_s is None else now + grace_s
         return self._lapse(now, name, deadline) is not None
 
+    def on_removal_told(
+        self,
+        now: float,
+        position: StorePosition,
+        run: UpstreamRun,
+        use_ends_at: float,
+    ) -> None:
+        """Apply a removal that another VM has read, before what else it has read.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        position : StorePosition
+            Place of the removal; an entry that is newer stays.
+        run : UpstreamRun
+            The upstream.
+        use_ends_at : float
+            Time until which the other VM uses it, seconds.
+        """
+        entry = self._entries.get(run.upstream)
+        if entry is None or entry.run != run:
+            return
+        if position < self._positions[run.upstream]:
+            return
+        self._remember_removal(now, position, run.upstream)
+        self._lapse(now, run.upstream, use_ends_at)
+
+    def recent_removals(self, now: float) -> list[tuple[UpstreamRun, StorePosition]]:
+        """Return the removals of which other VMs are told, and their places.
+
+        Around an outage of the store an upstream may register again soon.
+        """
+        oldest_forget_at = now + REMOVAL_MEMORY_SECONDS - REMOVAL_TELLING_SECONDS
+        found = []
+        for name, removal in reversed(self._removals.items()):
+            if removal.forget_at < oldest_forget_at:
+                break
+            incarnation = removal.incarnation
+            if not incarnation or removal.in_outage or self._is_renewed(name):
+                continue
+            found.append((UpstreamRun(name, incarnation), removal.position))
+        return found
+
     def grace_left(self, now: float, name: UpstreamId) -> float:
         """Return the seconds for which a lapsed entry is kept; 0 without one."""
         return max(0.0, self._lapse_deadlines.get(name, now) - now)
@@ -318,9 +362,13 @@
         return tuple(
             (name, removal.position)
             for name, removal in self._removals.items()
-            if name in self._lapse_deadlines or name not in self._entries
+            if not self._is_renewed(name)
         )
 
+    def _is_renewed(self, name: UpstreamId) -> bool:
+        """Return whether an upstream has registered again after its removal."""
+        return name in self._entries and name not in self._lapse_deadlines
+
     def list_grace_left(self, now: float) -> float:
         """Return the seconds for which entries missing in the last list are kept."""
         return max(0.0, self._list_grace_end - now)
--- a/src/oleandershift/neighbours.py
+++ b/src/oleandershift/neighbours.py
@@ -9,7 +9,14 @@
 
 from oleandershift.allowances import Fleet
 from oleandershift.demand import TeamRate
-from oleandershift.digests import Digest, PeerMessage, Scope, TeamDemand, UpstreamWork
+from oleandershift.digests import (
+    Digest,
+    PeerMessage,
+    RemovedUpstream,
+    Scope,
+    TeamDemand,
+    UpstreamWork,
+)
 from oleandershift.directory import UpstreamRun
 from oleandershift.hashing import weight_of
 from oleandershift.ids import DataCentreId, TeamId, UpstreamId, VmId
@@ -299,6 +306,7 @@
         own_rates: Mapping[TeamId, TeamRate],
         own_absent: frozenset[UpstreamRun],
         leaving: frozenset[UpstreamRun],
+        removed: Collection[RemovedUpstream] = (),
     ) -> Summary:
         """Return the sum over the VMs of this data centre, this one included."""
         loads = {name: copy(load) for name, load in own_loads.items()}
@@ -309,7 +317,7 @@
             totals.add(digest.demand)
         absent = self.data_centre_absent(now, own_absent)
         vms = len(self._live_members(now)) + 1
-        return summarise(vms, loads, totals.rates(), absent, leaving)
+        return summarise(vms, loads, totals.rates(), absent, leaving, removed)
 
     def team_rates(
         self, now: float, own_rates: Mapping[TeamId, TeamRate]
--- a/src/oleandershift/summaries.py
+++ b/src/oleandershift/summaries.py
@@ -1,12 +1,12 @@
 """Sums of the load and demand of VMs, divided into parts that fit into a packet."""
 
 import math
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
 from oleandershift.demand import TeamRate
-from oleandershift.digests import TeamDemand, UpstreamWork
+from oleandershift.digests import RemovedUpstream, TeamDemand, UpstreamWork
 from oleandershift.directory import UpstreamRun
 from oleandershift.ids import TeamId, UpstreamId
 from oleandershift.placement import Load
@@ -22,12 +22,18 @@
 MAX_LEAVING_ENTRIES = 8
 """Limit of the leaving upstreams in a part of a digest, for the same reason."""
 
+MAX_REMOVED_ENTRIES = 8
+"""Limit of the removed upstreams in a part of a digest, for the same reason."""
+
 MAX_DIGEST_PARTS = 8
 """Limit of the parts of a digest. Entries beyond it, the smallest, are omitted."""
 
 MAX_LEAVING_IN_DIGEST = MAX_LEAVING_ENTRIES * MAX_DIGEST_PARTS
 """Limit of the leaving upstreams in all parts of a digest."""
 
+MAX_REMOVED_IN_DIGEST = MAX_REMOVED_ENTRIES * MAX_DIGEST_PARTS
+"""Limit of the removed upstreams in all parts of a digest."""
+
 _Entry = TypeVar("_Entry")
 
 
@@ -45,6 +51,8 @@
         Upstreams that are not at their address any more.
     leaving : tuple of UpstreamRun
         Upstreams that said that they leave.
+    removed : tuple of RemovedUpstream
+        Upstreams whose registration was removed.
     """
 
     vms: int
@@ -52,6 +60,7 @@
     demand: tuple[TeamDemand, ...]
     absent: tuple[UpstreamRun, ...]
     leaving: tuple[UpstreamRun, ...]
+    removed: tuple[RemovedUpstream, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +85,7 @@
     rates: Mapping[TeamId, TeamRate],
     absent: frozenset[UpstreamRun],
     leaving: frozenset[UpstreamRun],
+    removed: Collection[RemovedUpstream] = (),
 ) -> Summary:
     """Return what a digest contains, in parts within its limits.
 
@@ -92,18 +102,22 @@
         Upstreams that are not at their address any more.
     leaving : frozenset of UpstreamRun
         Upstreams that said that they leave.
+    removed : collection of RemovedUpstream
+        Upstreams whose registration was removed.
     """
     work, demand, runs = work_entries(loads), demand_entries(rates), sorted(absent)
-    leaving_runs = sorted(leaving)
+    leaving_runs, removals = sorted(leaving), sorted(removed)
     absent_limit = min(len(runs), MAX_ABSENT_ENTRIES)
     leaving_limit = min(len(leaving_runs), MAX_LEAVING_ENTRIES)
-    work_limit = MAX_UPSTREAM_ENTRIES - absent_limit - leaving_limit
+    removed_limit = min(len(removals), MAX_REMOVED_ENTRIES)
+    work_limit = MAX_UPSTREAM_ENTRIES - absent_limit - leaving_limit - removed_limit
     parts_needed = max(
         1,
         math.ceil(len(work) / work_limit),
         math.ceil(len(demand) / MAX_DEMAND_ENTRIES),
         math.ceil(len(runs) / MAX_ABSENT_ENTRIES),
         math.ceil(len(leaving_runs) / MAX_LEAVING_ENTRIES),
+        math.ceil(len(removals) / MAX_REMOVED_ENTRIES),
     )
     count = min(parts_needed, MAX_DIGEST_PARTS)
     sent_work = sorted(work[: count * work_limit], key=lambda entry: entry.upstream)
@@ -112,6 +126,7 @@
     )
     sent_runs = runs[: count * MAX_ABSENT_ENTRIES]
     sent_leaving = leaving_runs[: count * MAX_LEAVING_ENTRIES]
+    sent_removals = removals[: count * MAX_REMOVED_ENTRIES]
     parts = tuple(
         SummaryPart(
             0 if part else vms,
@@ -119,11 +134,19 @@
             _slice(sent_demand, part, count),
             _slice(sent_runs, part, count),
             _slice(sent_leaving, part, count),
+            _slice(sent_removals, part, count),
         )
         for part in range(count)
     )
-    sent = len(sent_work) + len(sent_demand) + len(sent_runs) + len(sent_leaving)
-    entries = len(work) + len(demand) + len(runs) + len(leaving_runs)
+    sent = sum(
+        len(part.work)
+        + len(part.demand)
+        + len(part.absent)
+        + len(part.leaving)
+        + len(part.removed)
+        for part in parts
+    )
+    entries = len(work) + len(demand) + len(runs) + len(leaving_runs) + len(removals)
     return Summary(parts, entries - sent)
 
 
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -1,12 +1,16 @@
 """Exchange of digests between VMs: what is sent, to which VMs, and when."""
 
-from oleandershift.digests import Digest, Scope
+from typing import TypeVar
+
+from oleandershift.digests import Digest, RemovedUpstream, Scope
 from oleandershift.directory import UpstreamRun
 from oleandershift.ids import Incarnation, Seq
 from oleandershift.neighbours import Addressed, Peer
+from oleandershift.records import StorePosition
 from oleandershift.state import FleetState, LeavingReport, LeavingSource
 from oleandershift.summaries import (
     MAX_LEAVING_IN_DIGEST,
+    MAX_REMOVED_IN_DIGEST,
     Summary,
     SummaryPart,
     summarise,
@@ -33,6 +37,8 @@
 MAX_DIGEST_INTERVAL_SECONDS = 0.25
 """Longest time between two regular digests; two may be lost before a VM expires."""
 
+_Item = TypeVar("_Item")
+
 
 class DigestExchange:
     """Creates this VM's digests and applies those of other VMs.
@@ -113,13 +119,14 @@
         loads = self._state.loads.local()
         rates = self._state.demand.rates(now)
         absent = self._state.absences.absent(now)
-        own_summary = summarise(1, loads, rates, absent, leaving)
+        removed = self._removed(now) if is_hub else ()
+        own_summary = summarise(1, loads, rates, absent, leaving, removed)
         self.omitted_entries += own_summary.omitted
         addressed = self._address(now, Scope.VM, own_summary, local_peers)
         if is_hub:
             discover_hubs = self._seq % HUB_DISCOVERY_INTERVAL_DIGESTS == 0
             summary = self._peers.data_centre_summary(
-                now, loads, rates, absent, leaving
+                now, loads, rates, absent, leaving, removed
             )
             hubs = self._peers.remote_hubs(now, discover_hubs)
             self.omitted_entries += summary.omitted
@@ -134,6 +141,13 @@
         for run in digest.leaving:
             report = LeavingReport(run, LeavingSource.DIGEST, digest.vm)
             self._state.record_leaving(report)
+        for item in digest.removed:
+            self._state.view.directory.on_removal_told(
+                now,
+                StorePosition(digest.era, item.revision),
+                UpstreamRun(item.upstream, item.incarnation),
+                now + item.left_ms / 1000,
+            )
         if digest.reads_store:
             self._state.view.freshness.on_told(now, digest.read_until(now))
         is_new_summary = self._peers.merge(now, digest)
@@ -169,13 +183,28 @@
             return directory.leaving_unregistered() | directory.leaving_registered()
         return directory.leaving_unregistered()
 
+    def _removed(self, now: float) -> tuple[RemovedUpstream, ...]:
+        """Return the removals that a hub announces, others with each digest.
+
+        VMs that are late then need no snapshot to end the use of the upstreams.
+        """
+        directory = self._state.view.directory
+        era = directory.position.era
+        removals = [
+            RemovedUpstream(
+                run.upstream,
+                run.incarnation,
+                position.revision,
+                round(directory.grace_left(now, run.upstream) * 1000),
+            )
+            for run, position in directory.recent_removals(now)
+            if position.era == era
+        ]
+        return tuple(_rotated(removals, self._seq, MAX_REMOVED_IN_DIGEST))
+
     def _window(self, runs: frozenset[UpstreamRun]) -> frozenset[UpstreamRun]:
         """Return as many runs as a digest names, others with each digest."""
-        if len(runs) <= MAX_LEAVING_IN_DIGEST:
-            return runs
-        ordered = sorted(runs)
-        start = self._seq * MAX_LEAVING_IN_DIGEST % len(ordered)
-        return frozenset((ordered[start:] + ordered)[:MAX_LEAVING_IN_DIGEST])
+        return frozenset(_rotated(sorted(runs), self._seq, MAX_LEAVING_IN_DIGEST))
 
     def _address(
         self, now: float, scope: Scope, summary: Summary, peers: list[Peer]
@@ -222,6 +251,15 @@
             part=part,
             parts=parts,
             leaving=content.leaving,
+            removed=content.removed,
             era=position.era,
             read_age_ms=self._read_age_ms(now),
         )
+
+
+def _rotated(items: list[_Item], turn: int, limit: int) -> list[_Item]:
+    """Return as many items as allowed, others with each turn."""
+    if len(items) <= limit:
+        return items
+    start = turn * limit % len(items)
+    return (items[start:] + items)[:limit]
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -3,6 +3,7 @@
 import pytest
 from storereaders import Vm, registration
 
+from oleandershift.directory import REMOVAL_TELLING_SECONDS
 from oleandershift.neighbours import StoreRole
 from oleandershift.records import Record
 
@@ -108,3 +109,73 @@
     assert reader.usable_names() == {"u2"}
     reader.read_changes(12, registration("u1", 12))
     assert reader.usable_names() == {"u1", "u2"}
+
+
+def tell(clock, reader, follower):
+    """Tell a follower what a digest of its reader says of removals."""
+    directory = reader.view.directory
+    for run, position in directory.recent_removals(clock.instant):
+        use_ends_at = clock.instant + directory.grace_left(clock.instant, run.upstream)
+        follower.view.directory.on_removal_told(
+            clock.instant, position, run, use_ends_at
+        )
+
+
+def test_late_vm_needs_no_snapshot_to_end_the_use_of_a_removed_upstream(
+    clock, reader, follower
+):
+    reader.read_changes(20, registration("u1", 5), deleted=True)
+    clock.instant += 0.5
+    tell(clock, reader, follower)
+    assert follower.usable_names() == {"u1", "u2"}
+    clock.instant += GRACE_SECONDS - 0.5
+    assert follower.usable_names() == {"u2"}
+
+
+def test_told_removal_hides_no_other_change(clock, reader, follower):
+    reader.read_events(
+        20, (registration("u1", 5), True), (registration("u3", 19), False)
+    )
+    tell(clock, reader, follower)
+    follower.catch_up(reader)
+    clock.instant += GRACE_SECONDS
+    assert follower.usable_names() == reader.usable_names() == {"u2", "u3"}
+
+
+def test_told_removal_ends_no_later_registration(clock, reader, follower):
+    """Digests of a VM that is behind name the removal for a while."""
+    behind = Vm(clock, GRACE_SECONDS)
+    behind.catch_up(reader)
+    for vm in (reader, behind):
+        vm.read_changes(20, registration("u1", 5), deleted=True)
+    reader.read_changes(25, registration("u1", 25, sequence=2))
+    follower.catch_up(reader)
+    for teller in (behind, reader):
+        tell(clock, teller, follower)
+    clock.instant += GRACE_SECONDS
+    assert follower.usable_names() == {"u1", "u2"}
+
+
+def test_told_removal_of_an_earlier_run_is_ignored(clock, reader, follower):
+    reader.read_changes(20, registration("u1", 5), deleted=True)
+    follower.read_changes(22, registration("u1", 22, born=2))
+    tell(clock, reader, follower)
+    clock.instant += GRACE_SECONDS
+    assert follower.usable_names() == {"u1", "u2"}
+
+
+def test_nothing_is_told_of_registrations_that_lapsed_in_an_outage(
+    clock, reader, follower
+):
+    """They may be renewed before a digest is received."""
+    clock.instant += 5.0
+    reader.read_changes(20, registration("u1", 5), deleted=True)
+    assert reader.view.directory.recent_removals(clock.instant) == []
+
+
+def test_removal_is_told_for_as_long_as_a_leaving_upstream_serves(clock, reader):
+    reader.read_changes(20, registration("u1", 5), deleted=True)
+    clock.instant += REMOVAL_TELLING_SECONDS - 0.1
+    assert len(reader.view.directory.recent_removals(clock.instant)) == 1
+    clock.instant += 0.2
+    assert reader.view.directory.recent_removals(clock.instant) == []
--- a/tests/test_digests.py
+++ b/tests/test_digests.py
@@ -8,6 +8,7 @@
 from oleandershift.demand import TeamRate
 from oleandershift.digests import (
     Digest,
+    RemovedUpstream,
     Scope,
     StoreSnapshot,
     TeamDemand,
@@ -32,6 +33,7 @@
     MAX_DEMAND_ENTRIES,
     MAX_DIGEST_PARTS,
     MAX_LEAVING_ENTRIES,
+    MAX_REMOVED_ENTRIES,
     MAX_UPSTREAM_ENTRIES,
     summarise,
 )
@@ -84,12 +86,26 @@
     )
 
 
-def make_summary(upstreams, teams, absences, leaving=0):
+def make_removals(count):
+    return [
+        RemovedUpstream(run.upstream, run.incarnation, 999_999_999, 800)
+        for run in make_runs(count)
+    ]
+
+
+def make_summary(upstreams, teams, absences, leaving=0, removed=0):
     loads = {
         UpstreamId(f"i-{n:010x}"): Load(60, 99_999, 500_000) for n in range(upstreams)
     }
     rates = {TeamId(f"team{n:03}"): TeamRate(99_000, 99_000) for n in range(teams)}
-    return summarise(1, loads, rates, make_runs(absences), make_runs(leaving))
+    return summarise(
+        1,
+        loads,
+        rates,
+        make_runs(absences),
+        make_runs(leaving),
+        make_removals(removed),
+    )
 
 
 @pytest.mark.parametrize("parts", [1, 2, MAX_DIGEST_PARTS])
@@ -116,16 +132,23 @@
 
 @pytest.mark.parametrize("parts", [1, 2, MAX_DIGEST_PARTS])
 def test_largest_digest_with_leaving_upstreams_fits_into_a_packet(digest, parts):
-    work_limit = MAX_UPSTREAM_ENTRIES - MAX_ABSENT_ENTRIES - MAX_LEAVING_ENTRIES
+    work_limit = (
+        MAX_UPSTREAM_ENTRIES
+        - MAX_ABSENT_ENTRIES
+        - MAX_LEAVING_ENTRIES
+        - MAX_REMOVED_ENTRIES
+    )
     summary = make_summary(
         parts * work_limit,
         parts * MAX_DEMAND_ENTRIES,
         parts * MAX_ABSENT_ENTRIES,
         parts * MAX_LEAVING_ENTRIES,
+        parts * MAX_REMOVED_ENTRIES,
     )
     assert len(summary.parts) == parts
     for part in summary.parts:
         assert len(part.leaving) == MAX_LEAVING_ENTRIES
+        assert len(part.removed) == MAX_REMOVED_ENTRIES
         assert len(part.work) == work_limit
         full = msgspec.structs.replace(
             digest,
@@ -133,6 +156,8 @@
             demand=part.demand,
             absent=part.absent,
             leaving=part.leaving,
+            removed=part.removed,
+            read_age_ms=99_999,
             part=parts,
             parts=parts,
         )
@@ -144,32 +169,35 @@
     teams=st.integers(0, 400),
     runs=st.integers(0, 200),
     leaving_runs=st.integers(0, 100),
+    removals=st.integers(0, 100),
 )
 def test_no_entry_of_a_digest_is_left_out_uncounted(
-    upstreams, teams, runs, leaving_runs
+    upstreams, teams, runs, leaving_runs, removals
 ):
-    summary = make_summary(upstreams, teams, runs, leaving_runs)
+    summary = make_summary(upstreams, teams, runs, leaving_runs, removals)
     work = [entry.upstream for part in summary.parts for entry in part.work]
     demand = [entry.team for part in summary.parts for entry in part.demand]
     absent = [run for part in summary.parts for run in part.absent]
     leaving = [run for part in summary.parts for run in part.leaving]
-    sent = len(set(work)) + len(set(demand)) + len(set(absent)) + len(set(leaving))
-    assert sent == len(work) + len(demand) + len(absent) + len(leaving)
-    assert sent + summary.omitted == upstreams + teams + runs + leaving_runs
+    removed = [entry.upstream for part in summary.parts for entry in part.removed]
+    entries = (work, demand, absent, leaving, removed)
+    sent = sum(len(set(names)) for names in entries)
+    assert sent == sum(map(len, entries))
+    assert sent + summary.omitted == upstreams + teams + runs + leaving_runs + removals
     assert [part.vms for part in summary.parts] == [1] + [0] * (len(summary.parts) - 1)
     for part in summary.parts:
-        entries = len(part.work) + len(part.absent) + len(part.leaving)
-        assert entries <= MAX_UPSTREAM_ENTRIES
+        runs_named = len(part.absent) + len(part.leaving) + len(part.removed)
+        assert len(part.work) + runs_named <= MAX_UPSTREAM_ENTRIES
         assert len(part.demand) <= MAX_DEMAND_ENTRIES
 
 
-@pytest.mark.parametrize("field", ["absent", "leaving"])
+@pytest.mark.parametrize("field", ["absent", "leaving", "read_age_ms", "removed"])
 def test_digest_of_an_earlier_version_lacks_later_fields(digest, field):
     fields = msgspec.msgpack.decode(encode(digest))[: position_of(field)]
     assert decode_digest(msgspec.msgpack.encode(fields)).unwrap() == digest
 
 
-@pytest.mark.parametrize("field", ["absent", "leaving"])
+@pytest.mark.parametrize("field", ["absent", "leaving", "read_age_ms", "removed"])
 def test_earlier_version_reads_a_digest_with_later_fields(digest, field):
     earlier = msgspec.defstruct(
         "Digest",
