Let a VM that is out of step ask which version began a stream

What callers saw, reported by another operator: during a release, a stream that had begun at an engine of the new version was taken up at a machine that was cut off or had stood still, and went on at an engine of the old one (ORDER). It could happen here: a VM took the only version that it knew of for that of all streams, unless nobody at all reached it. It did so too with its data centre cut off, with a watch that hung, with a change that it had heard of but not read, and after a pause. Change: a VM assumes it only while it is current. Otherwise it asks the others, and refuses a stream that none of them knows.

--- a/src/oleandershift/fleetview.py
+++ b/src/oleandershift/fleetview.py
@@ -2,6 +2,7 @@
 
 from oleandershift.directory import Directory
 from oleandershift.freshness import StoreFreshness
+from oleandershift.records import StorePosition
 from oleandershift.routing import Configuration
 
 
@@ -27,6 +28,11 @@
         self.configuration: Configuration | None = None
         self.directory = Directory(grace_s, self.freshness)
 
+    def is_behind(self, configuration: int, position: StorePosition) -> bool:
+        """Return whether a VM with a version and a position has read more."""
+        version = self.configuration.version if self.configuration else 0
+        return configuration > version or position > self.directory.position
+
     def update_configuration(self, cfg: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
         current = self.configuration
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -258,6 +258,9 @@
         self._max_caller_connections = int(
             CALLER_SOCKETS_FRACTION * vm_settings.max_sockets
         )
+        self._take_ups = TakeUps(
+            self._state, self._arrivals, self._peer_transport.ask_for_stream
+        )
         self._relay = Relay(
             self._state,
             self._arrivals,
@@ -268,7 +271,7 @@
             self._load_shedder,
             self._outliers,
             self._retry_budgets.for_service,
-            TakeUps(self._state, self._arrivals, self._peer_transport.ask_for_stream),
+            self._take_ups,
             log,
             self._metrics,
         )
@@ -364,6 +367,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
             instant = now()
             self._arrivals.tick(instant)
+            self._take_ups.on_tick(instant)
             self._loop_delay.tick(instant)
             self._log_late_loop(instant)
             self._outliers.on_tick(instant)
--- a/src/oleandershift/io/takeups.py
+++ b/src/oleandershift/io/takeups.py
@@ -32,6 +32,11 @@
         self._arrivals = arrivals
         self._ask = ask
 
+    def on_tick(self, now: float) -> None:
+        """Doubt what was heard while the process caught up with a pause."""
+        if self._arrivals.is_catching_up(now):
+            self._state.view.freshness.on_pause()
+
     async def find_version(self, call: Call) -> SoftwareVersion | None:
         """Return the version that began the stream of a call; None if unknown."""
         versions = self._state.stream_versions
@@ -46,5 +51,6 @@
         """Return whether this VM would know of another version that serves."""
         instant = now()
         return not (
-            self._arrivals.is_catching_up(instant) or self._state.is_cut_off(instant)
+            self._arrivals.is_catching_up(instant)
+            or not self._state.is_current(instant)
         )
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -1,5 +1,6 @@
 """State of one VM's view of the fleet, shared by the components of a gateway."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -16,6 +17,11 @@
 from oleandershift.standings import UpstreamStandings
 from oleandershift.streamversions import StreamVersions
 
+MAX_CURRENT_AGE_SECONDS = 1.5
+"""Age of a VM's knowledge up to which it is current; a hub's watch, two digests and a
+late event loop. Streams begin at a new version only after that was recorded in the
+store."""
+
 MAX_ANNOUNCEMENTS = 4096
 """Limit of the announcements whose time is remembered; the oldest are forgotten."""
 
@@ -215,11 +221,21 @@
         self.confirm_crashes(now)
         return self.quarantine.update(now)
 
-    def is_cut_off(self, now: float) -> bool:
-        """Return whether neither the store nor any other VM reaches this VM."""
-        peers = self.peers
-        is_alone = peers.live_count(now) == 1 and peers.known_count(now) > 1
-        return is_alone and not self.view.reads_store
+    def is_current(self, now: float) -> bool:
+        """Return whether this VM knows all that any VM may act on.
+
+        It does if the store or a VM that reads it has confirmed that lately, or, while
+        the store is out, if all known VMs are heard and none of them knows more.
+        """
+        cfg, directory = self.view.configuration, self.view.directory
+        version = cfg.version if cfg is not None else 0
+        if self.peers.fresher_peer(now, version, directory.position) is not None:
+            return False
+        current_until = self.view.freshness.current_until
+        if now - current_until <= MAX_CURRENT_AGE_SECONDS:
+            return True
+        all_heard = self.peers.live_count(now) >= self.peers.known_count(now) > 1
+        return all_heard and math.isfinite(current_until)
 
     def update_stream_versions(self, now: float) -> None:
         """Record which versions serve the services whose streams may be taken up."""
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -149,7 +149,9 @@
                 now + item.left_ms / 1000,
             )
         if digest.reads_store:
-            self._state.view.freshness.on_told(now, digest.read_until(now))
+            view = self._state.view
+            is_newer = view.is_behind(digest.configuration, digest.position)
+            view.freshness.on_told(now, digest.read_until(now), is_newer)
         is_new_summary = self._peers.merge(now, digest)
         if is_new_summary and self._peers.is_hub(now):
             return self._peers.local_peers(now)
