Give up an upstream's answer with more than 256 header fields

What callers saw, reported by another operator: a faulty engine sent bytes without end that were no answer; the machine that had called it kept them, ran out of memory, and the requests of other clients ended with it (LOST). It could happen here: an answer is given up after 256 KiB of head, but short header fields take forty times their size, about 9 MB an answer.

--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -24,6 +24,10 @@
 """Heads and framing that responses to one request may have, late and interim ones
 included; more is allowed for the framing of a large body."""
 
+MAX_HEADER_FIELDS = 256
+"""Header fields that a response may have, trailers included. A short one takes forty
+times its size in memory."""
+
 MAX_SKIPPED_BYTES = 16 << 20
 """Bodies of late responses to earlier requests that are skipped before a response."""
 
@@ -210,6 +214,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._exchange: Exchange | None = None
         self._headers: Headers = []
+        self._header_count = 0
         self._has_framing = False
         self._skipping = False
         self._in_body = False
@@ -308,7 +313,11 @@
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(FailureCause.MALFORMED)
             return
-        if self._overhead.is_exceeded or self._skipped_bytes > MAX_SKIPPED_BYTES:
+        if (
+            self._overhead.is_exceeded
+            or self._has_too_many_fields
+            or self._skipped_bytes > MAX_SKIPPED_BYTES
+        ):
             self._fail(FailureCause.ENDLESS)
 
     def eof_received(self) -> bool:
@@ -324,15 +333,24 @@
         self.reusable = False
         self._fail(FailureCause.CLOSED if exc is None else FailureCause.RESET)
 
+    @property
+    def _has_too_many_fields(self) -> bool:
+        """Whether the current response is given up for its header fields."""
+        return self._header_count > MAX_HEADER_FIELDS
+
     def on_message_begin(self) -> None:
         """Start a response."""
         self._headers = []
+        self._header_count = 0
         self._has_framing = False
         if self._exchange is None:
             self.reusable = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header field."""
+        self._header_count += 1
+        if self._has_too_many_fields:
+            return
         name = name.lower()
         self._headers.append((name, value))
         if name in (b"content-length", b"transfer-encoding"):
@@ -340,6 +358,8 @@
 
     def on_headers_complete(self) -> None:
         """Pass a final response head to the exchange that it matches."""
+        if self._has_too_many_fields:
+            return
         head = ResponseHead(self._parser.get_status_code(), self._headers)
         is_final = head.status >= 200 and self._exchange is not None
         is_answer = self._exchange is not None and self._exchange.matches(head)
@@ -373,6 +393,8 @@
 
     def on_message_complete(self) -> None:
         """Complete the exchange unless the response was skipped or informational."""
+        if self._has_too_many_fields:
+            return
         if self._parser.get_status_code() < 200 or self._skipping:
             self._skipping = False
             return
--- a/tests/contract/test_upstream_connection.py
+++ b/tests/contract/test_upstream_connection.py
@@ -7,7 +7,12 @@
 import pytest
 import uvloop
 
-from oleandershift.io.upstreamconn import UpstreamConnection
+from oleandershift.io.upstreamconn import (
+    MAX_HEADER_FIELDS,
+    BrokenExchangeError,
+    FailureCause,
+    UpstreamConnection,
+)
 
 REQUEST = b"POST /x HTTP/1.1\r\nhost: upstream\r\ncontent-length: 1\r\n\r\nx"
 RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
@@ -81,6 +86,30 @@
         assert uvloop.run(send_in_a_late_iteration()) == REQUEST
 
 
+def test_response_with_too_many_header_fields_breaks_its_exchange_at_once():
+    fields = b"x: y\r\n" * (MAX_HEADER_FIELDS + 1)
+    response = b"HTTP/1.1 200 OK\r\n" + fields + b"content-length: 2\r\n\r\nok"
+    with socket.create_server(("127.0.0.1", 0)) as server:
+
+        async def receive():
+            loop = asyncio.get_running_loop()
+            _, conn = await loop.create_connection(
+                lambda: UpstreamConnection(lambda head, sent_at: None),
+                *server.getsockname(),
+            )
+            accepted, _ = server.accept()
+            with accepted:
+                exchange = conn.send(REQUEST, lambda head: True)
+                accepted.sendall(response)
+                async with asyncio.timeout(WAIT_SECONDS):
+                    with pytest.raises(BrokenExchangeError) as raised:
+                        await exchange.head
+            assert conn.closed or not conn.reusable
+            return raised.value.cause
+
+        assert uvloop.run(receive()) is FailureCause.ENDLESS
+
+
 @pytest.mark.parametrize(("with_response", "end"), [(False, "reset"), (True, "closed")])
 def test_close_during_a_request_resets_the_connection(with_response, end):
     """A slow link delivers buffered bytes after a close, but not after a reset."""
--- a/tests/integration/test_gateway_endless.py
+++ b/tests/integration/test_gateway_endless.py
@@ -3,6 +3,7 @@
 import socket
 import time
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 
 import pytest
@@ -16,6 +17,7 @@
 """Time for an answer; the callers' deadline is 4 s."""
 
 MAX_GROWTH_BYTES = 64 << 20
+ANSWERS_AT_ONCE = 16
 CALLER_SECONDS = 2.0
 CALLER_BYTES = 512 << 20
 """Bytes after which a caller gives up, several times what a gateway may store."""
@@ -46,6 +48,24 @@
         assert engine.runs()["a1"] == 0
 
 
+@pytest.mark.parametrize("conduct", ENDLESS)
+def test_endless_bytes_in_many_answers_leave_memory_to_other_callers(fleet, conduct):
+    (gateway,), (engine,) = fleet.gateways, fleet.engines.values()
+    engine.queued_behaviours = [conduct] * ANSWERS_AT_ONCE
+    before = resident_bytes(gateway.process.pid)
+    with ThreadPoolExecutor(ANSWERS_AT_ONCE) as pool:
+        answers = list(
+            pool.map(
+                lambda number: gateway.call("/write/x", f"a{number}"),
+                range(ANSWERS_AT_ONCE),
+            )
+        )
+    assert all(answer.whole for answer in answers)
+    assert resident_bytes(gateway.process.pid) - before < MAX_GROWTH_BYTES
+    assert gateway.process.is_running()
+    assert gateway.call("/write/x", "b").status == 200
+
+
 REQUEST_STARTS = {
     "header": (b"GET /read/x HTTP/1.1\r\nx: ", b"x" * 65_536),
     "target": (b"GET /", b"x" * 65_536),
