Bound the numbers of tokens in callers' headers

Cause: the sums of such numbers don't fit into a digest; the encoder raised an error in the maintenance task, so that no digest was sent and no role taken. Change: more tokens than any upstream holds count as 2^32. Evidence: the new test fails before, with OverflowError and ValueError.

--- a/src/oleandershift/platform/headers.py
+++ b/src/oleandershift/platform/headers.py
@@ -22,6 +22,13 @@
 _TOKEN_USAGE = b"oleandershift-token-usage"
 _LENGTH_HINT = b"oleandershift-length-hint"
 
+MAX_TOKENS = 1 << 32
+"""Largest number of tokens that is told apart; several thousand times the memory of an
+upstream."""
+
+MAX_COUNT_DIGITS = 18
+MAX_COUNT = 10**MAX_COUNT_DIGITS
+
 RESERVED_HEADERS = frozenset(
     {
         DEADLINE,
@@ -113,7 +120,16 @@
         return 0
     if not raw.isdigit():
         raise _malformed_header(name, raw)
-    return int(raw)
+    # Longer numbers than Python converts by default are possible in a header.
+    return int(raw) if len(raw) <= MAX_COUNT_DIGITS else MAX_COUNT
+
+
+def _parse_tokens(name: bytes, raw: bytes | None) -> int:
+    """Return a number of tokens; more than any upstream holds count as that many.
+
+    The sums of all callers are sent in digests, whose integers have 64 bits.
+    """
+    return min(_parse_count(name, raw), MAX_TOKENS)
 
 
 def _parse_prompt(fields: dict[bytes, bytes]) -> Prompt | None:
@@ -123,9 +139,11 @@
     input_tokens, _, max_output_tokens = usage.partition(b",")
     hint = fields.get(_LENGTH_HINT, b"")
     return Prompt(
-        tokens=_parse_count(_TOKEN_USAGE, input_tokens.strip()),
-        max_output_tokens=_parse_count(_TOKEN_USAGE, max_output_tokens.strip()),
-        expected_output_tokens=int(hint) if hint.isdigit() else None,
+        tokens=_parse_tokens(_TOKEN_USAGE, input_tokens.strip()),
+        max_output_tokens=_parse_tokens(_TOKEN_USAGE, max_output_tokens.strip()),
+        expected_output_tokens=(
+            _parse_tokens(_LENGTH_HINT, hint) if hint.isdigit() else None
+        ),
         parts=_parse_prefix_parts(fields.get(_PROMPT_PREFIX, b"")),
     )
 
@@ -137,7 +155,7 @@
         parts.append(
             PrefixPart(
                 PromptPartId(name.decode("latin-1")),
-                _parse_count(_PROMPT_PREFIX, tokens),
+                _parse_tokens(_PROMPT_PREFIX, tokens),
             )
         )
     return tuple(parts)
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -1,9 +1,19 @@
 """Decoding of the platform's request headers."""
 
 import pytest
+from upstreams import make_upstream
 
+from oleandershift.demand import DemandMeter
+from oleandershift.digests import decode_digest, encode
 from oleandershift.exceptions import MalformedRequestError
+from oleandershift.fleetview import FleetView
+from oleandershift.ids import DataCentreId, Incarnation, TeamId, VmId
+from oleandershift.neighbours import Peer, PeerTable
+from oleandershift.placement import LoadTracker
 from oleandershift.platform import headers
+from oleandershift.state import FleetState
+from oleandershift.telling import DigestExchange
+from oleandershift.vmsettings import Address
 
 REQUEST = [
     (b"oleandershift-attempt-id", b"9c41"),
@@ -35,6 +45,27 @@
     assert caller_headers.last_event_id == 12
 
 
+@pytest.mark.parametrize("tokens", [b"18446744073709551615", b"9" * 5000])
+def test_number_of_tokens_beyond_any_memory_does_not_end_the_digests(tokens):
+    """Clients that mean no maximum send the largest number that they have."""
+    fields = [
+        (b"oleandershift-token-usage", tokens + b"," + tokens),
+        (b"oleandershift-prompt-prefix", b"5c1e:" + tokens),
+        (b"oleandershift-length-hint", tokens),
+    ]
+    prompt = headers.parse(fields).prompt
+    assert prompt.tokens == prompt.output_tokens == headers.MAX_TOKENS
+    table = PeerTable(VmId("vm"), DataCentreId("here"))
+    state = FleetState(table, FleetView(), LoadTracker(10.0), DemandMeter(4.0))
+    for _ in range(1000):
+        state.loads.begin(0.0, make_upstream(), prompt)
+        state.demand.record_request(0.0, TeamId("t"), prompt.weighted_tokens)
+    peer = Peer(table.vm, table.data_centre, Address("vm", 1))
+    exchange = DigestExchange(peer, Incarnation(1), state)
+    for addressed in exchange.next_digests(0.1):
+        assert decode_digest(encode(addressed.message)).unwrap().work
+
+
 def test_request_without_token_usage_has_no_prompt():
     assert headers.parse([(b"host", b"a")]).prompt is None
 
