Use no registration that lacks a field which upstreams always send

Cause: an entry of another writer without version, sequence and coldRemainingMs was taken for that of the upstream. The platform's pages list these among the fields of an entry, and say that one with missing fields names no upstream to use. Evidence: four cases of test_platform_upstreams.py fail before. born stays optional, as the platform's own examples lack it. Registrations of tests have all fields now.

--- a/src/oleandershift/platform/upstreams.py
+++ b/src/oleandershift/platform/upstreams.py
@@ -5,7 +5,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from oleandershift.directory import UNKNOWN_VERSION, Upstream, UpstreamState
+from oleandershift.directory import Upstream, UpstreamState
 from oleandershift.exceptions import Finding
 from oleandershift.ids import DataCentreId, ServiceId, SoftwareVersion, UpstreamId
 from oleandershift.platform.settings import parse_address
@@ -14,17 +14,19 @@
 KIND = "servers"
 
 
-class _Entry(msgspec.Struct):
+class _Entry(msgspec.Struct, rename="camel"):
     service: str
     address: str
     zone: str
     slots: int
     state: UpstreamState
+    sequence: int
+    # Of its software, not of the weights.
+    version: str
+    # Not used; an entry that lacks it was stored by another writer.
+    cold_remaining_ms: float
     # Start time of the upstream's process, in Unix milliseconds; sent in digests.
     born: Annotated[int, msgspec.Meta(le=MAX_INTEGER)] = 0
-    sequence: int = 0
-    # Of its software, not of the weights.
-    version: str = UNKNOWN_VERSION
 
 
 def decode(name: str, spec: object) -> Result[Upstream, Finding]:
--- a/tests/contract/test_gateway_truncated_answers.py
+++ b/tests/contract/test_gateway_truncated_answers.py
@@ -134,6 +134,7 @@
                 "version": "v1",
                 "slots": 8,
                 "state": "ready",
+                "coldRemainingMs": 0,
                 "sequence": 1,
                 "born": 1,
             }
--- a/tests/test_departure_times.py
+++ b/tests/test_departure_times.py
@@ -113,7 +113,10 @@
         "service": "s",
         "address": f"10.0.0.1:{8000 + number}",
         "zone": "z",
+        "version": "v1",
         "slots": 4,
+        "coldRemainingMs": 0,
+        "sequence": 1,
         "state": state,
         "born": 1,
     }
--- a/tests/test_odd_objects.py
+++ b/tests/test_odd_objects.py
@@ -25,7 +25,10 @@
     "service": "s",
     "address": "10.0.0.1:8000",
     "zone": "z",
+    "version": "v1",
     "slots": 4,
+    "coldRemainingMs": 0,
+    "sequence": 1,
     "state": "ready",
     "born": 1,
 }
--- a/tests/test_platform_upstreams.py
+++ b/tests/test_platform_upstreams.py
@@ -42,6 +42,8 @@
         {"service": None},
         {"zone": 7},
         {"version": 2},
+        {"sequence": None},
+        {"coldRemainingMs": "none"},
     ],
 )
 def test_malformed_registration_is_a_finding(change):
@@ -50,7 +52,19 @@
     assert result.failure().place == "servers/i-7f"
 
 
-@pytest.mark.parametrize("missing", ["service", "address", "zone", "slots", "state"])
+@pytest.mark.parametrize(
+    "missing",
+    [
+        "service",
+        "address",
+        "zone",
+        "slots",
+        "state",
+        "version",
+        "sequence",
+        "coldRemainingMs",
+    ],
+)
 def test_registration_without_a_required_field_is_a_finding(missing):
     spec = {name: value for name, value in SPEC.items() if name != missing}
     assert isinstance(upstreams.decode("i-7f", spec), Failure)
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -34,7 +34,10 @@
         "service": "s",
         "address": f"10.0.0.1:{8000 + number}",
         "zone": "z",
+        "version": "v1",
         "slots": 4,
+        "coldRemainingMs": 0,
+        "sequence": 1,
         "state": "ready",
         "born": number,
     }
