Read the body of a request that offers another protocol

Cause: the parser ends at the head of a request with such an offer; what followed was dropped, and later bytes were parsed as a new request. Change: the offer is declined, as RFC 9110 (7.8) allows: a new parser reads the head without it, and goes on with the body. CONNECT, which has no other meaning, gets 501. Evidence: six new cases of test_caller_connections.py fail before.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -302,8 +302,9 @@
         self._overhead.on_received(len(data))
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            pass
+        except httptools.HttpParserUpgrade as exc:
+            self._decline_upgrade(data[exc.args[0] :])
+            return
         except httptools.HttpParserError as exc:
             self._reject(400, f"malformed request: {exc}")
             return
@@ -313,6 +314,35 @@
         if self._partial is not None and self._partial.head_complete:
             self._start_timer(BODY_READ_TIMEOUT_SECONDS)
 
+    def _decline_upgrade(self, rest: bytes) -> None:
+        """Read a request as if it had not offered another protocol.
+
+        The parser ends at the head of a request with an offer. It is given the head
+        again without the offer, and then what follows in the connection.
+        """
+        partial, self._partial = self._partial, None
+        if partial is None or self._is_closing():
+            return
+        if self._parser.get_method() == b"CONNECT":
+            self._reject(501, "CONNECT is not supported")
+            return
+        parts = [
+            b"%b %b HTTP/%b\r\n"
+            % (
+                self._parser.get_method(),
+                b"".join(partial.target),
+                self._parser.get_http_version().encode(),
+            )
+        ]
+        for name, value in partial.headers:
+            if name == b"connection":
+                value = _without_upgrade(value)
+            if name != b"upgrade":
+                parts.append(b"%b: %b\r\n" % (name, value))
+        self._parser = httptools.HttpRequestParser(self)
+        self._overhead.reset()
+        self.data_received(b"".join([*parts, b"\r\n", rest]))
+
     def on_message_begin(self) -> None:
         """Start a request, and its header timeout unless another one is in progress."""
         self._partial = _PartialRequest(now())
@@ -333,6 +363,8 @@
 
     def on_headers_complete(self) -> None:
         """Answer `Expect: 100-continue` unless another request is in progress."""
+        if self._parser.should_upgrade():
+            return
         assert self._partial is not None
         self._partial.head_complete = True
         expectations = [v for k, v in self._partial.headers if k == b"expect"]
@@ -354,7 +386,9 @@
         self._partial.body.append(body)
 
     def on_message_complete(self) -> None:
-        """Queue a complete request."""
+        """Queue a complete request, unless it offers another protocol."""
+        if self._parser.should_upgrade():
+            return
         partial, self._partial = self._partial, None
         self._overhead.reset()
         if partial is None or self.closed:
@@ -447,6 +481,12 @@
             self.close()
 
 
+def _without_upgrade(options: bytes) -> bytes:
+    """Return the options of a `Connection` header but for `Upgrade`."""
+    kept = [item for item in options.split(b",") if item.strip().lower() != b"upgrade"]
+    return b",".join(kept)
+
+
 def protocol_factory(
     handler: Handler, open_connections: set[CallerConnection]
 ) -> Callable[[], CallerConnection]:
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -128,6 +128,45 @@
     assert echo.requests[0].body == b"abcde"
 
 
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+
+
+@pytest.mark.parametrize("segment_bytes", [10_000, 100, 40])
+def test_body_of_a_request_that_offers_another_protocol_is_not_lost(
+    echo, segment_bytes
+):
+    """A body that quotes a request is not taken for one."""
+    quoted = post(b"/smuggled")
+    data = post(b"/a", quoted, OFFER) + post(b"/b", b"next") + post(b"/c", b"", OFFER)
+    parts = range(0, len(data), segment_bytes)
+    exchange(echo, b"", *(data[n : n + segment_bytes] for n in parts), wait_s=1.0)
+    found = [(req.target, req.body) for req in echo.requests]
+    assert found == [(b"/a", quoted), (b"/b", b"next"), (b"/c", b"")]
+
+
+def test_chunked_body_behind_an_offer_of_another_protocol_is_decoded(echo):
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\n%bTransfer-Encoding: chunked\r\n\r\n"
+    exchange(echo, head % OFFER, b"3\r\nabc\r\n", b"2\r\nde\r\n0\r\n\r\n")
+    assert [req.body for req in echo.requests] == [b"abcde"]
+
+
+def test_offer_of_another_protocol_is_not_passed_on_and_answered_once(echo):
+    extra = OFFER + b"Expect: 100-continue\r\nX-Own: 1\r\n"
+    response = exchange(echo, post(body=b"body", extra=extra))
+    assert response.count(b"100 Continue") == 1
+    assert response.count(b"200 OK") == 1
+    names = [name for name, _ in echo.requests[0].headers]
+    assert b"upgrade" not in names
+    assert names.count(b"x-own") == 1
+    assert echo.requests[0].keep_alive
+
+
+def test_tunnel_is_refused(echo):
+    response = exchange(echo, b"CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n")
+    assert response.startswith(b"HTTP/1.1 501 ")
+    assert echo.requests == []
+
+
 def test_streamed_response_is_chunked(echo):
     response = exchange(echo, post(b"/stream"))
     assert response.endswith(b"3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n")
