Bound the memory of the bodies of all requests

What callers saw: sixty bodies of 4 MiB in 3 s took a gateway over the memory that it may use. Cause: each body had a limit, all together had none; a request's body was kept twice for as long as its answer lasted. Change: bodies take a fifth of the memory at most, reserved by their length when the head is read. One that has no room is skipped, and its request refused with 503 and the time after which to return. The encoded request is not kept beside the body any more. Evidence: test_bodies_beyond_the_memory_for_all_of_them_are_refused; without the limit both requests are let in.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -1,15 +1,17 @@
 """HTTP/1.1 server protocol for callers' connections."""
 
 import asyncio
+import functools
+import math
 from collections import deque
 from collections.abc import Callable, Coroutine, Hashable
 from dataclasses import dataclass, field
-from functools import partial
 from http import HTTPStatus
 from typing import Any, Protocol, cast
 
 import httptools
 
+from oleandershift.bytebudget import ByteBudget
 from oleandershift.io.clock import now
 from oleandershift.io.intake import Intake
 from oleandershift.io.peeking import peek
@@ -51,6 +53,8 @@
         Whether the connection may be reused for another request.
     began_at : float
         Clock time in seconds at which the first byte was read.
+    is_body_read : bool
+        Whether the body was kept; False if there was no memory for it.
     """
 
     method: bytes
@@ -60,6 +64,7 @@
     arrived_at: float
     keep_alive: bool
     began_at: float = 0.0
+    is_body_read: bool = True
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; None when it is absent or repeated."""
@@ -80,7 +85,7 @@
         """Return whose turn a request takes while requests have to wait."""
 
     def turn_away(self, req: CallerRequest, res: "Responder") -> None:
-        """Reject a request of a team of which too many requests wait."""
+        """Reject a request that this process has no room for."""
 
     def handle(self, req: CallerRequest, res: "Responder") -> Coroutine[Any, Any, None]:
         """Handle one request."""
@@ -178,6 +183,8 @@
     body: list[bytes] = field(default_factory=list)
     header_bytes: int = 0
     body_bytes: int = 0
+    reserved_bytes: int = 0
+    is_body_read: bool = True
     head_complete: bool = False
 
 
@@ -192,6 +199,8 @@
         Contains this connection while it is open.
     intake : Intake
         Decides when a request is begun.
+    bodies : ByteBudget
+        Bounds the bodies of all callers' requests.
     """
 
     def __init__(
@@ -199,8 +208,10 @@
         handler: Handler,
         open_connections: set["CallerConnection"],
         intake: Intake,
+        bodies: ByteBudget,
     ) -> None:
         self.handler = handler
+        self._bodies = bodies
         self._open_connections = open_connections
         self._intake = intake
         self._is_waiting = False
@@ -239,8 +250,11 @@
         if self._unsent_timer is not None:
             self._unsent_timer.cancel()
         self.resume_writing()
+        self._discard_partial()
         if self._task is not None:
             self._task.cancel()
+        for req in self._queue:
+            self._bodies.release(len(req.body))
         self._queue.clear()
 
     def has_left(self) -> bool:
@@ -367,6 +381,10 @@
             return
         assert self._partial is not None
         self._partial.head_complete = True
+        lengths = [v for k, v in self._partial.headers if k == b"content-length"]
+        if lengths:
+            # The parser has checked it.
+            self._reserve(self._partial, int(lengths[0]))
         expectations = [v for k, v in self._partial.headers if k == b"expect"]
         if (
             expectations
@@ -383,7 +401,27 @@
         if self._partial.body_bytes > self.handler.limits().body_bytes:
             self._reject(413, "the body is too large")
             return
-        self._partial.body.append(body)
+        self._reserve(self._partial, self._partial.body_bytes)
+        if self._partial.is_body_read:
+            self._partial.body.append(body)
+
+    def _reserve(self, partial: _PartialRequest, size: int) -> None:
+        """Reserve memory for a body; let go of the body if there is none."""
+        missing = size - partial.reserved_bytes
+        if not partial.is_body_read or missing <= 0:
+            return
+        if self._bodies.try_reserve(missing):
+            partial.reserved_bytes = size
+            return
+        self._bodies.release(partial.reserved_bytes)
+        partial.reserved_bytes = 0
+        partial.is_body_read = False
+        partial.body.clear()
+
+    def _discard_partial(self) -> None:
+        if self._partial is not None:
+            self._bodies.release(self._partial.reserved_bytes)
+            self._partial = None
 
     def on_message_complete(self) -> None:
         """Queue a complete request, unless it offers another protocol."""
@@ -391,7 +429,10 @@
             return
         partial, self._partial = self._partial, None
         self._overhead.reset()
-        if partial is None or self.closed:
+        if partial is None:
+            return
+        if self.closed:
+            self._bodies.release(partial.reserved_bytes)
             return
         self._stop_timer()
         req = CallerRequest(
@@ -402,6 +443,7 @@
             arrived_at=now(),
             keep_alive=self._parser.should_keep_alive(),
             began_at=partial.began_at,
+            is_body_read=partial.is_body_read,
         )
         self._queue.append(req)
         if not self._is_busy:
@@ -421,21 +463,26 @@
         req = self._queue.popleft()
         res = Responder(self, req)
         self._is_waiting = True
-        begin = partial(self._begin, req, res)
-        if not self._intake.offer(self.handler.team_of(req), begin):
+        begin = functools.partial(self._begin, req, res)
+        team = self.handler.team_of(req)
+        if not req.is_body_read or not self._intake.offer(team, begin):
             self._is_waiting = False
+            self._bodies.release(len(req.body))
             self.handler.turn_away(req, res)
             self._continue()
 
     def _begin(self, req: CallerRequest, res: Responder) -> None:
         self._is_waiting = False
         if self._is_closing():
+            self._bodies.release(len(req.body))
             return
         loop = asyncio.get_running_loop()
         self._task = loop.create_task(self.handler.handle(req, res))
-        self._task.add_done_callback(self._on_handled)
+        on_handled = functools.partial(self._on_handled, len(req.body))
+        self._task.add_done_callback(on_handled)
 
-    def _on_handled(self, task: asyncio.Task[None]) -> None:
+    def _on_handled(self, body_bytes: int, task: asyncio.Task[None]) -> None:
+        self._bodies.release(body_bytes)
         self._task = None
         self._continue()
 
@@ -460,7 +507,7 @@
             body = detail.encode()
             head = b"HTTP/1.1 %d %b\r\nconnection: close\r\ncontent-length: %d\r\n\r\n"
             self.write(head % (status, _REASON_PHRASES[status], len(body)) + body)
-        self._partial = None
+        self._discard_partial()
         self.close()
 
     def _start_timer(self, seconds: float) -> None:
@@ -488,8 +535,20 @@
 
 
 def protocol_factory(
-    handler: Handler, open_connections: set[CallerConnection]
+    handler: Handler,
+    open_connections: set[CallerConnection],
+    max_body_bytes: float = math.inf,
 ) -> Callable[[], CallerConnection]:
-    """Return a factory of protocols for accepted connections."""
-    intake = Intake()
-    return lambda: CallerConnection(handler, open_connections, intake)
+    """Return a factory of protocols for accepted connections.
+
+    Parameters
+    ----------
+    handler : Handler
+        Handles the requests.
+    open_connections : set
+        Contains the connections while they are open.
+    max_body_bytes : float
+        Limit of the bodies of all requests together.
+    """
+    intake, bodies = Intake(), ByteBudget(max_body_bytes)
+    return lambda: CallerConnection(handler, open_connections, intake, bodies)
--- a/src/oleandershift/io/endings.py
+++ b/src/oleandershift/io/endings.py
@@ -52,14 +52,15 @@
         req: CallerRequest,
         res: Responder,
         team: TeamId | None,
+        reason: str,
         retry_after_s: float,
     ) -> None:
-        """Reject a request that was not resolved, as its team has too many waiting."""
+        """Reject a request that was not resolved, as there is no room for it."""
         self._log.info(
             "request.refused",
             request=attempt_id(req),
             status=503,
-            reason="too many requests of the team wait",
+            reason=reason,
             team=team,
             retry_after_s=round(retry_after_s, 2),
         )
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -98,6 +98,10 @@
 """Fraction of the sockets above which responses close their caller's connection. The
 rest is for upstreams, and for callers that are connected all the same."""
 
+BODY_MEMORY_FRACTION = 0.2
+"""Fraction of the process's memory that the bodies of callers' requests may take. Each
+is copied once when it is complete, and once more when it is sent."""
+
 CALLER_BACKLOG = 512
 """Connections that wait to be accepted; further ones wait seconds for a second try."""
 
@@ -277,7 +281,11 @@
         )
         self._caller_listener = Listener(
             vm_settings.caller_address,
-            protocol_factory(self._relay, self._caller_connections),
+            protocol_factory(
+                self._relay,
+                self._caller_connections,
+                BODY_MEMORY_FRACTION * vm_settings.memory_bytes,
+            ),
             log,
             CALLER_BACKLOG,
             CALLER_BATCH,
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -63,7 +63,7 @@
         )
         self.turned_away = Counter(
             "oleander_turned_away",
-            "Requests refused unread, as too many of their team waited.",
+            "Requests refused unresolved, for want of room.",
             registry=self._registry,
         )
         self.store_events = Counter(
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -163,10 +163,12 @@
         return self._resolver.team_of(req)
 
     def turn_away(self, req: CallerRequest, res: Responder) -> None:
-        """Reject a request of a team of which too many requests wait at this VM."""
-        self._endings.turn_away(
-            req, res, self.team_of(req), self._load_shedder.overload_retry_after_s()
-        )
+        """Reject a request that this VM has no room for."""
+        reason = "too many requests of the team wait"
+        if not req.is_body_read:
+            reason = "the bodies of other requests take the memory"
+        retry_after_s = self._load_shedder.overload_retry_after_s()
+        self._endings.turn_away(req, res, self.team_of(req), reason, retry_after_s)
 
     async def handle(self, req: CallerRequest, res: Responder) -> None:
         """Process one request until its response is complete or aborted."""
@@ -452,10 +454,11 @@
         self._state.quarantine.on_sent(now(), call.suspects)
         call.answer_began_at = None
         call.send_count += 1
-        data = encode_request(call, upstream)
         call.sent_at = now()
         ran_before, call.may_have_run = call.may_have_run, True
-        exchange = conn.send(data, response_matcher(call.id), call.expects_body)
+        exchange = conn.send(
+            encode_request(call, upstream), response_matcher(call.id), call.expects_body
+        )
         try:
             head = await exchange.head
             if proves_not_run(head):
--- a/src/oleandershift/platform/settings.py
+++ b/src/oleandershift/platform/settings.py
@@ -19,6 +19,7 @@
 PATH_VARIABLE = "OLEANDERSHIFT_NODE_FILE"
 DEFAULT_PATH = "/etc/oleandershift/local.toml"
 MILLISECONDS_PER_SECOND = 1000.0
+BYTES_PER_MB = 1_000_000
 
 DESCRIPTORS_FOR_FILES = 200
 """Descriptors of a process that sockets can't use (platform contract)."""
@@ -40,6 +41,7 @@
 
 class _Limits(msgspec.Struct, rename="camel"):
     max_fds: int = 1024
+    memory_mb: float = 512.0
 
 
 class _Platform(msgspec.Struct, rename="camel"):
@@ -134,6 +136,7 @@
         store_address=parse_address(file.platform.address),
         bounds=_to_bounds(file.bounds),
         max_sockets=_to_max_sockets(file.limits),
+        memory_bytes=int(file.limits.memory_mb * BYTES_PER_MB),
     )
 
 
--- a/src/oleandershift/vmsettings.py
+++ b/src/oleandershift/vmsettings.py
@@ -82,6 +82,8 @@
         Limits required by the deployment.
     max_sockets : int
         Sockets that the process may have open.
+    memory_bytes : int
+        Memory above which the platform ends the process.
     """
 
     vm: VmId
@@ -96,3 +98,4 @@
     store_address: Address
     bounds: DeploymentBounds
     max_sockets: int
+    memory_bytes: int
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -336,3 +336,98 @@
     size, has_ended = unread_response(echo, read_slowly, run)
     assert size > len(LARGE_BODY)
     assert has_ended
+
+
+BODY_BUDGET_BYTES = 250
+
+
+class Callers:
+    """Callers of one server that share a budget for their bodies."""
+
+    def __init__(self, handler):
+        self._factory = protocol_factory(handler, set(), BODY_BUDGET_BYTES)
+        self._writers = []
+
+    async def __aenter__(self):
+        """Start the server."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(self._factory, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        """Stop the server and close all connections."""
+        for writer in self._writers:
+            writer.close()
+        self._server.close()
+
+    async def connect(self):
+        """Return the reader and the writer of a new connection."""
+        port = self._server.sockets[0].getsockname()[1]
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        self._writers.append(writer)
+        return reader, writer
+
+
+async def status_of(reader):
+    """Return the status of the next response, without its body."""
+    async with asyncio.timeout(2.0):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0])
+        await reader.readexactly(length)
+    return int(head.split()[1])
+
+
+CHUNKED = (
+    b"POST %b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"64\r\n" + b"x" * 100 + b"\r\n64\r\n" + b"x" * 100 + b"\r\n0\r\n\r\n"
+)
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_bodies_beyond_the_memory_for_all_of_them_are_refused(echo, is_chunked):
+    """Sixty large bodies at once took a gateway over its memory."""
+
+    def request(target):
+        return CHUNKED % target if is_chunked else post(target, b"x" * 200)
+
+    async def run():
+        async with Callers(echo) as callers:
+            _, holding = await callers.connect()
+            holding.write(request(b"/slow"))
+            await asyncio.sleep(0.05)
+            reader, writer = await callers.connect()
+            writer.write(request(b"/a"))
+            refused = await status_of(reader)
+            writer.write(post(b"/small", b"x"))
+            small = await status_of(reader)
+            holding.close()
+            await asyncio.sleep(0.05)
+            writer.write(request(b"/a"))
+            return refused, small, await status_of(reader)
+
+    assert asyncio.run(run()) == (503, 200, 200)
+
+
+@pytest.mark.parametrize("ending", ["leaves", "is-too-large", "is-malformed"])
+def test_request_that_ends_early_gives_its_memory_back(echo, ending):
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200\r\n\r\nx"
+    chunks = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    sent = {
+        "leaves": head,
+        "is-too-large": chunks + b"7d0\r\n" + b"x" * 2000,
+        "is-malformed": chunks + b"c8\r\n" + b"x" * 200 + b"\r\nzz\r\n",
+    }
+
+    async def run():
+        async with Callers(echo) as callers:
+            for _ in range(3):
+                _, writer = await callers.connect()
+                writer.write(sent[ending])
+                await asyncio.sleep(0.02)
+                writer.close()
+            await asyncio.sleep(0.05)
+            reader, writer = await callers.connect()
+            writer.write(post(b"/a", b"x" * 200))
+            return await status_of(reader)
+
+    assert asyncio.run(run()) == 200
