Let what an upstream said outlast two restarts that are read late

What callers saw: requests reached an upstream that had turned the VM away; its process had restarted twice before the VM read the first of the two registrations. Cause: what was heard of a run was carried over to the next one without the time at which it was heard, so that it was not carried to the one after.

--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -189,6 +189,8 @@
             heard_at = self._heard_at.get((previous, kind))
             if heard_at is None or not 0 < run.incarnation <= heard_at:
                 continue
+            # A still later run may have said it.
+            self.on_announcement(run, kind, heard_at)
             if kind is AnnouncementKind.LEAVING:
                 self.record_leaving(
                     LeavingReport(run, LeavingSource.RESPONSE, "before registration")
