--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -97,16 +97,18 @@
     def __init__(self, conn: "CallerConnection", req: CallerRequest) -> None:
         self._conn = conn
         self._keep_alive = req.keep_alive
+        self._is_head = req.method == b"HEAD"
         self._chunked = False
         self.started = False
         self.finished = False
 
     def send(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete response."""
+        """Write a complete response; one to HEAD only names the size of its body."""
         if self.started or self._conn.closed:
             return
         fields = [*headers, (b"content-length", b"%d" % len(body))]
-        self._conn.write(self._head(status, fields) + body)
+        head = self._head(status, fields)
+        self._conn.write(head if self._is_head else head + body)
         self._finish()
 
     def start(self, status: int, headers: Headers, length: int | None = None) -> None:
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -377,6 +377,16 @@
     return int(head.split()[1])
 
 
+def test_answer_to_head_has_no_body(echo):
+    """A caller would take the body for the start of its next response."""
+    head = b"HEAD /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody"
+    response = exchange(echo, head + post(b"/b", b"next"))
+    first, second, rest = response.split(b"HTTP/1.1 200 OK\r\n")[1:] + [b""]
+    assert first.endswith(b"content-length: 4\r\n\r\n")
+    assert second.endswith(b"\r\n\r\nnext")
+    assert rest == b""
+
+
 CHUNKED = (
     b"POST %b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
     b"64\r\n" + b"x" * 100 + b"\r\n64\r\n" + b"x" * 100 + b"\r\n0\r\n\r\n"
