Take no trailer of a request for a header

What upstreams saw: a field in the trailer of a chunked request beside the header of the same name, such as another model (a finding of the review). Evidence: test_field_of_a_trailer_is_no_header fails before.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -374,8 +374,10 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header field."""
         assert self._partial is not None
-        self._partial.headers.append((name.lower(), value))
         self._add_header_bytes(len(name) + len(value) + 4)
+        if self._partial is not None and not self._partial.head_complete:
+            # A trailer is no header (RFC 9110, 6.5.1).
+            self._partial.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Answer `Expect: 100-continue` unless another request is in progress."""
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -167,6 +167,13 @@
     assert echo.requests == []
 
 
+def test_field_of_a_trailer_is_no_header(echo):
+    head = b"POST /a HTTP/1.1\r\nHost: h\r\nX: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+    exchange(echo, head, b"1\r\na\r\n0\r\nX: 2\r\nHost: other\r\n\r\n")
+    fields = [item for item in echo.requests[0].headers if item[0] in (b"x", b"host")]
+    assert fields == [(b"host", b"h"), (b"x", b"1")]
+
+
 def test_streamed_response_is_chunked(echo):
     response = exchange(echo, post(b"/stream"))
     assert response.endswith(b"3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n")
