--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -2,13 +2,22 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
+from hypothesis import given, strategies as st
+from returns.result import Success
 from storereaders import at
 from upstreams import REQUEST, make_upstream
 
 from oleandershift.absences import AbsenceProof
 from oleandershift.demand import DemandMeter
-from oleandershift.digests import Digest, Scope
+from oleandershift.digests import (
+    Digest,
+    RemovedUpstream,
+    Scope,
+    decode_digest,
+    encode,
+)
 from oleandershift.directory import UpstreamState
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import (
@@ -291,3 +300,37 @@
 def test_digests_have_consecutive_sequence_numbers(exchange_with_state):
     exchange, _ = exchange_with_state
     assert [exchange.next_digests(0.0)[0].message.seq for _ in range(3)] == [1, 2, 3]
+
+
+INTEGERS = st.integers(-(1 << 63), (1 << 64) - 1)
+
+
+@given(
+    age_ms=INTEGERS,
+    left_ms=INTEGERS,
+    revision=INTEGERS,
+    incarnation=INTEGERS,
+    era=INTEGERS,
+)
+def test_no_number_in_a_digest_keeps_a_vm_from_sending_its_own(
+    age_ms, left_ms, revision, incarnation, era
+):
+    exchange, state = make_exchange("vm", make_peer("other"))
+    upstream = replace(make_upstream(), incarnation=incarnation)
+    state.view.directory.replace(0.0, at(1), [(at(1), upstream)])
+    removed = RemovedUpstream(upstream.name, incarnation, revision, left_ms)
+    sender, _ = make_exchange("other", make_peer("vm"))
+    digest = msgspec.structs.replace(
+        sender.next_digests(0.0)[0].message,
+        reads_store=True,
+        read_age_ms=age_ms,
+        removed=(removed,),
+        revision=revision,
+        era=era,
+    )
+    received = decode_digest(encode(digest))
+    if isinstance(received, Success):
+        exchange.receive(0.1, received.unwrap())
+    state.view.directory.expire(0.2)
+    for addressed in exchange.next_digests(0.2):
+        assert decode_digest(encode(addressed.message)).unwrap().vm == "vm"
