Count a VM as overloaded while requests wait for their turns

Suspected: generations beyond their team's share are refused before an upstream is chosen while the loop is late. Since few requests are begun in an iteration, ticks are punctual in an overload, so that this hardly happened any more. Change: a request that waited 40 ms for its turn shows an overload, as a late tick does.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -542,6 +542,7 @@
     handler: Handler,
     open_connections: set[CallerConnection],
     max_body_bytes: float = math.inf,
+    intake: Intake | None = None,
 ) -> Callable[[], CallerConnection]:
     """Return a factory of protocols for accepted connections.
 
@@ -553,6 +554,9 @@
         Contains the connections while they are open.
     max_body_bytes : float
         Limit of the bodies of all requests together.
+    intake : Intake or None
+        Decides when a request is begun; None for one of these connections' own.
     """
-    intake, bodies = Intake(), ByteBudget(max_body_bytes)
-    return lambda: CallerConnection(handler, open_connections, intake, bodies)
+    bodies = ByteBudget(max_body_bytes)
+    shared = intake or Intake()
+    return lambda: CallerConnection(handler, open_connections, shared, bodies)
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -27,6 +27,7 @@
 from oleandershift.io.clock import now
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.gatewaymetrics import GatewayMetrics, MetricsHandler
+from oleandershift.io.intake import Intake
 from oleandershift.io.listener import Listener
 from oleandershift.io.peers import PeerTransport
 from oleandershift.io.pool import ConnectionPool
@@ -285,6 +286,7 @@
                 self._relay,
                 self._caller_connections,
                 BODY_MEMORY_FRACTION * vm_settings.memory_bytes,
+                Intake(self._loop_delay.on_wait),
             ),
             log,
             CALLER_BACKLOG,
--- a/src/oleandershift/io/intake.py
+++ b/src/oleandershift/io/intake.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable, Hashable
+from typing import NamedTuple
 
+from oleandershift.io.clock import now
 from oleandershift.turns import TurnQueue
 
 BEGUN_PER_ITERATION = 4
@@ -14,15 +16,28 @@
 of a second."""
 
 
+class _WaitingRequest(NamedTuple):
+    begin: Callable[[], None]
+    offered_at: float
+
+
 class Intake:
     """Lets requests wait that would make an iteration of the event loop too long.
 
     Teams take turns, so that the requests of one team do not delay those of others by
     much, and a team whose requests are too many is turned away for the excess.
+
+    Parameters
+    ----------
+    on_wait : callable
+        Called with the current time and the seconds for which a request has waited.
     """
 
-    def __init__(self) -> None:
-        self._waiting: TurnQueue[Callable[[], None]] = TurnQueue(MAX_WAITING_PER_TEAM)
+    def __init__(
+        self, on_wait: Callable[[float, float], None] = lambda now, wait_s: None
+    ) -> None:
+        self._on_wait = on_wait
+        self._waiting: TurnQueue[_WaitingRequest] = TurnQueue(MAX_WAITING_PER_TEAM)
         self._begun = 0
         self._is_scheduled = False
 
@@ -39,7 +54,7 @@
         if not self._waiting and self._begun < BEGUN_PER_ITERATION:
             self._begun += 1
             begin()
-        elif not self._waiting.put(team, begin):
+        elif not self._waiting.put(team, _WaitingRequest(begin, now())):
             return False
         self._schedule()
         return True
@@ -54,6 +69,8 @@
         self._begun = 0
         while self._waiting and self._begun < BEGUN_PER_ITERATION:
             self._begun += 1
-            self._waiting.take()()
+            waiting, instant = self._waiting.take(), now()
+            self._on_wait(instant, instant - waiting.offered_at)
+            waiting.begin()
         if self._begun:
             self._schedule()
--- a/src/oleandershift/loopdelay.py
+++ b/src/oleandershift/loopdelay.py
@@ -1,11 +1,11 @@
 """Detection of an event loop that has more work than its VM's processor can do."""
 
 OVERLOAD_DELAY_SECONDS = 0.04
-"""Delay of a tick from which on the loop counts as overloaded. A request needs several
-iterations of the loop, each about as long as this delay."""
+"""Delay of a tick, or of the begin of a request, from which on the loop counts as
+overloaded. A request needs several iterations, each about as long as this delay."""
 
 OVERLOAD_SECONDS = 0.5
-"""Time after a delayed tick for which the loop counts as overloaded."""
+"""Time after such a delay for which the loop counts as overloaded."""
 
 
 class LoopDelay:
@@ -37,6 +37,14 @@
         if self.last_s >= OVERLOAD_DELAY_SECONDS:
             self._overloaded_until = now + OVERLOAD_SECONDS
 
+    def on_wait(self, now: float, wait_s: float) -> None:
+        """Record that a request waited for its turn, as the loop had others to begin.
+
+        Where few requests are begun in an iteration, ticks are punctual in an overload.
+        """
+        if wait_s >= OVERLOAD_DELAY_SECONDS:
+            self._overloaded_until = now + OVERLOAD_SECONDS
+
     def is_overloaded(self, now: float) -> bool:
-        """Return whether a tick was delayed within the last `OVERLOAD_SECONDS`."""
+        """Return whether a tick or a request was delayed in `OVERLOAD_SECONDS`."""
         return now < self._overloaded_until
--- a/tests/test_loopdelay.py
+++ b/tests/test_loopdelay.py
@@ -43,3 +43,13 @@
     assert delay.last_s == pytest.approx(0.02)
     tick_at(delay, 2 * INTERVAL_SECONDS)
     assert delay.last_s == 0.0
+
+
+def test_loop_is_overloaded_while_requests_wait_for_their_turns(delay):
+    """Ticks are punctual, as few requests are begun in an iteration."""
+    tick_at(delay, 0.0, INTERVAL_SECONDS)
+    delay.on_wait(0.1, OVERLOAD_DELAY_SECONDS / 2)
+    assert not delay.is_overloaded(0.1)
+    delay.on_wait(0.2, OVERLOAD_DELAY_SECONDS)
+    assert delay.is_overloaded(0.2 + OVERLOAD_SECONDS - 0.1)
+    assert not delay.is_overloaded(0.2 + OVERLOAD_SECONDS)
