Look up the team of a request for its turn only if it has to wait

Each request's key was looked up twice, here and when it is resolved, though nothing waits on a VM that is not flooded. No behaviour is changed.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -468,8 +468,8 @@
         res = Responder(self, req)
         self._is_waiting = True
         begin = functools.partial(self._begin, req, res)
-        team = self.handler.team_of(req)
-        if not req.is_body_read or not self._intake.offer(team, begin):
+        team_of = functools.partial(self.handler.team_of, req)
+        if not req.is_body_read or not self._intake.offer(team_of, begin):
             self._is_waiting = False
             self._bodies.release(len(req.body))
             self.handler.turn_away(req, res)
--- a/src/oleandershift/io/intake.py
+++ b/src/oleandershift/io/intake.py
@@ -41,20 +41,20 @@
         self._begun = 0
         self._is_scheduled = False
 
-    def offer(self, team: Hashable, begin: Callable[[], None]) -> bool:
+    def offer(self, team_of: Callable[[], Hashable], begin: Callable[[], None]) -> bool:
         """Begin a request now or in its turn; return False if too many wait.
 
         Parameters
         ----------
-        team : hashable
-            Whose turn it is counted as.
+        team_of : callable
+            Returns whose turn it is counted as; called only if it has to wait.
         begin : callable
             Called once.
         """
         if not self._waiting and self._begun < BEGUN_PER_ITERATION:
             self._begun += 1
             begin()
-        elif not self._waiting.put(team, _WaitingRequest(begin, now())):
+        elif not self._waiting.put(team_of(), _WaitingRequest(begin, now())):
             return False
         self._schedule()
         return True
