Ask the fleet view for the version in force in one place

Six places found out the version of a configuration that may be missing, two of them added with the age of knowledge. No behaviour is changed.

--- a/src/oleandershift/fleetview.py
+++ b/src/oleandershift/fleetview.py
@@ -28,10 +28,14 @@
         self.configuration: Configuration | None = None
         self.directory = Directory(grace_s, self.freshness)
 
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 without one."""
+        return self.configuration.version if self.configuration is not None else 0
+
     def is_behind(self, configuration: int, position: StorePosition) -> bool:
         """Return whether a VM with a version and a position has read more."""
-        version = self.configuration.version if self.configuration else 0
-        return configuration > version or position > self.directory.position
+        return configuration > self.version or position > self.directory.position
 
     def update_configuration(self, cfg: Configuration) -> bool:
         """Put a configuration in force if it is newer; return whether it was."""
--- a/src/oleandershift/io/feed.py
+++ b/src/oleandershift/io/feed.py
@@ -253,7 +253,7 @@
             return Failure(StoreFailure(StoreError.GONE, detail))
         self._resuming = False
         self._position = changes.position
-        self._read_until = complete_until(started_at, now(), timeout_s, changes)
+        self._read_until = _complete_until(started_at, now(), timeout_s, changes)
         return Success(ChangesRead(self._kind, changes, self._read_until))
 
     def _wait_s(self, now: float) -> float:
@@ -266,7 +266,7 @@
         return min(timeout_s, max(0.0, self._read_until + timeout_s - now))
 
 
-def complete_until(
+def _complete_until(
     started_at: float, ended_at: float, timeout_s: float, changes: Changes
 ) -> float:
     """Return the instant up to which the answer to a watch is complete, seconds.
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -427,10 +427,9 @@
         self._peer_transport.send_due_notices()
 
     def _update_gauges(self, instant: float) -> None:
-        cfg = self._view.configuration
         directory = self._view.directory
         values = {
-            "configuration_version": cfg.version if cfg else 0,
+            "configuration_version": self._view.version,
             "reads_store": self._view.reads_store,
             "store_age_seconds": self._view.freshness.age_s(instant),
             "upstreams_revision": directory.position.revision,
@@ -496,10 +495,10 @@
 
     def _find_fresher_peer(self, unreachable: Collection[VmId]) -> Peer | None:
         """Return a VM that has read more of the store than this one, if any."""
-        cfg = self._view.configuration
-        version = cfg.version if cfg else 0
-        position = self._view.directory.position
-        return self._peers.fresher_peer(now(), version, position, unreachable)
+        view = self._view
+        return self._peers.fresher_peer(
+            now(), view.version, view.directory.position, unreachable
+        )
 
     def _poll_settings(self) -> None:
         """Reload the settings if their file has changed."""
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -174,10 +174,8 @@
 
     def request(self) -> SnapshotRequest:
         """Return what this VM knows, to ask another VM for what is newer."""
-        cfg = self._view.configuration
         position = self._view.directory.position
-        version = cfg.version if cfg else 0
-        return SnapshotRequest(version, position.revision, position.era)
+        return SnapshotRequest(self._view.version, position.revision, position.era)
 
     def snapshot(self, req: SnapshotRequest) -> StoreSnapshot:
         """Return what the requesting VM has not read, as far as this VM has."""
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -229,11 +229,10 @@
         It does if the store or a VM that reads it has confirmed that lately, or, while
         the store is out, if all known VMs are heard and none of them knows more.
         """
-        cfg, directory = self.view.configuration, self.view.directory
-        version = cfg.version if cfg is not None else 0
-        if self.peers.fresher_peer(now, version, directory.position) is not None:
+        view = self.view
+        if self.peers.fresher_peer(now, view.version, view.directory.position):
             return False
-        current_until = self.view.freshness.current_until
+        current_until = view.freshness.current_until
         if now - current_until <= MAX_CURRENT_AGE_SECONDS:
             return True
         all_heard = self.peers.live_count(now) >= self.peers.known_count(now) > 1
--- a/src/oleandershift/telling.py
+++ b/src/oleandershift/telling.py
@@ -234,7 +234,7 @@
         parts: int,
     ) -> Digest:
         view = self._state.view
-        cfg, position = view.configuration, view.directory.position
+        position = view.directory.position
         return Digest(
             vm=self._this_vm.vm,
             data_centre=self._this_vm.data_centre,
@@ -242,7 +242,7 @@
             seq=Seq(self._seq),
             scope=scope,
             vms=content.vms,
-            configuration=cfg.version if cfg else 0,
+            configuration=view.version,
             revision=position.revision,
             host=self._this_vm.address.host,
             port=self._this_vm.address.port,
