Say in lines and metrics what stated the end of an answer

An answer that ended with its connection could not be told from one that was framed, in no line and no metric, so the hypotheses of the incident could not be told apart. Lines of requests name it in `end`; `oleander_answers` counts it.

--- a/src/oleandershift/io/endings.py
+++ b/src/oleandershift/io/endings.py
@@ -8,6 +8,7 @@
 from oleandershift.io.gatewaymetrics import GatewayMetrics
 from oleandershift.io.requestresolver import RefusalError, attempt_id
 from oleandershift.io.sharelog import level_field, rate_fields
+from oleandershift.io.upstreamconn import AnswerEnd
 from oleandershift.placement import Choice
 from oleandershift.shedding import MIN_RETRY_AFTER_SECONDS, AdmissionDecision
 
@@ -68,8 +69,9 @@
         fields: Headers = [(b"retry-after", b"%.2f" % retry_after_s)]
         res.send(503, fields, b"VM overloaded")
 
-    def complete(self, call: Call, status: int) -> None:
+    def complete(self, call: Call, status: int, end: AnswerEnd) -> None:
         """Record a call whose answer was passed on."""
+        self._metrics.answers.labels(end.value).inc()
         first_byte_s = max(0.0, call.first_byte_at - call.req.arrived_at)
         late = first_byte_s > call.route.target_ms / 1000
         self._observe_latency(call, first_byte_s)
@@ -81,6 +83,7 @@
             "total_ms": round((now() - call.req.arrived_at) * 1000),
             "events": call.event_stream.event_count,
             "sends": call.send_count,
+            "end": end.value,
             **_phase_fields(call),
             **_placement_fields(call.choice),
             **_admission_fields(call.admission),
--- a/src/oleandershift/io/gatewaymetrics.py
+++ b/src/oleandershift/io/gatewaymetrics.py
@@ -61,6 +61,12 @@
             ["end"],
             registry=self._registry,
         )
+        self.answers = Counter(
+            "oleander_answers",
+            "Complete answers of upstreams by what stated their end.",
+            ["end"],
+            registry=self._registry,
+        )
         self.turned_away = Counter(
             "oleander_turned_away",
             "Requests refused unresolved, for want of room.",
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -32,6 +32,7 @@
 from oleandershift.io.requestresolver import RefusalError, RequestResolver, attempt_id
 from oleandershift.io.takeups import TakeUps
 from oleandershift.io.upstreamconn import (
+    AnswerEnd,
     BrokenExchangeError,
     Exchange,
     FailureCause,
@@ -564,7 +565,7 @@
             res.send(head.status, fields, start.data)
         else:
             await self._forward_parts(exchange, head, start, res)
-        self._endings.complete(call, head.status)
+        self._endings.complete(call, head.status, exchange.end)
         return AttemptOutcome.ANSWERED
 
     async def _forward_parts(
@@ -623,7 +624,7 @@
             res.write(events)
             await res.drain()
         # What resumes a stream and has no event may be an error without a text.
-        may_be_empty = not exchange.ended_by_close and not is_resumed
+        may_be_empty = exchange.end is AnswerEnd.FRAMING and not is_resumed
         if not call.event_stream.is_at_boundary or not (has_events or may_be_empty):
             raise BrokenExchangeError(FailureCause.CLOSED)
         if not res.started:
@@ -631,7 +632,7 @@
         self._record_answer(call, upstream, exchange)
         res.finish()
         self._health.record_outcome(upstream, True)
-        self._endings.complete(call, head.status)
+        self._endings.complete(call, head.status, exchange.end)
         return AttemptOutcome.ANSWERED
 
     def _begin_stream(self, call: Call, upstream: Upstream) -> None:
@@ -646,7 +647,7 @@
         self, call: Call, upstream: Upstream, exchange: Exchange
     ) -> None:
         """Record a complete answer, unless it may have ended with its upstream."""
-        if exchange.ended_by_close and not call.shows_sound_upstream(now()):
+        if exchange.end is AnswerEnd.CLOSE and not call.shows_sound_upstream(now()):
             self._health.suspect_crash(call, upstream)
         elif call.answer_began_at is not None:
             self._state.quarantine.on_answer(call.answer_began_at, call.suspects)
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -51,6 +51,22 @@
     ENDLESS = "endless"
 
 
+class AnswerEnd(Enum):
+    """What stated the end of a complete response.
+
+    Attributes
+    ----------
+    FRAMING
+        Its length or its last chunk, or its status.
+    CLOSE
+        The end of its connection, which is also how the response of an upstream that
+        was killed ends.
+    """
+
+    FRAMING = "framing"
+    CLOSE = "close"
+
+
 class BrokenExchangeError(Exception):
     """The connection to an upstream was lost, or received a malformed response.
 
@@ -94,9 +110,8 @@
 
     Attributes
     ----------
-    ended_by_close : bool
-        Whether the end of the response is that of its connection, which is also how the
-        response of an upstream that crashes may end.
+    end : AnswerEnd
+        What stated the end of the response, once it is complete.
     """
 
     def __init__(
@@ -110,7 +125,7 @@
         self._buffered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._ended = False
-        self.ended_by_close = False
+        self.end = AnswerEnd.FRAMING
         self._error: BrokenExchangeError | None = None
 
     async def read(self) -> bytes:
@@ -151,10 +166,10 @@
             self._conn.pause()
         self._wake_reader()
 
-    def on_end(self, by_close: bool) -> None:
-        """Mark the response as complete, by its framing or by the connection's end."""
+    def on_end(self, end: AnswerEnd) -> None:
+        """Mark the response as complete."""
         self._ended = True
-        self.ended_by_close = by_close
+        self.end = end
         self._wake_reader()
 
     def on_error(self, error: BrokenExchangeError) -> None:
@@ -323,7 +338,7 @@
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
         if self._in_body and not self._has_framing:
-            self._complete(by_close=True)
+            self._complete(AnswerEnd.CLOSE)
         self.reusable = False
         return False
 
@@ -402,14 +417,14 @@
             self.reusable = False
         self._complete()
 
-    def _complete(self, by_close: bool = False) -> None:
+    def _complete(self, end: AnswerEnd = AnswerEnd.FRAMING) -> None:
         exchange, self._exchange = self._exchange, None
         self._in_body = False
         self.idle_since = now()
         if exchange is not None:
             if self._transport.get_write_buffer_size():
                 self.reusable = False
-            exchange.on_end(by_close)
+            exchange.on_end(end)
 
     def _fail(self, cause: FailureCause) -> None:
         exchange, self._exchange = self._exchange, None
