State no end of an answer whose upstream did not outlive it

Callers got streams and bodies that broke off as complete: 200, one or two of three events and the last chunk, or a part of a body with its own length. An answer without a length or chunks ends with its connection, and the kernel closes the connections of a process that was killed in good order. The gateway took that end for a complete answer and framed it as one, so it stated an end that no upstream had stated.

Evidence: upstream processes that are killed between two events and within a body.

Change: such an end counts once the upstream accepts a connection after it, which takes the place of the one that ended. Otherwise the answer has broken off: streams are resumed and requests repeated where the route allows, others get 502 or an answer without a last chunk.

--- a/src/oleandershift/io/crashchecks.py
+++ b/src/oleandershift/io/crashchecks.py
@@ -10,6 +10,11 @@
 """Time for which a request waits for a check; several round trips between regions."""
 
 
+END_GRACE_SECONDS = 0.01
+"""Time in which the kernel closes all sockets of a process that has ended. The one that
+accepts connections may be the last."""
+
+
 class CrashChecks:
     """Connects to upstreams that broke an exchange; a crashed one refuses that.
 
@@ -35,13 +40,13 @@
         self._pool = pool
         self._is_absent = is_absent
         self._on_failure = on_failure
-        self._running: dict[UpstreamRun, asyncio.Task[None]] = {}
+        self._running: dict[UpstreamRun, asyncio.Task[bool]] = {}
 
     def start(self, upstream: Upstream) -> None:
         """Start a check of an upstream unless one runs or it is known to be gone."""
         run = upstream.run
         if run not in self._running and not self._is_absent(run):
-            task = asyncio.create_task(self._check(upstream))
+            task = asyncio.create_task(self._connect(upstream))
             self._running[run] = task
             task.add_done_callback(lambda _: self._running.pop(run, None))
 
@@ -51,11 +56,18 @@
         if task is not None:
             await asyncio.wait([task], timeout=PATIENCE_SECONDS)
 
-    async def _check(self, upstream: Upstream) -> None:
+    async def outlives(self, upstream: Upstream) -> bool:
+        """Return whether an upstream still accepts connections once one has ended."""
+        await asyncio.sleep(END_GRACE_SECONDS)
+        return not self._is_absent(upstream.run) and await self._connect(upstream)
+
+    async def _connect(self, upstream: Upstream) -> bool:
+        """Return whether an upstream accepts a connection."""
         try:
             # An empty id asks for a new connection.
             conn = await self._pool.acquire(upstream, repeatable=True, attempt_id="")
         except (OSError, TimeoutError) as exc:
             self._on_failure(upstream, exc)
-            return
+            return False
         self._pool.release(upstream, conn)
+        return True
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -543,9 +543,7 @@
             return await self._forward_stream(
                 call, upstream, in_flight, exchange, head, res
             )
-        start = await read_body_start(exchange)
-        if not start.is_whole and head.get(headers.RESPONSE_SEAL) is None:
-            raise BrokenExchangeError(FailureCause.ENDLESS)
+        start = await self._read_answer_start(upstream, exchange, head)
         fields = response_headers(head)
         if head.status >= 500:
             self._health.record_outcome(upstream, False)
@@ -564,12 +562,27 @@
         if start.is_whole and call.expects_body:
             res.send(head.status, fields, start.data)
         else:
-            await self._forward_parts(exchange, head, start, res)
+            await self._forward_parts(upstream, exchange, head, start, res)
         self._endings.complete(call, head.status, exchange.end)
         return AttemptOutcome.ANSWERED
 
+    async def _read_answer_start(
+        self, upstream: Upstream, exchange: Exchange, head: ResponseHead
+    ) -> BodyStart:
+        start = await read_body_start(exchange)
+        if start.is_whole:
+            await self._confirm_end(upstream, exchange)
+        elif head.get(headers.RESPONSE_SEAL) is None:
+            raise BrokenExchangeError(FailureCause.ENDLESS)
+        return start
+
     async def _forward_parts(
-        self, exchange: Exchange, head: ResponseHead, start: BodyStart, res: Responder
+        self,
+        upstream: Upstream,
+        exchange: Exchange,
+        head: ResponseHead,
+        start: BodyStart,
+        res: Responder,
     ) -> None:
         """Forward a body that is not buffered as a whole, or the head of one."""
         length = declared_length(head)
@@ -580,6 +593,7 @@
         while not start.is_whole and (data := await exchange.read()):
             res.write(data)
             await res.drain()
+        await self._confirm_end(upstream, exchange)
         res.finish()
 
     async def _forward_stream(
@@ -627,6 +641,7 @@
         may_be_empty = exchange.end is AnswerEnd.FRAMING and not is_resumed
         if not call.event_stream.is_at_boundary or not (has_events or may_be_empty):
             raise BrokenExchangeError(FailureCause.CLOSED)
+        await self._confirm_end(upstream, exchange)
         if not res.started:
             res.start(head.status, response_headers(head))
         self._record_answer(call, upstream, exchange)
@@ -643,6 +658,19 @@
                 now(), call.service.name, call.stream_key, upstream.version
             )
 
+    async def _confirm_end(self, upstream: Upstream, exchange: Exchange) -> None:
+        """Find out whether a response that its connection ended is complete.
+
+        Raises
+        ------
+        BrokenExchangeError
+            If the connection may have ended with the upstream.
+        """
+        if exchange.end is AnswerEnd.CLOSE and not await self._health.outlives_answer(
+            upstream
+        ):
+            raise BrokenExchangeError(FailureCause.GONE)
+
     def _record_answer(
         self, call: Call, upstream: Upstream, exchange: Exchange
     ) -> None:
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -43,12 +43,17 @@
 
 
 class FailureCause(Enum):
-    """Why an exchange ended without a complete response."""
+    """Why an exchange ended without a complete response.
+
+    `GONE` is the end of a connection, and of a response without another end, whose
+    upstream is not found any more.
+    """
 
     CLOSED = "closed"
     RESET = "reset"
     MALFORMED = "garbage"
     ENDLESS = "endless"
+    GONE = "gone"
 
 
 class AnswerEnd(Enum):
--- a/src/oleandershift/io/upstreamhealth.py
+++ b/src/oleandershift/io/upstreamhealth.py
@@ -84,3 +84,10 @@
         """Wait until it shows whether an upstream has crashed, but not for long."""
         await self._crash_checks.wait(upstream)
         self._state.confirm_crashes(now())
+
+    async def outlives_answer(self, upstream: Upstream) -> bool:
+        """Return whether an upstream lives after an answer that its connection ended.
+
+        The connections of a process that was killed end in good order.
+        """
+        return await self._crash_checks.outlives(upstream)
