Let only requests count as old that may have waited in a pause

Cause: the clock of arrivals was ticked by maintenance only, so that a tick 0.2 s late looked like a pause though the loop was reading, and for 0.2 s after each pause all requests counted as received at its start, also those that came after it. Evidence: test_request_that_comes_after_a_pause_has_all_the_time_until_its_deadline fails before (3 of 3) and passes now. Change: a task of its own ticks each 50 ms. After a pause it lets the loop go round until the queue of the listener was empty and what was accepted is read; later requests are fresh, 20 ms after the pause at the earliest, for packets that waited outside of a frozen VM. That a request read before a pause counted as received in it is corrected too. A VM frozen with its kernel was not tried.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -29,6 +29,7 @@
 from oleandershift.io.gatewaymetrics import GatewayMetrics, MetricsHandler
 from oleandershift.io.intake import Intake
 from oleandershift.io.listener import Listener
+from oleandershift.io.pausewatch import PauseWatch
 from oleandershift.io.peers import PeerTransport
 from oleandershift.io.pool import ConnectionPool
 from oleandershift.io.registry import VmRegistry
@@ -292,6 +293,7 @@
             CALLER_BACKLOG,
             CALLER_BATCH,
         )
+        self._pause_watch = PauseWatch(self._arrivals, self._caller_listener)
         self._settings_stamp = _file_stamp(path)
         self._registry = VmRegistry(
             StoreClient(vm_settings.store_address),
@@ -350,6 +352,7 @@
         tasks = [
             loop.create_task(supervise(name, run, self._log))
             for name, run in (
+                ("pauses", self._pause_watch.run),
                 ("maintain", self._maintain),
                 ("catch-up", self._catch_up),
                 ("registry", self._registry.run),
@@ -376,7 +379,6 @@
         while True:
             await asyncio.sleep(MAINTENANCE_INTERVAL_SECONDS)
             instant = now()
-            self._arrivals.tick(instant)
             self._take_ups.on_tick(instant)
             self._loop_delay.tick(instant)
             self._log_late_loop(instant)
--- a/src/oleandershift/io/listener.py
+++ b/src/oleandershift/io/listener.py
@@ -1,6 +1,7 @@
 """Listening sockets that accept connections in batches."""
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 
@@ -59,6 +60,14 @@
         """Return the number of accepted connections that have no protocol yet."""
         return len(self._opening)
 
+    def has_waiting(self) -> bool:
+        """Return whether connections wait to be accepted."""
+        if self._socket is None:
+            return False
+        poller = select.poll()
+        poller.register(self._socket, select.POLLIN)
+        return bool(poller.poll(0))
+
     def open(self) -> None:
         """Start to listen.
 
--- a/tests/integration/test_gateway_pauses.py
+++ b/tests/integration/test_gateway_pauses.py
@@ -20,6 +20,9 @@
 
 DEADLINE_SECONDS = 0.4
 PAUSE_SECONDS = 1.2
+CAUGHT_UP_SECONDS = 0.06
+"""Longer than a gateway takes to read what waited, shorter than `CATCH_UP_SECONDS`."""
+
 SLOW_SECONDS = 0.5
 LONG_DEADLINE_SECONDS = 4.0
 STREAM = b"".join(b"id: %d\ndata: kept\n\n" % number for number in range(1, 6))
@@ -74,6 +77,18 @@
     assert gateway.call(path, "next").status == 200
 
 
+def test_request_that_comes_after_a_pause_has_all_the_time_until_its_deadline(
+    fleet, gateway
+):
+    assert gateway.call("/write/x", "warm").status == 200
+    gateway.process.freeze()
+    time.sleep(PAUSE_SECONDS)
+    gateway.process.signal(signal.SIGCONT)
+    time.sleep(CAUGHT_UP_SECONDS)
+    deadline = {"Oleandershift-Deadline-Ms": str(round(PAUSE_SECONDS * 900))}
+    assert gateway.call("/write/x", "next", **deadline).status == 200
+
+
 @pytest.mark.parametrize("path", ["/read/x", "/write/x", "/stream/once/x"])
 def test_request_whose_caller_left_before_it_was_read_is_not_sent(fleet, gateway, path):
     for number in range(10):
--- a/tests/test_arrivals.py
+++ b/tests/test_arrivals.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from oleandershift.arrivals import CATCH_UP_SECONDS, ArrivalClock
+from oleandershift.arrivals import CATCH_UP_SECONDS, SETTLE_SECONDS, ArrivalClock
 
 TICK_SECONDS = 0.1
 RESUMED_AT = 3.0
@@ -35,3 +35,27 @@
     clock.tick(RESUMED_AT + CATCH_UP_SECONDS)
     caught_up_at = RESUMED_AT + CATCH_UP_SECONDS + 0.01
     assert clock.earliest_arrival(caught_up_at) == caught_up_at
+
+
+def test_request_that_comes_after_a_late_tick_does_not_count_as_waiting_since_then(
+    clock,
+):
+    clock.tick(RESUMED_AT)
+    clock.on_all_read(RESUMED_AT + 0.001)
+    settled_at = RESUMED_AT + SETTLE_SECONDS
+    assert clock.earliest_arrival(settled_at) == settled_at
+    assert clock.earliest_arrival(settled_at - 0.001) == pytest.approx(1.0)
+    assert clock.is_catching_up(settled_at)
+
+
+def test_requests_may_wait_until_all_is_read_after_each_pause(clock):
+    clock.tick(RESUMED_AT)
+    clock.on_all_read(RESUMED_AT + 0.001)
+    assert clock.tick(2 * RESUMED_AT)
+    read_at = 2 * RESUMED_AT + SETTLE_SECONDS
+    assert clock.earliest_arrival(read_at) == RESUMED_AT
+
+
+def test_request_that_was_read_before_a_pause_did_not_arrive_in_it(clock):
+    clock.tick(RESUMED_AT)
+    assert clock.earliest_arrival(0.95) == 0.95
