--- a/tests/contract/conftest.py
+++ b/tests/contract/conftest.py
@@ -1,6 +1,9 @@
 """Fixtures: a gateway in the process of the test, with a store and an upstream."""
 
+from functools import partial
+
 import pytest
+import scriptedupstreams
 
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.gateway import Gateway
@@ -37,12 +40,17 @@
 
 
 @pytest.fixture
-def settings_path(tmp_path, store, ip):
+def retry_ratio():
+    """Return the share of requests that may be repeated; modules may replace it."""
+    return 0.2
+
+
+@pytest.fixture
+def settings_path(tmp_path, store, ip, retry_ratio):
     path = tmp_path / "vm.toml"
     address = f"127.0.0.1:{store.port}"
-    path.write_text(
-        SETTINGS.format(name="vm", ip=ip, zone="one", store=address, max_fds=4096)
-    )
+    text = SETTINGS.format(name="vm", ip=ip, zone="one", store=address, max_fds=4096)
+    path.write_text(text.replace("retryRatio = 0.2", f"retryRatio = {retry_ratio}"))
     return path
 
 
@@ -60,3 +68,10 @@
 @pytest.fixture
 def gateway(make_gateway):
     return make_gateway()
+
+
+@pytest.fixture
+def play(store, settings_path, vm_settings, monkeypatch):
+    """Return a function that plays calls against scripted upstreams."""
+    monkeypatch.setattr("oleandershift.io.gateway.UNREADY_SERVING_SECONDS", 0.0)
+    return partial(scriptedupstreams.play, store, settings_path, vm_settings)
