Count event 0 of a stream as its last event

Cause: the last id 0 meant 'no event yet' both where ids are checked and where Last-Event-Id is sent. It is None before the first event now.

Evidence: test_event_after_event_0_must_be_event_1 (both cases), test_stream_that_breaks_after_event_0_goes_on_at_event_1 and test_stream_that_begins_again_after_event_0_is_not_passed_on failed before.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -29,13 +29,14 @@
 
     Attributes
     ----------
-    last_id : int
-        Id of the last whole event, after which a resumed stream continues.
+    last_id : int or None
+        Id of the last whole event, after which a resumed stream continues; None before
+        the first.
     event_count : int
         Number of whole events so far.
     """
 
-    last_id: int = 0
+    last_id: int | None = None
     event_count: int = 0
     _partial: bytes = b""
 
@@ -48,6 +49,10 @@
         """Whether no partial event is buffered."""
         return not self._partial
 
+    @property
+    def _next_id(self) -> int:
+        return 1 if self.last_id is None else self.last_id + 1
+
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that `data` completes.
 
@@ -75,7 +80,7 @@
 
     def _set_partial(self, partial: bytes) -> None:
         if len(partial) > MAX_EVENT_BYTES:
-            raise EventOrderError(self.last_id + 1, 0)
+            raise EventOrderError(self._next_id, 0)
         self._partial = partial
 
     def _check_ids(self, event: bytes) -> None:
@@ -87,11 +92,11 @@
                 has_id = True
                 self._advance(int(value))
         is_comment = all(not line or line.startswith(b":") for line in lines)
-        if self.last_id and not has_id and not is_comment:
-            raise EventOrderError(self.last_id + 1, 0)
+        if self.last_id is not None and not has_id and not is_comment:
+            raise EventOrderError(self._next_id, 0)
 
     def _advance(self, received: int) -> None:
-        if self.last_id and received != self.last_id + 1:
-            raise EventOrderError(self.last_id + 1, received)
+        if self.last_id is not None and received != self._next_id:
+            raise EventOrderError(self._next_id, received)
         self.last_id = received
         self.event_count += 1
--- a/src/oleandershift/io/forwarding.py
+++ b/src/oleandershift/io/forwarding.py
@@ -135,8 +135,9 @@
     parts.append(b"%b: %b\r\n" % (headers.EXPECT_UPSTREAM, upstream.name.encode()))
     if call.team is not None:
         parts.append(b"%b: %b\r\n" % (headers.TEAM, call.team.name.encode()))
-    if call.event_stream.last_id:
-        parts.append(b"%b: %d\r\n" % (headers.LAST_EVENT_ID, call.event_stream.last_id))
+    last_id = call.event_stream.last_id
+    if last_id is not None:
+        parts.append(b"%b: %d\r\n" % (headers.LAST_EVENT_ID, last_id))
     if req.body or req.method not in (b"GET", b"HEAD", b"DELETE"):
         parts.append(b"content-length: %d\r\n" % len(req.body))
     parts.append(b"\r\n")
--- /dev/null
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -0,0 +1,68 @@
+"""Streams with unusual bytes, ids or ends: none reaches its caller out of order."""
+
+from collections import Counter
+
+import pytest
+from scriptedupstreams import (
+    CHUNKED,
+    EVENT_STREAM,
+    EVENTS,
+    End,
+    call,
+    chunk,
+    head_of,
+    stream,
+)
+
+ONCE, RESUMABLE = "/stream/once/x", "/stream/resumable/x"
+
+
+@pytest.fixture
+def retry_ratio():
+    """Let each stream be resumed."""
+    return 10
+
+
+def numbered(*ids, line_end=b"\n"):
+    """Return events with the given ids."""
+    lines = b"id: %b", b"data: x", b"", b""
+    return tuple(line_end.join(lines) % str(item).encode() for item in ids)
+
+
+def begun(attempt, *events):
+    """Return a stream of which no end follows."""
+    return head_of(attempt, EVENT_STREAM, CHUNKED) + b"".join(map(chunk, events))
+
+
+def in_turn(*answers):
+    """Return a script by which each attempt gets one answer after the other."""
+    counts = Counter()
+
+    def script(attempt, last_event):
+        counts[attempt] += 1
+        return answers[min(counts[attempt], len(answers)) - 1](attempt, last_event)
+
+    return script
+
+
+def whole(events=EVENTS, first=0):
+    return lambda attempt, last_event: (stream(attempt, first, events), End.KEEP)
+
+
+def broken(*events):
+    return lambda attempt, last_event: (begun(attempt, *events), End.CLOSE)
+
+
+def test_stream_that_breaks_after_event_0_goes_on_at_event_1(play, vm_settings):
+    answers, events = [], numbered(0, 1, 2)
+    script = in_turn(broken(events[0]), whole(events[1:]))
+    received = play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert (answers[0].whole, answers[0].body) == (True, b"".join(events))
+    assert sorted(received, key=str) == [(b"a", 0), (b"a", None)]
+
+
+def test_stream_that_begins_again_after_event_0_is_not_passed_on(play, vm_settings):
+    answers, events = [], numbered(0, 1, 2)
+    script = in_turn(broken(events[0]), whole(events))
+    play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert (answers[0].whole, answers[0].body) == (False, events[0])
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -91,3 +91,10 @@
     framer.discard_partial()
     assert (framer.last_id, framer.event_count) == (1, 1)
     assert framer.feed(make_event(2)) == make_event(2)
+
+
+@pytest.mark.parametrize("number", [0, 2])
+def test_event_after_event_0_must_be_event_1(framer, number):
+    framer.feed(make_event(0))
+    with pytest.raises(EventOrderError, match="expected event 1"):
+        framer.feed(make_event(number))
