Take up a stream after event 0 as the caller asks

The header is passed on now, and the answer has to begin with event 1, which is also right where ids begin with 1 and 0 means that nothing came. With Resumes it is a take-up, at the version that began the stream; alone it is not, so that callers that send 0 for a new stream are not refused where no version is known. That leaves one gap: a stream with ids from 0, taken up after event 0 without Resumes, may go on at another version.

--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -59,8 +59,8 @@
     answers_until : float
         Clock time in seconds by which it is answered: its deadline, or the end of a
         planned stop.
-    last_event_id : int
-        Id of the event after which a stream resumes.
+    last_event_id : int or None
+        Id of the event after which a stream resumes; None for a new stream.
     began_as : str
         Id of the attempt that began the stream, this one or an earlier one.
     resumes : str
@@ -107,7 +107,7 @@
     deadline: float
     prompt: Prompt | None
     suspects: RequestSuspects
-    last_event_id: int
+    last_event_id: int | None
     configuration_version: int
     began_as: str
     answers_until: float = math.inf
@@ -134,8 +134,14 @@
 
     @property
     def is_take_up(self) -> bool:
-        """Return whether the caller goes on with a stream of an earlier attempt."""
-        return self.last_event_id > 0 and self.route.semantics.is_stream
+        """Return whether the caller goes on with a stream of an earlier attempt.
+
+        After event 0 it names that attempt. Without one, 0 may stand for no event.
+        """
+        has_event = self.last_event_id is not None and (
+            self.last_event_id > 0 or self.resumes != ""
+        )
+        return has_event and self.route.semantics.is_stream
 
     @property
     def requirements(self) -> Requirements:
--- a/src/oleandershift/io/requestresolver.py
+++ b/src/oleandershift/io/requestresolver.py
@@ -100,7 +100,7 @@
             configuration_version=cfg.version,
             began_as=parsed.began_as,
             resumes=parsed.resumes,
-            event_stream=EventFramer(last_id=parsed.last_event_id or None),
+            event_stream=EventFramer(last_id=parsed.last_event_id),
         )
 
     def team_of(self, req: CallerRequest) -> TeamId | None:
--- a/src/oleandershift/platform/headers.py
+++ b/src/oleandershift/platform/headers.py
@@ -60,8 +60,8 @@
         Id of the caller's attempt; empty when absent.
     timeout_ms : float or None
         Time in milliseconds for which the caller waits.
-    last_event_id : int
-        Id of the last event received of a stream to resume; 0 for a new stream.
+    last_event_id : int or None
+        Id of the last event received of a stream to resume; None for a new stream.
     resumes : str
         Id of the caller's attempt that brought the first event of that stream; empty
         when absent.
@@ -71,14 +71,15 @@
 
     attempt_id: str
     timeout_ms: float | None
-    last_event_id: int
+    last_event_id: int | None
     resumes: str
     prompt: Prompt | None
 
     @property
     def began_as(self) -> str:
         """Id of the attempt that began the stream, this one or an earlier one."""
-        return self.resumes if self.last_event_id and self.resumes else self.attempt_id
+        is_resumed = self.last_event_id is not None and self.resumes
+        return self.resumes if is_resumed else self.attempt_id
 
 
 def parse(headers: Iterable[tuple[bytes, bytes]]) -> CallerHeaders:
@@ -97,7 +98,7 @@
     return CallerHeaders(
         attempt_id=fields.get(ATTEMPT_ID, b"").decode("latin-1"),
         timeout_ms=_parse_milliseconds(fields.get(DEADLINE)),
-        last_event_id=_parse_count(LAST_EVENT_ID, fields.get(LAST_EVENT_ID)),
+        last_event_id=_parse_event_id(fields.get(LAST_EVENT_ID)),
         resumes=fields.get(RESUMES, b"").decode("latin-1"),
         prompt=_parse_prompt(fields),
     )
@@ -124,6 +125,10 @@
     return int(raw) if len(raw) <= MAX_COUNT_DIGITS else MAX_COUNT
 
 
+def _parse_event_id(raw: bytes | None) -> int | None:
+    return _parse_count(LAST_EVENT_ID, raw) if raw else None
+
+
 def _parse_tokens(name: bytes, raw: bytes | None) -> int:
     """Return a number of tokens; more than any upstream holds count as that many.
 
--- a/tests/contract/test_gateway_stream_bytes.py
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -66,3 +66,21 @@
     script = in_turn(broken(events[0]), whole(events))
     play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
     assert (answers[0].whole, answers[0].body) == (False, events[0])
+
+
+def take_up(vm_settings, last_event):
+    """Go on with a stream of an earlier attempt; return the answer."""
+    assert call(vm_settings, RESUMABLE, "began").status == 200
+    fields = {"Last-Event-Id": str(last_event), "Resumes": "began"}
+    return call(vm_settings, RESUMABLE, "a", **fields)
+
+
+def test_take_up_after_event_0_goes_on_at_event_1(play, vm_settings):
+    answers, events = [], numbered(0, 1, 2)
+
+    def script(attempt, last_event):
+        first = 0 if last_event is None else last_event + 1
+        return stream(attempt, first, events), End.KEEP
+
+    play(script, lambda: answers.append(take_up(vm_settings, 0)))
+    assert (answers[0].whole, answers[0].body) == (True, b"".join(events[1:]))
--- a/tests/test_platform_headers.py
+++ b/tests/test_platform_headers.py
@@ -100,3 +100,11 @@
 def test_headers_of_the_system_are_reserved():
     for name in (b"oleandershift-tenant", b"kv-from", b"oleandershift-pin-ms"):
         assert name in headers.RESERVED_HEADERS
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"), [(b"0", 0), (b"3", 3), (b"", None), (None, None)]
+)
+def test_last_event_0_is_told_from_none(value, expected):
+    fields = [] if value is None else [(b"last-event-id", value)]
+    assert headers.parse(fields).last_event_id == expected
