Pass on no stream that begins with the wrong event

What callers saw (2 of 2 calls with a scripted upstream): a fresh stream whose first event was id 3 came with 200 and looked complete, without events 1 and 2 (ORDER). A caller's take-up after event 1 to which an upstream answered with event 1 or 3 ended with a closed connection, without an answer.

Cause: any first id was taken while there was no last one; and of a wrong first event only a stream that was resumed within the answer could go on at another upstream.

A fresh stream begins with 0 or 1 now. A wrong first event counts as a malformed answer: nothing of it is passed on, a resumable stream is asked for at another upstream, and any other ends with 502, as it may have run. What this costs: an engine that numbers its streams from 2 or above no longer serves a single one.

Evidence: ten new cases failed before (the late begins and the take-ups of test_gateway_stream_bytes.py, test_fresh_stream_that_begins_late_raises).

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -7,6 +7,10 @@
 """Maximum size of an event; events of engines have some hundred bytes."""
 
 
+FIRST_IDS = (0, 1)
+"""Ids with which a fresh stream may begin."""
+
+
 class EventOrderError(Exception):
     """A stream skips or repeats an event, or contains something that is none.
 
@@ -59,8 +63,8 @@
         Raises
         ------
         EventOrderError
-            If ids are not consecutive or missing, or a partial event is too long. None
-            of the events of `data` counts then.
+            If the first id is wrong, ids are not consecutive or missing, or a partial
+            event is too long. None of the events of `data` counts then.
         """
         data = self._partial + data
         end = data.rfind(SEPARATOR)
@@ -96,7 +100,8 @@
             raise EventOrderError(self._next_id, 0)
 
     def _advance(self, received: int) -> None:
-        if self.last_id is not None and received != self._next_id:
+        expected = FIRST_IDS if self.last_id is None else (self._next_id,)
+        if received not in expected:
             raise EventOrderError(self._next_id, received)
         self.last_id = received
         self.event_count += 1
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -620,9 +620,9 @@
                     upstream=upstream.name,
                     detail=str(exc),
                 )
-                if is_resumed and not has_events:
-                    raise BrokenExchangeError(FailureCause.MALFORMED) from exc
                 exchange.abandon()
+                if not has_events:
+                    raise BrokenExchangeError(FailureCause.MALFORMED) from exc
                 res.abort()
                 return AttemptOutcome.ANSWERED
             if not events:
--- a/tests/contract/test_gateway_stream_bytes.py
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -84,3 +84,53 @@
 
     play(script, lambda: answers.append(take_up(vm_settings, 0)))
     assert (answers[0].whole, answers[0].body) == (True, b"".join(events[1:]))
+
+
+@pytest.mark.parametrize("events", [EVENTS[1:], EVENTS[2:]], ids=["2", "3"])
+def test_stream_that_begins_late_is_not_passed_on(play, vm_settings, events):
+    answers = []
+    play(whole(events), lambda: answers.append(call(vm_settings, ONCE, "a")))
+    assert answers[0].status == 502
+
+
+@pytest.mark.parametrize("events", [EVENTS[1:], EVENTS[2:]], ids=["2", "3"])
+def test_stream_that_begins_late_is_asked_for_elsewhere(play, vm_settings, events):
+    answers = []
+    script = in_turn(whole(events), whole())
+    play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert (answers[0].status, answers[0].body) == (200, b"".join(EVENTS))
+
+
+@pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+@pytest.mark.parametrize("first", [0, 1])
+def test_stream_may_begin_at_either_first_id(play, vm_settings, path, first):
+    answers, events = [], numbered(first, first + 1)
+    play(whole(events), lambda: answers.append(call(vm_settings, path, "a")))
+    assert (answers[0].whole, answers[0].body) == (True, b"".join(events))
+
+
+@pytest.mark.parametrize("events", [EVENTS, EVENTS[2:]], ids=["1", "3"])
+def test_take_up_that_begins_elsewhere_is_asked_for_again(play, vm_settings, events):
+    answers = []
+    answer_take_up = in_turn(whole(events), whole(EVENTS[1:]))
+
+    def script(attempt, last_event):
+        answer = whole() if last_event is None else answer_take_up
+        return answer(attempt, last_event)
+
+    play(script, lambda: answers.append(take_up(vm_settings, 1)))
+    assert (answers[0].status, answers[0].body) == (200, b"".join(EVENTS[1:]))
+
+
+@pytest.mark.parametrize("events", [EVENTS, EVENTS[2:]], ids=["1", "3"])
+def test_take_up_that_begins_elsewhere_at_all_upstreams_fails(
+    play, vm_settings, events
+):
+    answers = []
+
+    def script(attempt, last_event):
+        answer = whole() if last_event is None else whole(events)
+        return answer(attempt, last_event)
+
+    play(script, lambda: answers.append(take_up(vm_settings, 1)))
+    assert answers[0].status == 502
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -98,3 +98,15 @@
     framer.feed(make_event(0))
     with pytest.raises(EventOrderError, match="expected event 1"):
         framer.feed(make_event(number))
+
+
+@pytest.mark.parametrize("number", [2, 3])
+def test_fresh_stream_that_begins_late_raises(framer, number):
+    with pytest.raises(EventOrderError):
+        framer.feed(make_event(number))
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_fresh_stream_begins_at_either_first_id(framer, number):
+    data = make_event(number) + make_event(number + 1)
+    assert framer.feed(data) == data
