Take an event with two ids for none

What callers could see: an event with the lines 'id: 1' and 'id: 2' counted as two. Event 2 was missing or two events were joined, and the stream looked complete (ORDER). Such an event is a break of the order now, whatever its ids.

Evidence: test_event_with_two_ids_raises failed before in the case of two numbers.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -17,8 +17,8 @@
     Parameters
     ----------
     expected, received : int
-        Ids of the events; `received` is 0 for an event that is too long, or without an
-        id among events that have one.
+        Ids of the events; `received` is 0 for an event that is too long, with more
+        than one id, or without one among events that have one.
     """
 
     def __init__(self, expected: int, received: int) -> None:
@@ -89,15 +89,18 @@
 
     def _check_ids(self, event: bytes) -> None:
         lines = event.split(b"\n")
-        has_id = False
-        for line in lines:
-            name, _, value = line.partition(b":")
-            if name == b"id" and value.strip().isdigit():
-                has_id = True
-                self._advance(int(value))
+        fields = [line.partition(b":") for line in lines]
+        ids = [
+            int(value)
+            for name, _, value in fields
+            if name == b"id" and value.strip().isdigit()
+        ]
         is_comment = all(not line or line.startswith(b":") for line in lines)
-        if self.last_id is not None and not has_id and not is_comment:
+        is_missing = not ids and self.last_id is not None and not is_comment
+        if is_missing or len(ids) > 1:
             raise EventOrderError(self._next_id, 0)
+        if ids:
+            self._advance(ids[0])
 
     def _advance(self, received: int) -> None:
         expected = FIRST_IDS if self.last_id is None else (self._next_id,)
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -110,3 +110,9 @@
 def test_fresh_stream_begins_at_either_first_id(framer, number):
     data = make_event(number) + make_event(number + 1)
     assert framer.feed(data) == data
+
+
+@pytest.mark.parametrize("second", [1, 2])
+def test_event_with_two_ids_raises(framer, second):
+    with pytest.raises(EventOrderError):
+        framer.feed(b"id: 1\nid: %d\ndata: x\n\n" % second)
