Pass on no event whose id is no number

What callers could see: events with ids such as 'a', '-1' or none after 'id:' counted as events without an id, so that nothing of their order was checked (ORDER). Without a number no caller can take such a stream up. A number of 5,000 digits ended the request with an internal error.

Evidence: eleven new cases failed before (test_id_that_is_no_number_raises, test_stream_with_ids_that_are_no_numbers_is_not_passed_on).

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -7,6 +7,9 @@
 """Maximum size of an event; events of engines have some hundred bytes."""
 
 
+MAX_ID_DIGITS = 18
+"""Maximum length of an id; longer ones are no count of events."""
+
 FIRST_IDS = (0, 1)
 """Ids with which a fresh stream may begin."""
 
@@ -17,8 +20,8 @@
     Parameters
     ----------
     expected, received : int
-        Ids of the events; `received` is 0 for an event that is too long, with more
-        than one id, or without one among events that have one.
+        Ids of the events; `received` is 0 for an event that is too long, whose id is
+        no number, with more than one id, or without one among events that have one.
     """
 
     def __init__(self, expected: int, received: int) -> None:
@@ -90,11 +93,7 @@
     def _check_ids(self, event: bytes) -> None:
         lines = event.split(b"\n")
         fields = [line.partition(b":") for line in lines]
-        ids = [
-            int(value)
-            for name, _, value in fields
-            if name == b"id" and value.strip().isdigit()
-        ]
+        ids = [value.strip() for name, _, value in fields if name == b"id"]
         is_comment = all(not line or line.startswith(b":") for line in lines)
         is_missing = not ids and self.last_id is not None and not is_comment
         if is_missing or len(ids) > 1:
@@ -102,7 +101,11 @@
         if ids:
             self._advance(ids[0])
 
-    def _advance(self, received: int) -> None:
+    def _advance(self, raw_id: bytes) -> None:
+        # Longer numbers than Python converts by default are possible.
+        if not raw_id.isdigit() or len(raw_id) > MAX_ID_DIGITS:
+            raise EventOrderError(self._next_id, 0)
+        received = int(raw_id)
         expected = FIRST_IDS if self.last_id is None else (self._next_id,)
         if received not in expected:
             raise EventOrderError(self._next_id, received)
--- a/tests/contract/test_gateway_stream_bytes.py
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -134,3 +134,13 @@
 
     play(script, lambda: answers.append(take_up(vm_settings, 1)))
     assert answers[0].status == 502
+
+
+@pytest.mark.parametrize("ids", [("a", "b"), ("-1", "0"), ("",)])
+@pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+def test_stream_with_ids_that_are_no_numbers_is_not_passed_on(
+    play, vm_settings, path, ids
+):
+    answers = []
+    play(whole(numbered(*ids)), lambda: answers.append(call(vm_settings, path, "a")))
+    assert answers[0].status == 502
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -116,3 +116,9 @@
 def test_event_with_two_ids_raises(framer, second):
     with pytest.raises(EventOrderError):
         framer.feed(b"id: 1\nid: %d\ndata: x\n\n" % second)
+
+
+@pytest.mark.parametrize("value", [b"a", b"-1", b"1.0", b"", b"9" * 5000])
+def test_id_that_is_no_number_raises(framer, value):
+    with pytest.raises(EventOrderError):
+        framer.feed(b"id: " + value + b"\ndata: x\n\n")
