Begin no stream without ids again within its answer

What callers could see: a stream on a resumable route whose events have no id broke after its first event and began again at another upstream, in the same answer: the event came twice and the answer looked complete (ORDER).

Cause: that a route allows streams to be resumed was taken for a place at which this one goes on. A stream of which an event without an id was passed on now breaks off, as on a route that isn't resumable; its caller may ask for all of it.

Evidence: test_stream_without_ids_does_not_begin_again failed before.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -41,10 +41,13 @@
         the first.
     event_count : int
         Number of whole events so far.
+    is_unnumbered : bool
+        Whether an event had no id, so that nothing can go on after it.
     """
 
     last_id: int | None = None
     event_count: int = 0
+    is_unnumbered: bool = False
     _partial: bytes = b""
 
     def discard_partial(self) -> None:
@@ -76,12 +79,12 @@
             return b""
         end += len(SEPARATOR)
         self._set_partial(data[end:])
-        last_id, event_count = self.last_id, self.event_count
+        before = self.last_id, self.event_count, self.is_unnumbered
         try:
             for event in data[:end].split(SEPARATOR):
                 self._check_ids(event)
         except EventOrderError:
-            self.last_id, self.event_count = last_id, event_count
+            self.last_id, self.event_count, self.is_unnumbered = before
             raise
         return data[:end]
 
@@ -95,11 +98,14 @@
         fields = [line.partition(b":") for line in lines]
         ids = [value.strip() for name, _, value in fields if name == b"id"]
         is_comment = all(not line or line.startswith(b":") for line in lines)
-        is_missing = not ids and self.last_id is not None and not is_comment
-        if is_missing or len(ids) > 1:
+        if is_comment:
+            return
+        if len(ids) > 1 or (not ids and self.last_id is not None):
             raise EventOrderError(self._next_id, 0)
         if ids:
             self._advance(ids[0])
+        else:
+            self.is_unnumbered = True
 
     def _advance(self, raw_id: bytes) -> None:
         # Longer numbers than Python converts by default are possible.
--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -169,6 +169,11 @@
         """Return whether another upstream may continue a response that has begun."""
         return self.repeatable and self.route.semantics.is_stream
 
+    @property
+    def may_go_on(self) -> bool:
+        """Return whether another upstream may continue from where the answer is."""
+        return self.resumable and not self.event_stream.is_unnumbered
+
     def shows_sound_upstream(self, now: float) -> bool:
         """Return whether the upstream has outlived the start of its answer."""
         began_at = self.answer_began_at
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -486,7 +486,7 @@
                 events=call.event_stream.event_count,
                 suspects=[suspect.name for suspect in call.suspects.all()],
             )
-            if res.started and not call.resumable:
+            if res.started and not call.may_go_on:
                 self._endings.abort_stream(call, res, f"upstream {exc.cause.value}")
                 return AttemptOutcome.ANSWERED
             if call.repeatable:
--- a/tests/contract/test_gateway_stream_bytes.py
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -144,3 +144,10 @@
     answers = []
     play(whole(numbered(*ids)), lambda: answers.append(call(vm_settings, path, "a")))
     assert answers[0].status == 502
+
+
+def test_stream_without_ids_does_not_begin_again(play, vm_settings):
+    answers, events = [], (b"data: x\n\n", b"data: y\n\n")
+    script = in_turn(broken(events[0]), whole(events))
+    play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert (answers[0].whole, answers[0].body) == (False, events[0])
