Take events with ids behind one without for out of order

What callers could see: an event without an id, an error's text for one, passed as the beginning of a stream whose numbered events followed, and the answer looked complete (MIXED). Only the reverse was checked.

Evidence: test_event_with_an_id_after_one_without_raises failed before.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -21,7 +21,7 @@
     ----------
     expected, received : int
         Ids of the events; `received` is 0 for an event that is too long, whose id is
-        no number, with more than one id, or without one among events that have one.
+        no number, with more than one id, or with or without one unlike those before it.
     """
 
     def __init__(self, expected: int, received: int) -> None:
@@ -100,7 +100,8 @@
         is_comment = all(not line or line.startswith(b":") for line in lines)
         if is_comment:
             return
-        if len(ids) > 1 or (not ids and self.last_id is not None):
+        has_other_kind = self.is_unnumbered if ids else self.last_id is not None
+        if len(ids) > 1 or has_other_kind:
             raise EventOrderError(self._next_id, 0)
         if ids:
             self._advance(ids[0])
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -122,3 +122,9 @@
 def test_id_that_is_no_number_raises(framer, value):
     with pytest.raises(EventOrderError):
         framer.feed(b"id: " + value + b"\ndata: x\n\n")
+
+
+def test_event_with_an_id_after_one_without_raises(framer):
+    framer.feed(b'{"error": "failed"}\n\n')
+    with pytest.raises(EventOrderError):
+        framer.feed(make_event(1))
