Read events whose lines end in CRLF or CR

What callers saw: a stream whose lines end in CRLF, which event streams allow beside LF and CR, brought no event until its end and then broke off: a 502, or a closed connection, for every such stream. Events were looked for at two LFs.

Blank lines of all three kinds end an event now; blank lines behind an event pass at once, so that they don't count as a part of the next. A CR after an LF is held back, as an LF may follow: a stream that ends its last event so looks incomplete.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -1,12 +1,16 @@
 """Framing of server-sent events: whole events with consecutive ids."""
 
+import re
 from dataclasses import dataclass
+from itertools import pairwise
+
+_EVENT_END = re.compile(rb"\n(\r?\n)+|\r\r+|\A[\r\n]+")
+"""Blank lines, also those that come later than the event before them. Lines end in
+CRLF, LF or CR. A CR after an LF is no line of its own, as an LF may follow."""
 
-SEPARATOR = b"\n\n"
 MAX_EVENT_BYTES = 1 << 20
 """Maximum size of an event; events of engines have some hundred bytes."""
 
-
 MAX_ID_DIGITS = 18
 """Maximum length of an id; longer ones are no count of events."""
 
@@ -73,20 +77,19 @@
             event is too long. None of the events of `data` counts then.
         """
         data = self._partial + data
-        end = data.rfind(SEPARATOR)
-        if end < 0:
+        ends = [match.end() for match in _EVENT_END.finditer(data)]
+        if not ends:
             self._set_partial(data)
             return b""
-        end += len(SEPARATOR)
-        self._set_partial(data[end:])
+        self._set_partial(data[ends[-1] :])
         before = self.last_id, self.event_count, self.is_unnumbered
         try:
-            for event in data[:end].split(SEPARATOR):
-                self._check_ids(event)
+            for start, end in pairwise([0, *ends]):
+                self._check_ids(data[start:end])
         except EventOrderError:
             self.last_id, self.event_count, self.is_unnumbered = before
             raise
-        return data[:end]
+        return data[: ends[-1]]
 
     def _set_partial(self, partial: bytes) -> None:
         if len(partial) > MAX_EVENT_BYTES:
@@ -94,19 +97,19 @@
         self._partial = partial
 
     def _check_ids(self, event: bytes) -> None:
-        lines = event.split(b"\n")
-        fields = [line.partition(b":") for line in lines]
-        ids = [value.strip() for name, _, value in fields if name == b"id"]
-        is_comment = all(not line or line.startswith(b":") for line in lines)
-        if is_comment:
+        # Of bytes, only CRLF, LF and CR end a line.
+        lines = event.splitlines()
+        ids = [line[3:] for line in lines if line.startswith(b"id:") or line == b"id"]
+        if not ids:
+            if all(not line or line.startswith(b":") for line in lines):
+                return
+            if self.last_id is not None:
+                raise EventOrderError(self._next_id, 0)
+            self.is_unnumbered = True
             return
-        has_other_kind = self.is_unnumbered if ids else self.last_id is not None
-        if len(ids) > 1 or has_other_kind:
+        if len(ids) > 1 or self.is_unnumbered:
             raise EventOrderError(self._next_id, 0)
-        if ids:
-            self._advance(ids[0])
-        else:
-            self.is_unnumbered = True
+        self._advance(ids[0].strip())
 
     def _advance(self, raw_id: bytes) -> None:
         # Longer numbers than Python converts by default are possible.
--- a/tests/contract/test_gateway_stream_bytes.py
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -15,6 +15,9 @@
 )
 
 ONCE, RESUMABLE = "/stream/once/x", "/stream/resumable/x"
+LINE_ENDS = pytest.mark.parametrize(
+    "line_end", [b"\r\n", b"\n", b"\r"], ids=["crlf", "lf", "cr"]
+)
 
 
 @pytest.fixture
@@ -151,3 +154,19 @@
     script = in_turn(broken(events[0]), whole(events))
     play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
     assert (answers[0].whole, answers[0].body) == (False, events[0])
+
+
+@LINE_ENDS
+@pytest.mark.parametrize("path", [ONCE, RESUMABLE])
+def test_line_ends_of_events_may_be_any(play, vm_settings, path, line_end):
+    answers, events = [], numbered(1, 2, 3, line_end=line_end)
+    play(whole(events), lambda: answers.append(call(vm_settings, path, "a")))
+    assert (answers[0].whole, answers[0].body) == (True, b"".join(events))
+
+
+@LINE_ENDS
+def test_stream_with_any_line_end_goes_on_elsewhere(play, vm_settings, line_end):
+    answers, events = [], numbered(1, 2, 3, line_end=line_end)
+    script = in_turn(broken(events[0], events[1][:-1]), whole(events[1:]))
+    play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert (answers[0].whole, answers[0].body) == (True, b"".join(events))
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -128,3 +128,47 @@
     framer.feed(b'{"error": "failed"}\n\n')
     with pytest.raises(EventOrderError):
         framer.feed(make_event(1))
+
+
+LINE_ENDS = pytest.mark.parametrize(
+    "line_end", [b"\r\n", b"\n", b"\r"], ids=["crlf", "lf", "cr"]
+)
+
+
+@LINE_ENDS
+def test_events_with_any_line_end_are_passed_on_as_they_come(line_end):
+    first, second = (make_event(n).replace(b"\n", line_end) for n in (1, 2))
+    for split in range(len(second)):
+        framer = EventFramer()
+        assert framer.feed(first + second[:split]) == first
+        assert framer.feed(second[split:]) == second
+        assert framer.is_at_boundary
+
+
+@LINE_ENDS
+def test_events_with_any_line_end_come_byte_by_byte(framer, line_end):
+    data = (make_event(1) + make_event(2)).replace(b"\n", line_end)
+    assert b"".join(framer.feed(data[i : i + 1]) for i in range(len(data))) == data
+    assert (framer.last_id, framer.is_at_boundary) == (2, True)
+
+
+@LINE_ENDS
+def test_missing_event_raises_with_any_line_end(framer, line_end):
+    framer.feed(make_event(1).replace(b"\n", line_end))
+    with pytest.raises(EventOrderError, match="received event 3, expected event 2"):
+        framer.feed(make_event(3).replace(b"\n", line_end))
+
+
+@pytest.mark.parametrize("blank", [b"\n\r\n", b"\r\n\n"])
+def test_blank_line_may_end_unlike_the_line_before(framer, blank):
+    event = b"id: 1\ndata: x" + blank
+    assert framer.feed(event) == event
+
+
+@LINE_ENDS
+def test_several_blank_lines_may_end_an_event(line_end):
+    data = (make_event(1) + b"\n\n" + make_event(2) + b"\n").replace(b"\n", line_end)
+    for split in range(len(data)):
+        framer = EventFramer()
+        assert framer.feed(data[:split]) + framer.feed(data[split:]) == data
+        assert (framer.last_id, framer.is_at_boundary) == (2, True)
