Take a resumed stream of comments alone for broken

What callers could see: a stream that broke after an event was resumed at an upstream that sent a comment or a blank line and the end. Now only events count, also in the number of events that log lines name, where events without an id were left out.

What can't be told: a resumed stream that brings some of the missing events and states its end in good order is complete, as nothing on the wire says which event is the last.

Evidence: test_resumed_stream_without_an_event_is_not_complete failed before, both cases.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -44,7 +44,7 @@
         Id of the last whole event, after which a resumed stream continues; None before
         the first.
     event_count : int
-        Number of whole events so far.
+        Number of whole events so far; comments are none.
     is_unnumbered : bool
         Whether an event had no id, so that nothing can go on after it.
     """
@@ -106,6 +106,7 @@
             if self.last_id is not None:
                 raise EventOrderError(self._next_id, 0)
             self.is_unnumbered = True
+            self.event_count += 1
             return
         if len(ids) > 1 or self.is_unnumbered:
             raise EventOrderError(self._next_id, 0)
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -610,6 +610,7 @@
         if is_resumed and not is_event_stream(head):
             raise BrokenExchangeError(FailureCause.MALFORMED)
         has_events = False
+        count_before = call.event_stream.event_count
         while data := await exchange.read():
             try:
                 events = call.event_stream.feed(data)
@@ -627,7 +628,7 @@
                 return AttemptOutcome.ANSWERED
             if not events:
                 continue
-            has_events = True
+            has_events = call.event_stream.event_count > count_before
             if in_flight.prefill_tokens:
                 self._loads.on_first_event(in_flight)
                 self._state.on_load_change()
--- a/tests/contract/test_gateway_stream_bytes.py
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -170,3 +170,18 @@
     script = in_turn(broken(events[0], events[1][:-1]), whole(events[1:]))
     play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
     assert (answers[0].whole, answers[0].body) == (True, b"".join(events))
+
+
+@pytest.mark.parametrize("rest", [b": alive\n\n", b"\n"], ids=["comment", "blank"])
+def test_resumed_stream_without_an_event_is_not_complete(play, vm_settings, rest):
+    answers = []
+    script = in_turn(broken(EVENTS[0]), whole((rest,)))
+    play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert not answers[0].whole
+
+
+def test_resumed_stream_that_states_its_end_is_complete(play, vm_settings):
+    answers = []
+    script = in_turn(broken(EVENTS[0]), whole(EVENTS[1:2]))
+    play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert (answers[0].whole, answers[0].body) == (True, b"".join(EVENTS[:2]))
