Let a stream out of order go on at another upstream

What callers saw: when an upstream skipped or repeated an event midway, or sent one without an id, the answer broke off, also on a resumable route; and the log counted it nowhere.

Nothing of such events is passed on, so the stream is where it was. It counts as a broken attempt now: on a resumable route another upstream goes on behind the last event, any other answer breaks off as before (stream.cut).

Evidence: test_stream_out_of_order_goes_on_elsewhere failed before (3 cases); test_stream_out_of_order_is_not_complete passed before and passes now.

--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -622,10 +622,7 @@
                     detail=str(exc),
                 )
                 exchange.abandon()
-                if not has_events:
-                    raise BrokenExchangeError(FailureCause.MALFORMED) from exc
-                res.abort()
-                return AttemptOutcome.ANSWERED
+                raise BrokenExchangeError(FailureCause.MALFORMED) from exc
             if not events:
                 continue
             has_events = call.event_stream.event_count > count_before
--- a/tests/contract/test_gateway_stream_bytes.py
+++ b/tests/contract/test_gateway_stream_bytes.py
@@ -185,3 +185,28 @@
     script = in_turn(broken(EVENTS[0]), whole(EVENTS[1:2]))
     play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
     assert (answers[0].whole, answers[0].body) == (True, b"".join(EVENTS[:2]))
+
+
+@pytest.mark.parametrize("wrong", [EVENTS[0], EVENTS[2], b"error\n\n"])
+def test_stream_out_of_order_goes_on_elsewhere(play, vm_settings, wrong):
+    answers = []
+
+    def disordered(attempt, last_event):
+        parts = [begun(attempt, EVENTS[0]), 0.05, chunk(wrong) + chunk(b"")]
+        return parts, End.KEEP
+
+    script = in_turn(disordered, whole(EVENTS[1:]))
+    play(script, lambda: answers.append(call(vm_settings, RESUMABLE, "a")))
+    assert (answers[0].whole, answers[0].body) == (True, b"".join(EVENTS))
+
+
+@pytest.mark.parametrize("wrong", [EVENTS[0], EVENTS[2], b"error\n\n"])
+def test_stream_out_of_order_is_not_complete(play, vm_settings, wrong):
+    answers = []
+
+    def disordered(attempt, last_event):
+        parts = [begun(attempt, EVENTS[0]), 0.05, chunk(wrong) + chunk(b"")]
+        return parts, End.KEEP
+
+    play(disordered, lambda: answers.append(call(vm_settings, ONCE, "a")))
+    assert (answers[0].whole, answers[0].body) == (False, EVENTS[0])
