Let the store order the runs of an upstream, not their clocks

An upstream that started again under its id on a host whose clock had been set back got no work after its run before had drained, from any VM and for as long as it lived; what it reported was dropped, so that it also got requests after the store had acknowledged that it drained, and streams of another software version.

Cause: a report of a run with a lower start (`born`) than the known one was taken for a late one of an earlier run, in lists and changes alike.

Change: the start of a run identifies it and orders nothing. A report of a run that seems to be earlier is in doubt: a late one is replaced by the known run's next report, while a new run's stays. It is believed when the store is known to have held it for 5 s, outside outages. Until then the known run gets requests only if the report says ready and names the same software version. The run that was replaced last is remembered, so that its late reports are in doubt even if its clock was ahead. A report that comes after the removal of the known run is believed at once. The directory is told the time of a change, as of all else.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -8,7 +8,11 @@
 from itertools import chain
 from typing import NamedTuple
 
-from oleandershift.freshness import REREGISTRATION_SECONDS, StoreFreshness
+from oleandershift.freshness import (
+    OUTAGE_SECONDS,
+    REREGISTRATION_SECONDS,
+    StoreFreshness,
+)
 from oleandershift.ids import DataCentreId, ServiceId, SoftwareVersion, UpstreamId
 from oleandershift.records import START_OF_HISTORY, StorePosition
 
@@ -16,8 +20,9 @@
 
 CONFIRMATION_SECONDS = 5.0
 """Time after which a registration that a restored store still holds is believed again,
-though its removal had been read. The store drops the registration of an upstream that
-is gone after three missed reports, each of which is due after more than a second."""
+though its removal had been read, and one whose run seems to have started before the
+known one. The store drops the registration of an upstream that is gone after three
+missed reports, each of which is due after more than a second."""
 
 MAX_DEPARTED_RUNS = 16_384
 """Limit of the runs that are remembered as leaving, the oldest of which are forgotten;
@@ -54,7 +59,8 @@
     name : UpstreamId
         Id, which may stay the same after a restart.
     incarnation : int
-        Start time in Unix milliseconds; 0 if unknown.
+        Start time in Unix milliseconds; 0 if unknown. It identifies a run. It does not
+        order runs, as the clock of the upstream's host may be set back between them.
     service : ServiceId
         Service to which it belongs.
     host : str
@@ -101,6 +107,19 @@
     sequence: int
 
 
+class _Doubt(NamedTuple):
+    """What the store holds, though a run that seems to be later is known."""
+
+    position: StorePosition
+    entry: Upstream
+    believed_at: float
+
+    @property
+    def heeded_until(self) -> float:
+        """Time from which on only an outage of the store leaves it in doubt."""
+        return self.believed_at + OUTAGE_SECONDS
+
+
 @dataclass(frozen=True, slots=True)
 class RemovalGrace:
     """For how long a VM still keeps the upstreams that its list does not contain.
@@ -132,8 +151,14 @@
     grace period, as the word of an outage takes a moment.
 
     A run that leaves never accepts requests again, whoever said so and whatever is read
-    later: a report that an upstream sent before may reach the store after it. A report
-    of an earlier run does not replace a later one either.
+    later: a report that an upstream sent before may reach the store after it.
+
+    The store orders the runs of an upstream. A report of a run that seems to have
+    started before the known one, or that the known one has replaced, may be a late one,
+    which the known run's next report replaces, or that of a new run whose clock was set
+    back. It is believed once the store has held it for `CONFIRMATION_SECONDS`. Until
+    then the known run gets requests, unless the report says that it drains or names
+    another software version.
 
     A store that comes back from an older copy lacks what was registered since, which is
     kept like the entries that lapse in an outage, and lists again what was removed
@@ -167,6 +192,9 @@
         # Until when a removal is believed rather than a restored store.
         self._unconfirmed_until: dict[UpstreamId, float] = {}
         self._removals: dict[UpstreamId, _Removal] = {}
+        self._doubts: dict[UpstreamId, _Doubt] = {}
+        # The run before the known one.
+        self._replaced: dict[UpstreamId, UpstreamRun] = {}
         self._version_counts: defaultdict[ServiceId, Counter[SoftwareVersion]]
         self._version_counts = defaultdict(Counter)
         # Runs that leave, in the order in which that was learned.
@@ -224,7 +252,8 @@
             if (entry := self._lapse(now, name, now + removals.left_s(name)))
         ]
         for changed, entry in listed.values():
-            if self._is_superseded(entry):
+            if self._is_doubtful(entry):
+                self._doubt(now, changed, entry)
                 continue
             unconfirmed_until = self._unconfirmed_until.get(entry.name)
             if is_restored and self._was_removed(changed, entry):
@@ -247,23 +276,35 @@
         self.loaded = True
         return tuple(removed)
 
-    def update(self, position: StorePosition, entry: Upstream) -> bool:
+    def update(self, now: float, position: StorePosition, entry: Upstream) -> bool:
         """Add or replace an entry; return False if the change is known already.
 
         A change from before the removal of an entry does not add it again, nor does a
         report that was sent before and reached the store after it.
+
+        Parameters
+        ----------
+        now : float
+            Current time, seconds.
+        position : StorePosition
+            Place of the change.
+        entry : Upstream
+            The upstream as registered then.
         """
         removal = self._removals.get(entry.name)
         known_position = max(
             self._listed_position,
-            self._positions.get(entry.name, START_OF_HISTORY),
+            self._last_position(entry.name),
             removal.position if removal is not None else START_OF_HISTORY,
         )
-        if position <= known_position or self._is_superseded(entry):
+        if position <= known_position:
             return False
         if removal is not None and _is_late_report(removal, entry):
             return False
-        self._store(position, entry)
+        if self._is_doubtful(entry):
+            self._doubt(now, position, entry)
+        else:
+            self._store(position, entry)
         self.position = max(self.position, position)
         return True
 
@@ -293,7 +334,7 @@
             if this VM read it.
         """
         self.position = max(self.position, position)
-        last_position = self._positions.get(name, START_OF_HISTORY)
+        last_position = self._last_position(name)
         if position.revision and position < last_position:
             return False
         self._remember_removal(now, max(position, last_position), name)
@@ -323,7 +364,7 @@
         entry = self._entries.get(run.upstream)
         if entry is None or entry.run != run:
             return
-        if position < self._positions[run.upstream]:
+        if position < self._last_position(run.upstream):
             return
         self._remember_removal(now, position, run.upstream)
         self._lapse(now, run.upstream, use_ends_at)
@@ -373,7 +414,11 @@
         return max(0.0, self._list_grace_end - now)
 
     def expire(self, now: float) -> tuple[Upstream, ...]:
-        """Remove and return the lapsed entries that were not renewed in time."""
+        """Remove and return the lapsed entries that were not renewed in time.
+
+        Reports that the store has held for long are believed.
+        """
+        self._believe(now)
         expired = [
             name for name, deadline in self._lapse_deadlines.items() if deadline <= now
         ]
@@ -397,7 +442,9 @@
             self._forget_results()
         if not self._usable:
             deadlines = chain(
-                self._lapse_deadlines.values(), self._unconfirmed_until.values()
+                self._lapse_deadlines.values(),
+                self._unconfirmed_until.values(),
+                (doubt.heeded_until for doubt in self._doubts.values()),
             )
             self._usable_until = min(
                 (deadline for deadline in deadlines if deadline > now), default=math.inf
@@ -421,9 +468,26 @@
         return (
             entry.state is UpstreamState.DRAINING
             or entry.run in self._departed
+            or self._may_have_ended(now, entry)
             or self._lapse_deadlines.get(entry.name, math.inf) <= now
         )
 
+    def _may_have_ended(self, now: float, entry: Upstream) -> bool:
+        """Return whether requests could reach another run that must not get them."""
+        doubt = self._doubts.get(entry.name)
+        return (
+            doubt is not None
+            and now < doubt.heeded_until
+            and (
+                doubt.entry.state is UpstreamState.DRAINING
+                or doubt.entry.version != entry.version
+            )
+        )
+
+    def is_in_doubt(self, name: UpstreamId) -> bool:
+        """Return whether the last report of an upstream may be an earlier run's."""
+        return name in self._doubts
+
     def is_unconfirmed(self, now: float, entry: Upstream) -> bool:
         """Return whether only a restored store holds a registration that had ended."""
         return self._unconfirmed_until.get(entry.name, -math.inf) > now
@@ -506,15 +570,54 @@
             and removal.incarnation in (None, entry.incarnation)
         )
 
-    def _is_superseded(self, entry: Upstream) -> bool:
-        """Return whether a later run of an upstream is known."""
+    def _is_doubtful(self, entry: Upstream) -> bool:
+        """Return whether a run that seems to be later is known and not removed."""
         known = self._entries.get(entry.name)
         return (
             known is not None
             and known.service == entry.service
-            and 0 < entry.incarnation < known.incarnation
+            and entry.name not in self._lapse_deadlines
+            and entry.incarnation > 0
+            and (
+                entry.incarnation < known.incarnation
+                or entry.run == self._replaced.get(entry.name)
+            )
         )
 
+    def _doubt(self, now: float, position: StorePosition, entry: Upstream) -> None:
+        doubt = self._forget_doubt(entry.name)
+        believed_at = now + CONFIRMATION_SECONDS
+        if doubt is not None and doubt.entry.run == entry.run:
+            believed_at = doubt.believed_at
+        self._doubts[entry.name] = _Doubt(position, entry, believed_at)
+        self._count_version(entry, 1)
+
+    def _forget_doubt(self, name: UpstreamId) -> _Doubt | None:
+        doubt = self._doubts.pop(name, None)
+        if doubt is not None:
+            self._count_version(doubt.entry, -1)
+        self._forget_results()
+        return doubt
+
+    def _believe(self, now: float) -> None:
+        """Believe the reports that no other has replaced since, as far as is known.
+
+        After an outage, the reports of the known runs may still be missing.
+        """
+        if not self._doubts or self._freshness.may_lack_registrations(now):
+            return
+        complete_until = min(now, self._freshness.current_until)
+        for doubt in list(self._doubts.values()):
+            if doubt.believed_at <= complete_until:
+                self._store(doubt.position, doubt.entry)
+
+    def _last_position(self, name: UpstreamId) -> StorePosition:
+        """Return the place of the last known report of an upstream."""
+        doubt = self._doubts.get(name)
+        if doubt is not None:
+            return doubt.position
+        return self._positions.get(name, START_OF_HISTORY)
+
     def _forget_results(self) -> None:
         self._usable.clear()
         self._leaving = None
@@ -529,15 +632,14 @@
         known = self._entries.get(entry.name)
         # Runs without a start time can't be told apart, and another writer may have
         # stored an entry of another service under this name.
-        if (
-            entry.state is UpstreamState.DRAINING
-            and entry.incarnation
-            and (known is None or known.service == entry.service)
-        ):
+        is_own = known is None or known.service == entry.service
+        if entry.state is UpstreamState.DRAINING and entry.incarnation and is_own:
             self.on_leaving(entry.run)
-        self._forget_results()
+        self._forget_doubt(entry.name)
         if known is not None:
             self._count_version(known, -1)
+            if known.run != entry.run and entry.incarnation and is_own:
+                self._replaced[entry.name] = known.run
         self._count_version(entry, 1)
         self._entries[entry.name] = entry
         self._positions[entry.name] = position
@@ -548,6 +650,7 @@
         entry = self._entries.get(name)
         if entry is None:
             return None
+        self._forget_doubt(name)
         if entry.state is UpstreamState.READY and deadline > now:
             self._forget_results()
             known = self._lapse_deadlines.get(name, deadline)
@@ -559,7 +662,8 @@
         return self._drop(name)
 
     def _drop(self, name: UpstreamId) -> Upstream:
-        self._forget_results()
+        self._forget_doubt(name)
+        self._replaced.pop(name, None)
         self._positions.pop(name, None)
         entry = self._entries.pop(name)
         self._count_version(entry, -1)
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -380,7 +380,7 @@
             return
         entry = result.unwrap()
         self._detect_restart(entry)
-        if not self._view.directory.update(record.position, entry):
+        if not self._view.directory.update(instant, record.position, entry):
             return
         self._upstream_records.put(record)
         self._log.info(
@@ -390,6 +390,7 @@
             service=entry.service,
             version=entry.version,
             revision=record.revision,
+            in_doubt=self._view.directory.is_in_doubt(entry.name),
         )
 
     def _detect_restart(self, entry: Upstream) -> None:
--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -131,6 +131,8 @@
         Whether it then sends the first event of a stream that ends with the connection.
     restart_seconds : float
         Time after a crash at which it runs again, at the same address.
+    clock_ahead_ms : int
+        How far the clock of its host is ahead at its next start; negative if behind.
     on_restart : callable
         Called with this upstream after a restart.
     crashed_at : list of float
@@ -155,6 +157,7 @@
         self.crashing_path: str | None = None
         self.begins_before_crash = False
         self.restart_seconds = 1.0
+        self.clock_ahead_ms = 0
         self.on_restart: Callable[[ModelEngine], None] = lambda engine: None
         self.crashed_at: list[float] = []
         self._ip = ip
@@ -215,7 +218,7 @@
         self.limit = None
         self.is_leaving = False
         self.queued_behaviours = []
-        self.started_at_ms = int(time.time() * 1000)
+        self.started_at_ms = int(time.time() * 1000) + self.clock_ahead_ms
         self.start()
         self.on_restart(self)
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -51,7 +51,7 @@
 
 
 def test_draining_upstream_is_not_usable(directory):
-    directory.update(at(11), make_upstream("u1", UpstreamState.DRAINING))
+    directory.update(0.0, at(11), make_upstream("u1", UpstreamState.DRAINING))
     assert usable_names(directory, 0.0) == {"u2"}
 
 
@@ -80,18 +80,18 @@
 def test_entry_renewed_after_the_outage_is_kept(directory, freshness):
     freshness.on_read(6.0, 6.0)
     directory.replace(6.1, at(12), with_revision(make_upstream("u2")))
-    directory.update(at(13), make_upstream("u1"))
+    directory.update(0.0, at(13), make_upstream("u1"))
     directory.expire(20.0)
     assert usable_names(directory, 20.0) == {"u1", "u2"}
 
 
 def test_draining_entry_is_removed_immediately_in_an_outage(directory):
-    directory.update(at(11), make_upstream("u1", UpstreamState.DRAINING))
+    directory.update(0.0, at(11), make_upstream("u1", UpstreamState.DRAINING))
     assert directory.remove(5.0, at(12), UpstreamId("u1"))
 
 
 def test_older_list_does_not_undo_newer_changes(directory):
-    directory.update(at(15), make_upstream("u3"))
+    directory.update(0.0, at(15), make_upstream("u3"))
     directory.replace(1.0, at(12), with_revision(make_upstream("u1")))
     assert usable_names(directory, 1.0) == {"u1", "u2", "u3"}
 
@@ -100,12 +100,12 @@
     directory.replace(
         1.0, at(20), with_revision(make_upstream("u1", UpstreamState.DRAINING))
     )
-    assert not directory.update(at(15), make_upstream("u1"))
+    assert not directory.update(0.0, at(15), make_upstream("u1"))
     assert usable_names(directory, 1.0) == set()
 
 
 def test_removal_of_an_older_incarnation_keeps_the_newer(directory):
-    directory.update(at(15), make_upstream("u1", incarnation=2))
+    directory.update(0.0, at(15), make_upstream("u1", incarnation=2))
     assert not directory.remove(1.0, at(12), UpstreamId("u1"))
     assert "u1" in usable_names(directory, 1.0)
 
@@ -128,7 +128,7 @@
 
 def test_revision_is_that_of_the_newest_known_change(directory):
     assert directory.position == at(9)
-    directory.update(at(12), make_upstream("u3"))
+    directory.update(0.0, at(12), make_upstream("u3"))
     directory.remove(1.0, at(14), UpstreamId("u3"))
     assert directory.position == at(14)
 
@@ -141,14 +141,16 @@
 
 def test_registration_at_a_revision_given_out_again_is_read(directory):
     restored(directory, 1.0, make_upstream("u1"), make_upstream("u2"))
-    assert directory.update(at(7, era=1), make_upstream("u3"))
+    assert directory.update(0.0, at(7, era=1), make_upstream("u3"))
     assert directory.position == at(7, era=1)
     assert usable_names(directory, 1.0) == {"u1", "u2", "u3"}
 
 
 def test_late_answer_of_the_era_before_changes_nothing(directory):
     restored(directory, 1.0, make_upstream("u1"), make_upstream("u2"))
-    assert not directory.update(at(30), make_upstream("u1", UpstreamState.DRAINING))
+    assert not directory.update(
+        0.0, at(30), make_upstream("u1", UpstreamState.DRAINING)
+    )
     assert not directory.remove(1.0, at(31), UpstreamId("u2"))
     assert directory.replace(1.0, at(32), []) == ()
     assert usable_names(directory, 1.0) == {"u1", "u2"}
@@ -181,7 +183,7 @@
 ):
     directory.remove(1.0, at(11), UpstreamId("u2"))
     restored(directory, 2.0, make_upstream("u1"), make_upstream("u2"))
-    directory.update(at(9, era=1), make_upstream("u2", incarnation=incarnation))
+    directory.update(0.0, at(9, era=1), make_upstream("u2", incarnation=incarnation))
     assert usable_names(directory, 2.0) == {"u1", "u2"}
 
 
@@ -203,7 +205,7 @@
 
 
 def test_leaving_is_not_taken_back_by_a_restored_store(directory):
-    directory.update(at(11), make_upstream("u2", UpstreamState.DRAINING))
+    directory.update(0.0, at(11), make_upstream("u2", UpstreamState.DRAINING))
     restored(directory, 2.0, make_upstream("u1"), make_upstream("u2"))
     assert usable_names(directory, 2.0 + CONFIRMATION_SECONDS) == {"u1"}
 
--- a/tests/test_eligibility.py
+++ b/tests/test_eligibility.py
@@ -45,7 +45,7 @@
     assert eligibility.eligible(1e6, SERVICE, REQUEST) == [SECOND]
     assert eligibility.refusal(1e6, FIRST.run, REQUEST) is Refusal.LEAVING
     reborn = replace(FIRST, incarnation=2)
-    directory.update(at(3), reborn)
+    directory.update(0.0, at(3), reborn)
     assert eligibility.eligible(0.0, SERVICE, REQUEST) == [reborn, SECOND]
     assert eligibility.refusal(0.0, reborn.run, REQUEST) is None
     assert eligibility.refusal(0.0, FIRST.run, REQUEST) is Refusal.NOT_REGISTERED
@@ -104,7 +104,7 @@
         """Write an entry to the store, and read it."""
         self.revision += 1
         self.written.append((at(self.revision), upstream))
-        self.directory.update(at(self.revision), upstream)
+        self.directory.update(self.now, at(self.revision), upstream)
 
     def start(self, name):
         """Start a run of an upstream."""
@@ -137,7 +137,7 @@
 
     def replay(self, name):
         """Read an old change again."""
-        self.directory.update(*self.rng.choice(self.written))
+        self.directory.update(self.now, *self.rng.choice(self.written))
 
     def report_late(self, name):
         """Let an earlier report reach the store only now."""
@@ -252,7 +252,7 @@
 
 def test_stream_goes_on_at_its_version_alone(eligibility):
     other = replace(SECOND, version=SoftwareVersion("v2"))
-    eligibility.directory.update(at(3), other)
+    eligibility.directory.update(0.0, at(3), other)
     for version, expected in (("v1", [FIRST]), ("v2", [other]), ("", []), ("v3", [])):
         stream = Requirements(REQUEST.suspects, SoftwareVersion(version))
         assert eligibility.eligible(0.0, SERVICE, stream) == expected
@@ -264,6 +264,6 @@
 
 def test_stream_of_an_upstream_without_a_version_goes_on_nowhere(eligibility):
     unknown = replace(FIRST, version=UNKNOWN_VERSION)
-    eligibility.directory.update(at(3), unknown)
+    eligibility.directory.update(0.0, at(3), unknown)
     stream = Requirements(REQUEST.suspects, unknown.version)
     assert eligibility.eligible(0.0, SERVICE, stream) == []
--- a/tests/test_registrations.py
+++ b/tests/test_registrations.py
@@ -129,7 +129,7 @@
     directory.replace(0.0, at(1), [(at(1), unknown)])
     directory.on_leaving(unknown.run)
     directory.remove(0.0, at(2), unknown.name)
-    directory.update(at(3), unknown)
+    directory.update(0.0, at(3), unknown)
     assert eligibility.eligible(0.0, unknown.service, REQUEST) == [unknown]
 
 
@@ -360,7 +360,7 @@
     """Asked where the transport asks, in the callback of a change."""
     exchanges = make_exchanges(*"abcdef")
     for sender, state in exchanges.values():
-        state.view.directory.update(at(1), make_upstream())
+        state.view.directory.update(0.0, at(1), make_upstream())
         digest = sender.next_digests(0.0)[0].message
         for receiver, _ in exchanges.values():
             receiver.receive(0.0, digest)
@@ -389,7 +389,7 @@
     runs = set()
     for number in range(100):
         upstream = make_upstream(f"e{number:03}")
-        state.view.directory.update(at(number + 1), upstream)
+        state.view.directory.update(0.0, at(number + 1), upstream)
         runs.add(upstream.run)
         state.record_leaving(LeavingReport(upstream.run, LeavingSource.RESPONSE, "a"))
     announced = set()
--- a/tests/test_telling.py
+++ b/tests/test_telling.py
@@ -215,7 +215,7 @@
 
 
 def register(state, upstream, revision=1):
-    state.view.directory.update(at(revision), upstream)
+    state.view.directory.update(0.0, at(revision), upstream)
 
 
 def test_leaving_upstream_is_urgent_until_it_is_sent(
