Send no chunks to callers with HTTP/1.0, and reset their cut answers

An answer to HTTP/1.0 whose length isn't known ends with its connection now, also if the caller asked to keep it (RFC 9112, 6.1 and 6.3). From its head on, the connection ends with a reset, whoever closes it, also the kernel of a killed gateway; only when the whole answer has been handed to the kernel does it end in good order. A caller that reads slowly keeps its time; one that stops reading sees a reset.

A caller that reads slowly got its whole answer before and gets it now.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -3,6 +3,8 @@
 import asyncio
 import functools
 import math
+import socket
+import struct
 from collections import deque
 from collections.abc import Callable, Coroutine, Hashable
 from dataclasses import dataclass, field
@@ -32,6 +34,10 @@
 UNSENT_TIMEOUT_SECONDS = 10.0
 """Longest time for which a closing connection sends nothing of what is left."""
 
+_NO_LINGER = struct.pack("ii", 0, 0)
+_ZERO_LINGER = struct.pack("ii", 1, 0)
+"""Makes a close reset the connection, also that of a killed process."""
+
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -55,6 +61,8 @@
         Clock time in seconds at which the first byte was read.
     is_body_read : bool
         Whether the body was kept; False if there was no memory for it.
+    reads_chunks : bool
+        Whether its answer may be sent in chunks; False for HTTP/1.0.
     """
 
     method: bytes
@@ -65,6 +73,7 @@
     keep_alive: bool
     began_at: float = 0.0
     is_body_read: bool = True
+    reads_chunks: bool = True
 
     def header(self, name: bytes) -> bytes | None:
         """Return the value of a header; None when it is absent or repeated."""
@@ -98,7 +107,9 @@
         self._conn = conn
         self._keep_alive = req.keep_alive
         self._is_head = req.method == b"HEAD"
+        self._reads_chunks = req.reads_chunks
         self._chunked = False
+        self._ends_by_close = False
         self.started = False
         self.finished = False
 
@@ -121,15 +132,19 @@
         headers : list of tuple
             Header fields without framing.
         length : int or None
-            Length of the body in bytes; a body of unknown length is sent in chunks.
+            Length of the body in bytes; a body of unknown length is sent in chunks,
+            or ends with the connection. Only `finish` lets that end in good order.
         """
-        self._chunked = length is None
-        framing = (
-            (b"transfer-encoding", b"chunked")
-            if length is None
-            else (b"content-length", b"%d" % length)
-        )
-        self._conn.write(self._head(status, [*headers, framing]))
+        fields = [*headers]
+        if length is not None:
+            fields.append((b"content-length", b"%d" % length))
+        elif self._reads_chunks:
+            self._chunked = True
+            fields.append((b"transfer-encoding", b"chunked"))
+        else:
+            self._ends_by_close, self._keep_alive = True, False
+            self._conn.reset_on_close()
+        self._conn.write(self._head(status, fields))
 
     def write(self, data: bytes) -> None:
         """Write a part of the body."""
@@ -141,6 +156,8 @@
         """Mark the body as complete."""
         if self._chunked:
             self._conn.write(b"0\r\n\r\n")
+        if self._ends_by_close:
+            self._conn.end_when_sent()
         self._finish()
 
     def caller_has_left(self) -> bool:
@@ -225,6 +242,7 @@
         self._unsent_timer: asyncio.TimerHandle | None = None
         self._writable: asyncio.Future[None] | None = None
         self._reading_paused = False
+        self._is_ending = False
         self._overhead = OverheadMeter(handler.limits().header_bytes + READ_BYTES)
         self.closed = False
 
@@ -282,6 +300,8 @@
 
     def resume_writing(self) -> None:
         """Let `drain` return."""
+        if self._is_ending and not self.closed:
+            self._set_linger(_NO_LINGER)
         waiter, self._writable = self._writable, None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
@@ -296,6 +316,26 @@
         if not self.closed:
             self._transport.write(data)
 
+    def reset_on_close(self) -> None:
+        """Let the connection end with a reset."""
+        if not self._is_closing():
+            self._set_linger(_ZERO_LINGER)
+
+    def end_when_sent(self) -> None:
+        """Let the connection end in good order once all bytes are sent."""
+        if self._is_closing():
+            return
+        self._is_ending = True
+        if self._transport.get_write_buffer_size():
+            # `resume_writing` is called when nothing is left.
+            self._transport.set_write_buffer_limits(0)
+        else:
+            self._set_linger(_NO_LINGER)
+
+    def _set_linger(self, linger: bytes) -> None:
+        sock = self._transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def close(self) -> None:
         """Close after the write buffer was sent, or if the caller stops reading."""
         if not self.closed:
@@ -448,6 +488,7 @@
             keep_alive=self._parser.should_keep_alive(),
             began_at=partial.began_at,
             is_body_read=partial.is_body_read,
+            reads_chunks=self._parser.get_http_version() not in ("0.9", "1.0"),
         )
         self._queue.append(req)
         if not self._is_busy:
--- a/tests/contract/test_caller_connections.py
+++ b/tests/contract/test_caller_connections.py
@@ -18,6 +18,8 @@
 from oleandershift.routing import Limits
 
 LARGE_BODY = b"x" * (16 << 20)
+STREAMS = {b"/stream": (b"one", b"two"), b"/large-stream": (LARGE_BODY,)}
+LARGE_STREAM_REQUEST = b"GET /large-stream HTTP/1.0\r\nHost: h\r\n\r\n"
 UNSENT_SECONDS = 0.3
 LIMITS = Limits(
     header_bytes=2000, body_bytes=1000, header_timeout_ms=200, idle_timeout_ms=400
@@ -59,10 +61,10 @@
         if req.target == b"/large":
             res.send(200, [], LARGE_BODY)
             return
-        if req.target == b"/stream":
+        if req.target in STREAMS:
             res.start(200, [])
-            res.write(b"one")
-            res.write(b"two")
+            for part in STREAMS[req.target]:
+                res.write(part)
             res.finish()
             return
         res.send(200, [(b"x-target", req.target)], req.body)
@@ -282,7 +284,7 @@
     assert len(echo.requests) == count
 
 
-def unread_response(handler, read, run):
+def unread_response(handler, read, run, request=None):
     """Ask for a large response, close it with `read(caller)`, and return its result.
 
     Also returns whether the connection has ended.
@@ -296,7 +298,7 @@
         )
         address = server.sockets[0].getsockname()
         with socket.create_connection(address, 5.0) as caller:
-            caller.sendall(post(b"/large"))
+            caller.sendall(request or post(b"/large"))
             result = await asyncio.to_thread(read, caller)
             await asyncio.sleep(0.05)
             has_ended = not connections
@@ -345,6 +347,40 @@
     assert has_ended
 
 
+@RUNS
+def test_caller_with_http_1_0_that_reads_slowly_gets_its_whole_response(
+    echo, short_unsent_timeout, run
+):
+    def read_slowly(caller):
+        size = 0
+        while data := caller.recv(len(LARGE_BODY) // 20):
+            size += len(data)
+            time.sleep(UNSENT_SECONDS / 6)
+        return size
+
+    size, has_ended = unread_response(echo, read_slowly, run, LARGE_STREAM_REQUEST)
+    assert size > len(LARGE_BODY)
+    assert has_ended
+
+
+@RUNS
+def test_response_that_was_not_all_sent_is_not_complete_to_http_1_0(
+    echo, short_unsent_timeout, run
+):
+    def read_late(caller):
+        time.sleep(4 * UNSENT_SECONDS)
+        with pytest.raises(ConnectionResetError):
+            read_all(caller)
+
+    _, has_ended = unread_response(echo, read_late, run, LARGE_STREAM_REQUEST)
+    assert has_ended
+
+
+def read_all(caller):
+    while caller.recv(1 << 20):
+        pass
+
+
 BODY_BUDGET_BYTES = 250
 
 
