Send no interim response to callers with HTTP/1.0

RFC 9110, 10.1.1: the expectation of HTTP/1.0 is ignored.

Evidence: test_caller_with_http_1_0_gets_no_interim_response failed before.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -251,6 +251,11 @@
         """Return whether no request is being read or handled."""
         return not self._is_busy and self._partial is None and not self._queue
 
+    @property
+    def _is_http_1_1(self) -> bool:
+        """Whether the request has chunks and interim responses."""
+        return self._parser.get_http_version() not in ("0.9", "1.0")
+
     @property
     def _is_busy(self) -> bool:
         """Whether a request waits for its turn or is being handled."""
@@ -433,6 +438,7 @@
         if (
             expectations
             and expectations[0].lower() == b"100-continue"
+            and self._is_http_1_1
             and not self._is_busy
         ):
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -488,7 +494,7 @@
             keep_alive=self._parser.should_keep_alive(),
             began_at=partial.began_at,
             is_body_read=partial.is_body_read,
-            reads_chunks=self._parser.get_http_version() not in ("0.9", "1.0"),
+            reads_chunks=self._is_http_1_1,
         )
         self._queue.append(req)
         if not self._is_busy:
--- a/tests/contract/test_gateway_stream_sockets.py
+++ b/tests/contract/test_gateway_stream_sockets.py
@@ -134,3 +134,13 @@
     play(script, calls)
     ((received, is_reset),) = results
     assert is_reset or received.endswith(EVENTS[2])
+
+
+def test_caller_with_http_1_0_gets_no_interim_response(play, vm_settings):
+    head, _, _ = old_answer(
+        play,
+        vm_settings,
+        lambda *args: (stream(args[0]), End.KEEP),
+        extra=("Expect: 100-continue",),
+    )
+    assert b" 200 " in head.split(b"\r\n")[0]
