Carry words over only to a run that has replaced the one before

The limit that an upstream had named was gone at a VM that read a late report of an earlier run, so that the VM sent more than its part until an answer named the limit again. What a new run whose clock was set back had named did not hold for it once its report was believed.

Cause: a restart was detected from what was read, before the directory decided whether that replaces the known run. A late report counted as a restart, the belief in one that had been in doubt as none.

Change: the directory says when a run has replaced another.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter, defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from itertools import chain
@@ -179,6 +179,8 @@
         Place in the store's history of the newest known change.
     loaded : bool
         Whether a complete list has been received.
+    on_restart : callable
+        Called with two runs of an upstream when the second has replaced the first.
     """
 
     def __init__(
@@ -209,6 +211,9 @@
         self._listed_position = START_OF_HISTORY
         self._list_grace_end = -math.inf
         self.loaded = False
+        self.on_restart: Callable[[UpstreamRun, UpstreamRun], None] = (
+            lambda previous, run: None
+        )
 
     def replace(
         self,
@@ -645,6 +650,8 @@
         self._positions[entry.name] = position
         self._lapse_deadlines.pop(entry.name, None)
         self._unconfirmed_until.pop(entry.name, None)
+        if known is not None and known.run != entry.run:
+            self.on_restart(known.run, entry.run)
 
     def _lapse(self, now: float, name: UpstreamId, deadline: float) -> Upstream | None:
         entry = self._entries.get(name)
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from oleandershift.digests import SnapshotRequest, StoreSnapshot
-from oleandershift.directory import RemovalGrace, Upstream, UpstreamRun
+from oleandershift.directory import RemovalGrace, UpstreamRun
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import UpstreamId
 from oleandershift.io.clock import now
@@ -53,7 +53,7 @@
         metrics: GatewayMetrics,
     ) -> None:
         self._view = view
-        self._on_restart = on_restart
+        view.directory.on_restart = on_restart
         self._log = log
         self._metrics = metrics
         self._feeds: list[Feed] = []
@@ -322,7 +322,6 @@
                 self._log.warning("upstream.rejected", why=str(result.failure()))
                 continue
             entry = result.unwrap()
-            self._detect_restart(entry)
             listed.append((record.position, entry))
         directory.replace(instant, position, listed, removals)
         self._upstream_records.replace(position, records)
@@ -379,7 +378,6 @@
             self._remove_upstream(instant, record.name, record.position, read_position)
             return
         entry = result.unwrap()
-        self._detect_restart(entry)
         if not self._view.directory.update(instant, record.position, entry):
             return
         self._upstream_records.put(record)
@@ -393,11 +391,6 @@
             in_doubt=self._view.directory.is_in_doubt(entry.name),
         )
 
-    def _detect_restart(self, entry: Upstream) -> None:
-        previous = self._view.directory.get(entry.name)
-        if previous is not None and previous.run != entry.run:
-            self._on_restart(previous.run, entry.run)
-
 
 def _removal_grace(snapshot: StoreSnapshot) -> RemovalGrace | None:
     """Return how long the sender of a whole snapshot keeps what it lacks, if known."""
