--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -3,7 +3,7 @@
 import http.client
 import itertools
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -32,8 +32,7 @@
 region = "{zone}"
 portRange = [7400, 7415]
 [zones]
-one = "one"
-two = "two"
+{zones}
 [listen]
 frontend = "{ip}:7301"
 readiness = "{ip}:7302"
@@ -209,6 +208,7 @@
     gateways: list[Gateway] = field(default_factory=list)
     upstream_proxies: dict[str, Proxy] = field(default_factory=dict)
     max_fds: int = 4096
+    zones: tuple[str, ...] = ("one", "two")
 
     def add_engine(
         self, name: str, service: str = "model", pause_seconds: float = 0.01
@@ -230,7 +230,12 @@
         proxy.start()
         store = f"127.0.0.1:{proxy.port}"
         settings = SETTINGS.format(
-            name=name, ip=ip, zone=zone, store=store, max_fds=self.max_fds
+            name=name,
+            ip=ip,
+            zone=zone,
+            zones="\n".join(f'{item} = "{item}"' for item in self.zones),
+            store=store,
+            max_fds=self.max_fds,
         )
         path.write_text(settings)
         process = ChildProcess(
@@ -263,18 +268,36 @@
 
 @contextmanager
 def running_fleet(
-    folder: Path, gateways: int = 1, engines: int = 2, max_fds: int = 4096
+    folder: Path,
+    gateways: int = 1,
+    engines: int = 2,
+    max_fds: int = 4096,
+    spec: object = None,
+    places: Sequence[str] = (),
 ) -> Iterator[GatewayFleet]:
-    """Run a fleet and yield it when all its gateways are ready."""
+    """Run a fleet and yield it when all its gateways are ready.
+
+    Parameters
+    ----------
+    folder : Path
+        Where logs are kept.
+    gateways, engines, max_fds : int
+        Number of gateways and upstreams, and descriptors of each gateway.
+    spec : object
+        First configuration, in place of the default one.
+    places : sequence of str
+        Data centre of each gateway, in place of `gateways`.
+    """
     store = MetaStore()
     store.start()
-    fleet = GatewayFleet(folder, store, max_fds=max_fds)
+    zones = tuple(dict.fromkeys(places)) or ("one", "two")
+    fleet = GatewayFleet(folder, store, max_fds=max_fds, zones=zones)
     try:
-        store.put("config", "main", configuration(1))
+        store.put("config", "main", configuration(1) if spec is None else spec)
         for number in range(engines):
             fleet.add_engine(f"e{number + 1}")
-        for _ in range(gateways):
-            fleet.add_gateway()
+        for place in places or ["one"] * gateways:
+            fleet.add_gateway(place)
         for gateway in fleet.gateways:
             wait_until(gateway.is_ready, f"{gateway.name} is ready")
         yield fleet
--- a/standins/gateway_soak.py
+++ b/standins/gateway_soak.py
@@ -13,27 +13,18 @@
 import threading
 import time
 from collections import Counter
-from collections.abc import Iterator, Sequence
-from contextlib import contextmanager
+from collections.abc import Sequence
+from enum import Enum
 from pathlib import Path
 
-from standins.behaviours import ERROR_STREAMS, Behaviour
-from standins.gateway_fleet import (
-    Gateway,
-    GatewayFleet,
-    call_on,
-    configuration,
-    running_fleet,
-)
-from standins.metastore import StoreMode
+from standins.coldroute import run_coldroute
+from standins.gateway_fleet import Gateway, GatewayFleet, call_on, running_fleet
 from standins.proxy import Proxy
-from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
+from standins.soak_faults import FaultInjector
 from standins.soak_judge import (
     CRASHING_PART,
     CRASHING_PATH,
     DEADLINE_SECONDS,
-    MAX_FREEZE_SECONDS,
-    STORE,
     GatewayCall,
     SoakHistory,
     find_violations,
@@ -55,20 +46,6 @@
 CRASHING_FRACTION = 0.01
 """Fraction of the streams whose prompt has a part that crashes upstreams."""
 
-REPORT_LAPSE_SECONDS = 3.6
-"""Time without a report after which the store drops a registration."""
-
-MISCONDUCTS = [
-    item
-    for item in Behaviour
-    if item is not Behaviour.ANSWER and item not in ERROR_STREAMS
-]
-"""Responses to requests that resume no stream. One of `ERROR_STREAMS` would be the
-upstream's own complete answer to these, and is passed on."""
-
-CATCH_UP_SECONDS = 4.0
-"""Time after a disturbance in which a gateway may still know too little."""
-
 
 class _Callers:
     """Threads that call gateways on persistent connections."""
@@ -169,158 +146,6 @@
     }
 
 
-class _FaultInjector:
-    """Injector of random faults, reproducible by its seed.
-
-    The names of the fault methods are the labels of the printed fault counts.
-    """
-
-    def __init__(
-        self,
-        fleet: GatewayFleet,
-        proxies: dict[str, Proxy],
-        history: SoakHistory,
-        rng: random.Random,
-    ) -> None:
-        self._fleet = fleet
-        self._proxies = proxies
-        self._history = history
-        self._rng = rng
-        self._version = 1
-        self.injected: Counter[str] = Counter()
-        self._injections = (
-            self._freeze,
-            self._kill,
-            self._stop,
-            self._hang_up,
-            self._misconduct,
-            self._link,
-            self._store,
-            self._store_link,
-            self._forget,
-            self._configure,
-            self._restore,
-        )
-
-    def run(self, until: float) -> None:
-        """Inject faults, up to three at a time, until a monotonic time."""
-        running: list[threading.Thread] = []
-        while time.monotonic() < until:
-            running = [thread for thread in running if thread.is_alive()]
-            if len(running) < 3:
-                inject = self._rng.choice(self._injections)
-                self.injected[inject.__name__.strip("_")] += 1
-                thread = threading.Thread(target=inject, daemon=True)
-                thread.start()
-                running.append(thread)
-            time.sleep(self._rng.uniform(0.1, 0.6))
-        for thread in running:
-            thread.join()
-
-    def _freeze(self) -> None:
-        gateway = self._rng.choice(self._fleet.gateways)
-        with self._disturbance(gateway.name), self._interruption(gateway.name):
-            gateway.process.freeze()
-            time.sleep(self._rng.uniform(0.1, MAX_FREEZE_SECONDS))
-            gateway.process.thaw()
-
-    def _kill(self) -> None:
-        gateway = self._rng.choice(self._fleet.gateways)
-        with self._disturbance(gateway.name), self._interruption(gateway.name):
-            gateway.process.kill()
-            gateway.process.start()
-
-    def _stop(self) -> None:
-        gateway = self._rng.choice(self._fleet.gateways)
-        process = gateway.process
-        with self._interruption(gateway.name):
-            process.terminate()
-            if process.wait(9.0) is None:
-                process.kill()
-            if not process.is_running():
-                process.start()
-
-    def _hang_up(self) -> None:
-        import signal
-
-        self._rng.choice(self._fleet.gateways).process.signal(signal.SIGHUP)
-
-    def _misconduct(self) -> None:
-        engine = self._rng.choice(list(self._fleet.engines.values()))
-        engine.queued_behaviours = self._rng.choices(MISCONDUCTS, k=5)
-        engine.resumed_behaviour = self._rng.choice([None, *ERROR_STREAMS])
-
-    def _link(self) -> None:
-        name = self._rng.choice(list(self._proxies))
-        with self._interruption(name):
-            self._disturb_link(self._proxies[name])
-
-    def _store_link(self) -> None:
-        gateway = self._rng.choice(self._fleet.gateways)
-        with self._disturbance(gateway.name):
-            self._disturb_link(gateway.store_proxy)
-
-    def _disturb_link(self, proxy: Proxy) -> None:
-        stage = self._rng.choice(list(CutStage))
-        style = self._rng.choice(list(CutStyle))
-        mode = self._rng.choice(list(ProxyMode))
-        proxy.set_faults(ProxyFaults(mode=mode, stage=stage, style=style))
-        time.sleep(self._rng.uniform(0.1, 1.0))
-        proxy.set_faults(ProxyFaults())
-
-    def _store(self) -> None:
-        modes = list(StoreMode)[1:]
-        with self._disturbance(STORE):
-            self._fleet.store.set_mode(self._rng.choice(modes))
-            time.sleep(self._rng.uniform(0.2, 2.0))
-            self._fleet.store.set_mode(StoreMode.SERVE)
-
-    def _forget(self) -> None:
-        self._fleet.store.forget_history()
-
-    def _restore(self) -> None:
-        """Let the store come back from a copy that is up to two seconds old.
-
-        The operator and the upstreams write again what was lost. The registrations of
-        upstreams that are gone lapse anew.
-        """
-        store = self._fleet.store
-        copy = store.copy()
-        time.sleep(self._rng.uniform(0.0, 2.0))
-        with self._disturbance(STORE):
-            store.set_mode(StoreMode.RESET)
-            time.sleep(self._rng.uniform(0.1, 1.5))
-            returned = store.restore(copy, rewritten_kinds=("config", "servers"))
-            store.set_mode(StoreMode.SERVE)
-        time.sleep(REPORT_LAPSE_SECONDS)
-        objects = store.copy().objects
-        for key in returned:
-            if key in objects and objects[key]["spec"] == copy.objects[key]["spec"]:
-                store.delete(*key)
-
-    def _configure(self) -> None:
-        self._version += self._rng.randint(1, 5)
-        self._fleet.store.put("config", "main", configuration(self._version))
-
-    @contextmanager
-    def _disturbance(self, name: str) -> Iterator[None]:
-        """Record a disturbance of a gateway or the store, and the catch-up."""
-        started_at = time.monotonic()
-        yield
-        self._history.disturbances.setdefault(name, []).append(
-            (started_at, time.monotonic() + CATCH_UP_SECONDS)
-        )
-
-    @contextmanager
-    def _interruption(self, name: str) -> Iterator[None]:
-        """Record the interval in which a gateway, or a link, is interrupted."""
-        started_at = time.monotonic()
-        yield
-        self._history.interruptions.setdefault(name, []).append(
-            (started_at, time.monotonic())
-        )
-
-
 def run(seed: int, seconds: float, folder: Path, gateways: int = 3) -> list[str]:
     """Run a soak test, print its statuses and faults, and return the violations."""
     history = SoakHistory()
@@ -340,7 +165,7 @@
             engine.on_restart = upstreams.register
             upstreams.register(engine)
         callers = _Callers(fleet, history, seed)
-        injector = _FaultInjector(fleet, proxies, history, rng)
+        injector = FaultInjector(fleet, proxies, history, rng)
         until = time.monotonic() + seconds
         changing = threading.Thread(target=upstreams.run, args=(until,), daemon=True)
         callers.start()
@@ -366,18 +191,30 @@
     return find_violations(history)
 
 
+class Preset(Enum):
+    """Fleet that is played."""
+
+    SMALL = "small"
+    COLDROUTE = "dcfa-coldroute"
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Run soak tests with consecutive seeds."""
     parser = argparse.ArgumentParser("standins.gateway_soak", description=__doc__)
+    parser.add_argument("--preset", type=Preset, default=Preset.SMALL)
     parser.add_argument("--seed", type=int, default=1, help="first seed")
     parser.add_argument("--runs", type=int, default=1, help="number of seeds")
     parser.add_argument("--seconds", type=float, default=10.0, help="of each run")
-    parser.add_argument("--gateways", type=int, default=3, help="processes")
+    parser.add_argument("--gateways", type=int, default=3, help="of the small fleet")
+    parser.add_argument("--logs", type=Path, help="where folders of logs are made")
     cfg = parser.parse_args(argv)
     failed = 0
     for seed in range(cfg.seed, cfg.seed + cfg.runs):
-        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-        violations = run(seed, cfg.seconds, folder, cfg.gateways)
+        folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=cfg.logs))
+        if cfg.preset is Preset.COLDROUTE:
+            violations = run_coldroute(seed, cfg.seconds, folder)
+        else:
+            violations = run(seed, cfg.seconds, folder, cfg.gateways)
         for violation in violations:
             print(f"seed {seed}: {violation} (logs in {folder})")
         failed += bool(violations)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -95,7 +95,10 @@
         self.was_cut = True
         if self._selector.faults_for(self.number).style is CutStyle.FINISH:
             self._close()
-            return
+        else:
+            self._reset()
+
+    def _reset(self) -> None:
         self.closed.set()
         for conn in self._sockets():
             abort_socket(conn)
@@ -127,6 +130,10 @@
             self._wait_while_held(direction)
             if not self.closed.is_set():
                 sink.shutdown(socket.SHUT_WR)
+        except ConnectionResetError:
+            # A close in good order would look like the end of an answer.
+            if not self.closed.is_set():
+                self._reset()
         except OSError:
             if not self.closed.is_set():
                 self._close()
--- a/standins/soak_judge.py
+++ b/standins/soak_judge.py
@@ -106,6 +106,8 @@
     interruptions : dict
         Start and end of the intervals in which a gateway was frozen or restarted, or
         the link to an upstream disturbed, by name of the gateway or upstream.
+    killed_at : dict
+        Monotonic times of the kills of each gateway, by its name.
     """
 
     calls: list[GatewayCall] = field(default_factory=list)
@@ -116,6 +118,7 @@
     removed_at: dict[Run, float] = field(default_factory=dict)
     received: dict[str, list[ReceivedRequest]] = field(default_factory=dict)
     interruptions: dict[str, list[Interval]] = field(default_factory=dict)
+    killed_at: dict[str, list[float]] = field(default_factory=dict)
 
     def was_interrupted(self, name: str, start: float, end: float) -> bool:
         """Return whether a gateway or link was interrupted within an interval."""
