--- a/standins/coldroute.py
+++ b/standins/coldroute.py
@@ -5,6 +5,7 @@
 are those of the sheet.
 """
 
+import math
 import random
 import threading
 import time
@@ -26,7 +27,13 @@
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 from standins.soak_faults import FaultInjector
 from standins.soak_judge import SoakHistory
-from standins.soak_streams import WireCall, WireHistory, find_faults, whole_events
+from standins.soak_streams import (
+    OLD_PROTOCOL,
+    WireCall,
+    WireHistory,
+    find_faults,
+    whole_events,
+)
 from standins.soak_versions import (
     VersionGauges,
     VersionHistory,
@@ -42,14 +49,18 @@
 PLACES = ("south-a",) * 3 + ("north-a",) * 2 + ("northwest-a",) * 2
 MODELS, DESK = "assistant-pool", "hire-desk"
 TEAMS = 16
-CALLERS = 40
-CALLS_A_SECOND = 40.0
+CALLERS = 60
+CALLS_A_SECOND = 60.0
 """Of all kinds together; the sheet has 210."""
 
 SLOW_FRACTION = 0.05
 OLD_PROTOCOL_FRACTION = 0.05
 LARGE_FRACTION = 0.05
 LARGE_PADDING = 6000
+LEAVE_FRACTION = 0.04
+"""Fraction of the calls that their callers leave on the way."""
+
+MAX_LEFT_BYTES = 6000
 MAX_TAKE_UPS = 3
 PROBE_PAUSE_SECONDS = 0.1
 PROBED_VERSIONS = 3
@@ -281,7 +292,7 @@
         self._serial += 1
         attempt_id = f"{self._name}-{self._serial}"
         work = self._draw_work(kind, attempt_id)
-        protocol = "HTTP/1.0" if rng.random() < OLD_PROTOCOL_FRACTION else "HTTP/1.1"
+        protocol = OLD_PROTOCOL if rng.random() < OLD_PROTOCOL_FRACTION else "HTTP/1.1"
         call = self._call(kind, work, attempt_id, protocol)
         resumes = attempt_id
         for number in range(MAX_TAKE_UPS):
@@ -296,7 +307,8 @@
 
     def _is_broken(self, call: WireCall) -> bool:
         answer = call.answer
-        is_open = call.is_resumable and answer.ending is not Ending.NOTHING
+        gave_up = answer.ending in (Ending.NOTHING, Ending.LATE, Ending.LEFT)
+        is_open = call.is_resumable and not gave_up
         return is_open and answer.status == 200 and not answer.is_complete
 
     def _draw_work(self, kind: Kind, attempt_id: str) -> Work:
@@ -339,11 +351,19 @@
         is_lookup = kind.type == "idempotent"
         body = b"" if is_lookup else msgspec.json.encode(work)
         method = "GET" if is_lookup else "POST"
+        leaves = self._rng.random() < LEAVE_FRACTION
+        wanted_bytes = self._rng.uniform(0, MAX_LEFT_BYTES) if leaves else math.inf
         unasked = self._conn.unasked_bytes()
         sent_at = time.monotonic()
         try:
             answer = self._conn.call(
-                method, kind.path + "x", fields, body, patience + 0.5, protocol
+                method,
+                kind.path + "x",
+                fields,
+                body,
+                patience + 0.5,
+                protocol,
+                wanted_bytes,
             )
         except BadAnswerError as exc:
             unasked += str(exc).encode()
@@ -363,7 +383,7 @@
             protocol,
         )
         self._history.calls.append(call)
-        if not _is_kept(answer) or protocol == "HTTP/1.0":
+        if not _is_kept(answer) or protocol == OLD_PROTOCOL:
             self.close()
         return call
 
--- a/standins/soak_streams.py
+++ b/standins/soak_streams.py
@@ -18,6 +18,7 @@
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) \d+/(\d+) x*\Z")
 SEPARATOR = b"\n\n"
+OLD_PROTOCOL = "HTTP/1.0"
 KILL_SEEN_SECONDS = 0.5
 """Time after the kill of a gateway in which its callers see their connections end."""
 
@@ -48,6 +49,7 @@
     SEAL = "a success without a seal"
     STATUS = "another status than the upstream's"
     UNASKED_BYTES = "bytes without a request"
+    CHUNKS = "chunks for a caller that knows none"
     EXECUTED_TWICE = "executed twice"
     REFUSED = "refused, and executed"
     STATED = "stated by its upstream's close"
@@ -176,6 +178,9 @@
     answer = call.answer
     if call.unasked:
         yield _finding(Fault.UNASKED_BYTES, call, repr(call.unasked[:60]))
+    is_old = call.protocol == OLD_PROTOCOL
+    if is_old and answer.headers.get("transfer-encoding"):
+        yield _finding(Fault.CHUNKS, call, f"status {answer.status}")
     if answer.status == 200 and not answer.seal:
         yield _finding(Fault.SEAL, call, f"body {answer.body[:60]!r}")
     if not answer.seal:
--- a/standins/wireanswers.py
+++ b/standins/wireanswers.py
@@ -39,6 +39,21 @@
     RESET = "rst"
 
 
+class Extra(Enum):
+    """Bytes after an answer, on a connection that is kept: a second one, or an event.
+
+    They may come late, where the next answer is due.
+    """
+
+    NONE = "none"
+    ANSWER = "answer"
+    SAME_ANSWER = "same-answer"
+    EVENT = "event"
+
+
+EXTRAS = (Extra.ANSWER, Extra.SAME_ANSWER, Extra.EVENT)
+
+
 @dataclass(frozen=True)
 class AnswerStyle:
     """Form of one answer.
@@ -57,8 +72,8 @@
         Whether a chunked answer that is cut has a last chunk all the same.
     says_close : bool
         Whether the head announces the connection's end.
-    has_extra : bool
-        Whether another answer follows on a connection that is kept.
+    extra : Extra
+        What else comes on a connection that is kept.
     """
 
     framing: Framing
@@ -67,7 +82,7 @@
     cut_fraction: float | None = None
     has_false_end: bool = False
     says_close: bool = False
-    has_extra: bool = False
+    extra: Extra = Extra.NONE
 
     @property
     def is_stated_end(self) -> bool:
@@ -87,6 +102,7 @@
         close = rng.choices((Close.FINISH, Close.HALF, Close.RESET), (3, 1, 1))[0]
     if framing is Framing.CLOSE and cut_fraction is None and close is Close.RESET:
         close = Close.FINISH
+    may_have_extra = close is Close.KEEP and rng.random() < EXTRA_FRACTION
     return AnswerStyle(
         framing,
         split,
@@ -94,7 +110,7 @@
         cut_fraction,
         has_false_end=cut_fraction is not None and rng.random() < 0.2,
         says_close=close is not Close.KEEP and rng.random() < 0.7,
-        has_extra=close is Close.KEEP and rng.random() < EXTRA_FRACTION,
+        extra=rng.choice(EXTRAS) if may_have_extra else Extra.NONE,
     )
 
 
--- a/standins/wirecaller.py
+++ b/standins/wirecaller.py
@@ -1,6 +1,7 @@
 """Caller on a socket, which keeps the bytes of an answer and how it ended."""
 
 import contextlib
+import math
 import socket
 import time
 from dataclasses import dataclass
@@ -18,7 +19,7 @@
     `STATED` by its length or last chunk, `CLOSED` by the end of a connection without
     any of them, in good order; both look complete. `CUT` by the connection's end before
     the end that its framing states, `RESET` by a reset, `LATE` when the caller's
-    patience ended, and `NOTHING` before a whole head.
+    patience ended, `LEFT` when it left, and `NOTHING` before a whole head.
     """
 
     STATED = "stated"
@@ -26,12 +27,17 @@
     CUT = "cut"
     RESET = "reset"
     LATE = "late"
+    LEFT = "left"
     NOTHING = "nothing"
 
 
 COMPLETE_ENDINGS = (Ending.STATED, Ending.CLOSED)
 
 
+class _LeftError(Exception):
+    """The caller wants no more."""
+
+
 class BadAnswerError(Exception):
     """Bytes that are no answer in the protocol."""
 
@@ -81,6 +87,8 @@
         self._conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._is_slow = is_slow
         self._buffer = b""
+        self._wanted_bytes = math.inf
+        self._received_bytes = 0
 
     def close(self) -> None:
         """Close the connection."""
@@ -101,8 +109,9 @@
         body: bytes,
         patience_seconds: float,
         protocol: str = "HTTP/1.1",
+        wanted_bytes: float = math.inf,
     ) -> WireAnswer:
-        """Send a request and read its answer to the end."""
+        """Send a request and read its answer to the end, or so much of its body."""
         late_at = time.monotonic() + patience_seconds
         fields = {**headers, "Content-Length": str(len(body))}
         lines = [f"{method} {path} {protocol}"]
@@ -112,6 +121,7 @@
             self._conn.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
         except OSError:
             return WireAnswer(0, {}, b"", Ending.NOTHING, time.monotonic())
+        self._wanted_bytes, self._received_bytes = wanted_bytes, 0
         return self._read_answer(late_at)
 
     def _read_answer(self, late_at: float) -> WireAnswer:
@@ -125,6 +135,8 @@
             ending = Ending.LATE
         except EOFError:
             ending = Ending.CUT
+        except _LeftError:
+            ending = Ending.LEFT
         except OSError:
             ending = Ending.RESET
         if status < 200:
@@ -201,6 +213,8 @@
         OSError
             If it was reset, or the caller's patience ends.
         """
+        if self._received_bytes >= self._wanted_bytes:
+            raise _LeftError
         left = late_at - time.monotonic()
         if left <= 0:
             raise TimeoutError
@@ -211,3 +225,4 @@
         if not data:
             raise EOFError
         self._buffer += data
+        self._received_bytes += len(data)
--- a/standins/wirefleet.py
+++ b/standins/wirefleet.py
@@ -25,7 +25,7 @@
 
 MAX_CLOCK_STEP_SECONDS = 3600.0
 MIN_STAYING = 2
-MAX_CHANGES_AT_ONCE = 2
+MAX_CHANGES_AT_ONCE = 3
 
 
 class WireProcess:
@@ -151,6 +151,7 @@
         self.proxies: dict[str, Proxy] = {}
         self.drawn: Counter[str] = Counter()
         self._changes: tuple[Callable[[WireProcess], None], ...] = (
+            self._kill_and_return,
             self._kill_and_return,
             self._kill_and_return,
             self._kill_and_step_clock_back,
--- a/standins/wireupstream.py
+++ b/standins/wireupstream.py
@@ -20,6 +20,7 @@
 from standins.wireanswers import (
     LAST_CHUNK,
     Close,
+    Extra,
     Framing,
     Split,
     draw_style,
@@ -32,6 +33,10 @@
 IDLE_SECONDS = 10.0
 PLAIN_SECONDS = 0.045
 HALF_CLOSED_SECONDS = 2.0
+MAX_EXTRA_SECONDS = 0.3
+MAX_PART_SECONDS = 0.05
+"""Longest pause between the parts of a plain answer."""
+
 LEAVE_FRACTION = 0.3
 """Fraction of the connections kept that end while they are idle."""
 
@@ -267,8 +272,9 @@
                 continue
             self._write(waiting)
             waiting = b""
-            if self._work.stream:
-                time.sleep(self._rng.uniform(0.5, 1.5) * pause)
+            is_stream = bool(self._work.stream)
+            rest = pause * 1.5 if is_stream else MAX_PART_SECONDS
+            time.sleep(self._rng.uniform(rest / 3, rest))
         if self._is_ended():
             waiting += LAST_CHUNK
         self._write(waiting)
@@ -311,13 +317,20 @@
 
     def _go_on(self) -> None:
         """Send more after the answer, or leave the connection idle for a short time."""
-        if self._style.has_extra:
-            time.sleep(self._rng.uniform(0.0, 0.05))
-            fields = {"Content-Length": "5", "Oleandershift-Attempt-Id": "another"}
-            self._conn.sendall(head(200, fields) + b"other")
+        if self._style.extra is not Extra.NONE:
+            time.sleep(self._rng.uniform(0.0, MAX_EXTRA_SECONDS))
+            self._conn.sendall(self._extra())
         if self._rng.random() < LEAVE_FRACTION:
             self._conn.settimeout(self._rng.uniform(0.01, 0.5))
 
+    def _extra(self) -> bytes:
+        if self._style.extra is Extra.EVENT:
+            return event(self._run, self._work, self._first)
+        is_same = self._style.extra is Extra.SAME_ANSWER
+        attempt_id = self._req.attempt_id if is_same else "another"
+        fields = {"Content-Length": "5", "Oleandershift-Response-Seal": "extra"}
+        return head(200, {**fields, "Oleandershift-Attempt-Id": attempt_id}) + b"other"
+
 
 def head(status: int, fields: dict[str, str]) -> bytes:
     """Return the head of an answer."""
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -12,6 +12,17 @@
     SoakHistory,
     find_violations,
 )
+from standins.soak_streams import Fault, WireCall, WireHistory, find_faults
+from standins.soak_versions import (
+    VersionGauges,
+    VersionHistory,
+    VersionProbe,
+    count_older_lives,
+    find_steps_back,
+)
+from standins.wirecaller import Ending, WireAnswer
+from standins.wirerecord import RecordedRun, RunBegun, RunEnd
+from standins.wireupstream import Work, event
 
 
 def response(status, body=b"e1 ran a", whole=True, seconds=0.1):
@@ -252,3 +263,363 @@
 )
 def test_requests_while_an_upstream_is_away_are_allowed(history):
     assert find_violations(history) == []
+
+
+def recorded(run, attempt="a", first=1, last=3, version="v1", end=RunEnd.FINISHED):
+    """Return the record of a run of a stream of three events."""
+    begun = RunBegun(run, attempt, "/s/x", "s", first, 3, version, 200, "", "", 0.0)
+    return RecordedRun(begun, list(range(first, last + 1)), end)
+
+
+def recorded_body(run, body, end=RunEnd.FINISHED, status=200):
+    begun = RunBegun(run, "a", "/p/x", "", 1, 0, "v1", status, body, "", 0.0)
+    return RecordedRun(begun, [], end)
+
+
+def events(run, *numbers, stream="s"):
+    work = Work(stream, 3, 4)
+    return b"".join(event(run, work, number) for number in numbers)
+
+
+def wire_answer(body, ending=Ending.STATED, seal="r1", status=200):
+    fields = {"oleandershift-response-seal": seal} if seal else {}
+    return WireAnswer(status, fields, body, ending, 2.0)
+
+
+def stream_call(body, ending=Ending.STATED, attempt="a", last_event=0, **fields):
+    fields = {"is_resumable": True, "seal": "r1", **fields}
+    answer = wire_answer(body, ending, fields.pop("seal"))
+    return WireCall(
+        attempt, "/s/x", "vm", 1.0, answer, "s", 3, last_event=last_event, **fields
+    )
+
+
+def plain_call(body, ending=Ending.STATED, **fields):
+    return WireCall("a", "/p/x", "vm", 1.0, wire_answer(body, ending, **fields))
+
+
+def wire_history(*items, killed_at=()):
+    """Return a history of calls and records of runs."""
+    calls = [item for item in items if isinstance(item, WireCall)]
+    runs = [item for item in items if isinstance(item, RecordedRun)]
+    by_name = {run.begun.run: run for run in runs}
+    return WireHistory(calls, by_name, {"vm": list(killed_at)})
+
+
+def faults(history):
+    return [item.fault for item in find_faults(history)]
+
+
+BROKEN_STREAM = stream_call(events("r1", 1), Ending.CUT)
+KILLED_AFTER_ONE = recorded("r1", last=1, end=RunEnd.NONE)
+AGAIN = {"attempt": "again", "last_event": 1, "seal": "r2"}
+
+
+@pytest.mark.parametrize(
+    ("fault", "history"),
+    [
+        (
+            Fault.SHORT_PROCESS_ENDED,
+            wire_history(
+                stream_call(events("r1", 1, 2)),
+                recorded("r1", last=2, end=RunEnd.NONE),
+            ),
+        ),
+        (
+            Fault.SHORT_PROCESS_ENDED,
+            wire_history(stream_call(b""), recorded("r1", last=0, end=RunEnd.NONE)),
+        ),
+        (
+            Fault.SHORT_PROCESS_ENDED,
+            wire_history(
+                stream_call(events("r1", 1), Ending.CLOSED, protocol="HTTP/1.0"),
+                KILLED_AFTER_ONE,
+            ),
+        ),
+        (
+            Fault.SHORT_PROCESS_ENDED,
+            wire_history(
+                BROKEN_STREAM,
+                recorded("r1", last=1, end=RunEnd.CUT),
+                stream_call(events("r2", 2), **AGAIN),
+                recorded("r2", "again", 2, 2, end=RunEnd.NONE),
+            ),
+        ),
+        (
+            Fault.SHORT_CUT,
+            wire_history(
+                stream_call(events("r1", 1, 2)), recorded("r1", end=RunEnd.CUT)
+            ),
+        ),
+        (
+            Fault.SHORT_CUT,
+            wire_history(
+                stream_call(events("r1", 1)), recorded("r1", last=2, end=RunEnd.STATED)
+            ),
+        ),
+        (
+            Fault.SHORT_GONE,
+            wire_history(
+                stream_call(events("r1", 1, 2)), recorded("r1", end=RunEnd.GONE)
+            ),
+        ),
+        (
+            Fault.SHORT_FINISHED,
+            wire_history(stream_call(events("r1", 1, 2)), recorded("r1")),
+        ),
+        (Fault.SHORT_UNKNOWN, wire_history(stream_call(b"", seal="r9"))),
+        (
+            Fault.MISSING,
+            wire_history(stream_call(events("r1", 1, 3)), recorded("r1")),
+        ),
+        (
+            Fault.MISSING,
+            wire_history(stream_call(events("r1", 3)), recorded("r1")),
+        ),
+        (
+            Fault.MISSING,
+            wire_history(stream_call(events("r1", 1, 3), Ending.CUT), recorded("r1")),
+        ),
+        (
+            Fault.TWICE,
+            wire_history(stream_call(events("r1", 1, 2, 2, 3)), recorded("r1")),
+        ),
+        (
+            Fault.TWICE,
+            wire_history(
+                BROKEN_STREAM,
+                KILLED_AFTER_ONE,
+                stream_call(events("r2", 1, 2, 3), **AGAIN),
+                recorded("r2", "again"),
+            ),
+        ),
+        (
+            Fault.JOINED,
+            wire_history(
+                stream_call(events("r1", 1) + events("r2", 2, 3)),
+                recorded("r1"),
+                recorded("r2"),
+            ),
+        ),
+        (
+            Fault.JOINED,
+            wire_history(
+                stream_call(events("r1", 1) + events("r2", 2, 3), is_resumable=False),
+                KILLED_AFTER_ONE,
+                recorded("r2", first=2),
+            ),
+        ),
+        (
+            Fault.VERSIONS,
+            wire_history(
+                stream_call(events("r1", 1) + events("r2", 2, 3)),
+                KILLED_AFTER_ONE,
+                recorded("r2", first=2, version="v2"),
+            ),
+        ),
+        (
+            Fault.VERSIONS,
+            wire_history(
+                BROKEN_STREAM,
+                KILLED_AFTER_ONE,
+                stream_call(events("r2", 2, 3), **AGAIN),
+                recorded("r2", "again", 2, version="v2"),
+            ),
+        ),
+        (
+            Fault.FOREIGN,
+            wire_history(
+                stream_call(events("r1", 1, 2, 3, stream="t")), recorded("r1")
+            ),
+        ),
+        (
+            Fault.FOREIGN,
+            wire_history(
+                stream_call(events("r2", 1, 2, 3)), recorded("r1"), recorded("r2", "b")
+            ),
+        ),
+        (
+            Fault.FOREIGN,
+            wire_history(stream_call(events("r1", 1, 2, 3)), KILLED_AFTER_ONE),
+        ),
+        (Fault.FOREIGN, wire_history(stream_call(b"", Ending.CUT))),
+        (
+            Fault.GARBLED,
+            wire_history(stream_call(events("r1", 1, 2, 3) + b"id: 4"), recorded("r1")),
+        ),
+        (
+            Fault.GARBLED,
+            wire_history(stream_call(b"other\n\n", Ending.CUT), recorded("r1")),
+        ),
+        (
+            Fault.SHORT_PROCESS_ENDED,
+            wire_history(plain_call(b"bo"), recorded_body("r1", "body", RunEnd.NONE)),
+        ),
+        (
+            Fault.SHORT_FINISHED,
+            wire_history(plain_call(b"bo"), recorded_body("r1", "body")),
+        ),
+        (Fault.BODY, wire_history(plain_call(b"else"), recorded_body("r1", "body"))),
+        (Fault.SEAL, wire_history(plain_call(b"body", seal=""))),
+        (
+            Fault.STATUS,
+            wire_history(plain_call(b"body"), recorded_body("r1", "body", status=500)),
+        ),
+        (
+            Fault.UNASKED_BYTES,
+            wire_history(stream_call(b"", Ending.CUT, unasked=b"x"), KILLED_AFTER_ONE),
+        ),
+        (
+            Fault.EXECUTED_TWICE,
+            wire_history(
+                stream_call(events("r1", 1, 2, 3), is_resumable=False),
+                recorded("r1"),
+                recorded("r2"),
+            ),
+        ),
+        (
+            Fault.REFUSED,
+            wire_history(
+                plain_call(b"", seal="", status=503), recorded_body("r1", "body")
+            ),
+        ),
+    ],
+)
+def test_each_fault_of_an_answer_is_found(fault, history):
+    found = [item for item in find_faults(history) if item.is_counted]
+    assert fault in [item.fault for item in found]
+
+
+def test_chunks_for_a_caller_with_the_old_protocol_are_found():
+    answer = WireAnswer(200, {"transfer-encoding": "chunked"}, b"", Ending.CUT, 2.0)
+    call = WireCall("a", "/s/x", "vm", 1.0, answer, protocol="HTTP/1.0")
+    assert Fault.CHUNKS in faults(wire_history(call))
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        wire_history(stream_call(events("r1", 1, 2, 3)), recorded("r1")),
+        wire_history(
+            stream_call(events("r1", 1, 2, 3)), recorded("r1", end=RunEnd.NONE)
+        ),
+        wire_history(BROKEN_STREAM, KILLED_AFTER_ONE),
+        wire_history(
+            stream_call(events("r1", 1, 2)[:-4], Ending.RESET), recorded("r1")
+        ),
+        wire_history(
+            stream_call(events("r1", 1) + events("r2", 2, 3)),
+            KILLED_AFTER_ONE,
+            recorded("r2", first=2),
+        ),
+        wire_history(
+            BROKEN_STREAM,
+            KILLED_AFTER_ONE,
+            stream_call(events("r2", 2, 3), **AGAIN),
+            recorded("r2", "again", 2),
+        ),
+        wire_history(plain_call(b"body"), recorded_body("r1", "body")),
+        wire_history(
+            plain_call(b"bo", Ending.CUT), recorded_body("r1", "body", RunEnd.NONE)
+        ),
+        wire_history(plain_call(b"no", seal="", status=503)),
+    ],
+    ids=[
+        "whole",
+        "whole before its upstream ended",
+        "broken",
+        "broken within an event",
+        "resumed by the gateway",
+        "taken up",
+        "plain",
+        "plain and broken",
+        "refused",
+    ],
+)
+def test_sound_answers_have_no_fault(history):
+    assert faults(history) == []
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        wire_history(
+            stream_call(events("r1", 1)), recorded("r1", last=1, end=RunEnd.STATED)
+        ),
+        wire_history(plain_call(b"bo"), recorded_body("r1", "body", RunEnd.STATED)),
+    ],
+)
+def test_end_that_a_live_upstream_states_does_not_count(history):
+    assert faults(history) == [Fault.STATED]
+    assert not any(item.is_counted for item in find_faults(history))
+
+
+@pytest.mark.parametrize(
+    ("ending", "killed_at", "expected"),
+    [
+        (Ending.CLOSED, 1.9, Fault.GATEWAY_ENDED),
+        (Ending.CLOSED, 0.4, Fault.SHORT_FINISHED),
+        (Ending.STATED, 1.9, Fault.SHORT_FINISHED),
+    ],
+    ids=["its kernel closed", "killed before", "ended by a length"],
+)
+def test_only_the_kill_of_a_gateway_excuses_an_end_without_framing(
+    ending, killed_at, expected
+):
+    call = stream_call(events("r1", 1), ending, protocol="HTTP/1.0")
+    history = wire_history(call, recorded("r1"), killed_at=[killed_at])
+    assert faults(history) == [expected]
+
+
+def probe(version, status, sent_at, pid=1):
+    return VersionProbe(("vm", pid), version, status, sent_at, sent_at)
+
+
+def gauges(version, revision=1, pid=1, era=1):
+    return VersionGauges(("vm", pid), 1.0, version, revision, era)
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        VersionHistory([probe(2, 200, 1.0), probe(2, 404, 1.3)]),
+        VersionHistory([probe(5, 200, 1.0), probe(2, 404, 1.3)]),
+        VersionHistory([], [gauges(2), gauges(1)]),
+        VersionHistory([], [gauges(2, 5), gauges(2, 4)]),
+    ],
+    ids=["route gone", "older route gone", "version", "revision"],
+)
+def test_number_that_goes_back_is_found(history):
+    assert len(find_steps_back(history)) == 1
+
+
+@pytest.mark.parametrize(
+    "history",
+    [
+        VersionHistory([probe(2, 404, 1.0), probe(2, 200, 1.3)]),
+        VersionHistory([probe(2, 200, 1.0), probe(2, 404, 1.2)]),
+        VersionHistory([probe(2, 200, 1.0), probe(5, 404, 1.3)]),
+        VersionHistory([probe(2, 200, 1.0), probe(2, 503, 1.3)]),
+        VersionHistory([probe(2, 200, 1.0), probe(2, 404, 1.3, pid=2)]),
+        VersionHistory([], [gauges(2), gauges(1, pid=2)]),
+        VersionHistory([], [gauges(2, 5), gauges(2, 4, era=2)]),
+        VersionHistory([], [gauges(2, 5), gauges(3, 5)]),
+    ],
+    ids=[
+        "not yet there",
+        "at once",
+        "newer route",
+        "refused",
+        "another process asked",
+        "another process",
+        "another store",
+        "forward",
+    ],
+)
+def test_number_that_may_be_lower_is_no_step_back(history):
+    assert find_steps_back(history) == []
+
+
+def test_process_with_an_older_version_than_the_one_before_is_counted():
+    history = VersionHistory([], [gauges(2), gauges(1, pid=2), gauges(3, pid=3)])
+    assert count_older_lives(history) == 1
