--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -43,10 +43,17 @@
         How links are cut.
     pause_seconds : tuple of float
         Shortest and longest pause between faults.
+    max_freeze_seconds, max_store_seconds : float
+        Longest freeze of a gateway and trouble of the store.
+    max_down_seconds : float
+        Longest time until a killed gateway starts again.
     """
 
     cut_styles: tuple[CutStyle, ...] = tuple(CutStyle)
     pause_seconds = (0.1, 0.6)
+    max_freeze_seconds = MAX_FREEZE_SECONDS
+    max_store_seconds = 2.0
+    max_down_seconds = 0.0
 
     def __init__(
         self,
@@ -94,13 +101,17 @@
         gateway = self._rng.choice(self._fleet.gateways)
         with self._disturbance(gateway.name), self._interruption(gateway.name):
             gateway.process.freeze()
-            time.sleep(self._rng.uniform(0.1, MAX_FREEZE_SECONDS))
+            time.sleep(self._rng.uniform(0.1, self.max_freeze_seconds))
             gateway.process.thaw()
 
     def _kill(self) -> None:
-        gateway = self._rng.choice(self._fleet.gateways)
+        self._kill_gateway(self._rng.choice(self._fleet.gateways))
+
+    def _kill_gateway(self, gateway: Gateway) -> None:
         with self._disturbance(gateway.name), self._interruption(gateway.name):
             self._end(gateway)
+            if self.max_down_seconds and self._rng.random() < 0.5:
+                time.sleep(self._rng.uniform(0.0, self.max_down_seconds))
             gateway.process.start()
 
     def _stop(self) -> None:
@@ -149,7 +160,7 @@
         modes = list(StoreMode)[1:]
         with self._disturbance(STORE):
             self._fleet.store.set_mode(self._rng.choice(modes))
-            time.sleep(self._rng.uniform(0.2, 2.0))
+            time.sleep(self._rng.uniform(0.2, self.max_store_seconds))
             self._fleet.store.set_mode(StoreMode.SERVE)
 
     def _forget(self) -> None:
--- a/standins/soak_versions.py
+++ b/standins/soak_versions.py
@@ -73,11 +73,12 @@
 def count_older_lives(history: VersionHistory) -> int:
     """Return how many processes began with an older version than the one before.
 
-    The rule holds for one life of a process, so that they don't count.
+    The rule holds for one life of a process, so that they don't count. Version 0 is
+    that of a process that knows none yet.
     """
     newest: dict[str, tuple[int, int]] = {}
     older = 0
-    for item in history.gauges:
+    for item in (item for item in history.gauges if item.version):
         name, pid = item.life
         last_pid, last_version = newest.get(name, (pid, 0))
         older += pid != last_pid and item.version < last_version
--- a/standins/wirefleet.py
+++ b/standins/wirefleet.py
@@ -1,13 +1,15 @@
 """Upstream processes of a fleet: started, killed, replaced, registered in the store."""
 
 import itertools
+import math
 import random
 import socket
 import threading
 import time
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass
 from pathlib import Path
 
 from standins.gateway_fleet import wait_until
@@ -28,6 +30,35 @@
 MAX_CHANGES_AT_ONCE = 3
 
 
+IDLE_LIFE_SECONDS = 3.0
+
+
+@dataclass
+class WireLife:
+    """A life of an upstream while it serves.
+
+    Parameters
+    ----------
+    name : str
+        Instance id.
+    number : int
+        Number of the life, from 1.
+    version : str
+        Software version.
+    is_set_back : bool
+        Whether its clock is behind that of an earlier life.
+    registered_at, ended_at : float
+        Monotonic times between which it was registered and undisturbed.
+    """
+
+    name: str
+    number: int
+    version: str
+    is_set_back: bool
+    registered_at: float
+    ended_at: float
+
+
 class WireProcess:
     """One upstream, at one address, in its lives one after the other.
 
@@ -135,6 +166,8 @@
         Links that can be disturbed, by name of the upstream.
     drawn : Counter
         Number of changes by kind.
+    lives : list of WireLife
+        Lives that were registered.
     """
 
     versions = ("v1", "v2")
@@ -150,6 +183,7 @@
         self._serving: list[WireProcess] = []
         self.proxies: dict[str, Proxy] = {}
         self.drawn: Counter[str] = Counter()
+        self.lives: list[WireLife] = []
         self._changes: tuple[Callable[[WireProcess], None], ...] = (
             self._kill_and_return,
             self._kill_and_return,
@@ -195,6 +229,16 @@
         for thread in threads:
             thread.join()
 
+    def idle_lives(self, busy: Collection[tuple[str, int]]) -> list[WireLife]:
+        """Return the lives that were registered for long and have run nothing."""
+        now = time.monotonic()
+        return [
+            life
+            for life in self.lives
+            if min(life.ended_at, now) - life.registered_at > IDLE_LIFE_SECONDS
+            and (life.name, life.number) not in busy
+        ]
+
     def stop(self) -> None:
         """End all processes."""
         stop_all([item.process for item in self._all if item.process], 0.2)
@@ -224,6 +268,7 @@
             if item is not None:
                 item.is_busy = True
                 self._serving.remove(item)
+                self._end_life(item)
         yield item
         if item is not None:
             with self._lock:
@@ -306,3 +351,12 @@
 
     def _register(self, item: WireProcess) -> None:
         self._store.put("servers", item.name, item.entry("ready"))
+        now, is_set_back = time.monotonic(), item.clock_step_ms < 0
+        life = WireLife(item.name, item.life, item.version, is_set_back, now, math.inf)
+        with self._lock:
+            self.lives.append(life)
+
+    def _end_life(self, item: WireProcess) -> None:
+        for life in self.lives:
+            if (life.name, life.number) == (item.name, item.life):
+                life.ended_at = time.monotonic()
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -621,5 +621,6 @@
 
 
 def test_process_with_an_older_version_than_the_one_before_is_counted():
-    history = VersionHistory([], [gauges(2), gauges(1, pid=2), gauges(3, pid=3)])
+    lives = [gauges(2), gauges(0, pid=2), gauges(1, pid=2), gauges(3, pid=3)]
+    history = VersionHistory([], lives)
     assert count_older_lives(history) == 1
