--- a/standins/gateway_soak.py
+++ b/standins/gateway_soak.py
@@ -19,6 +19,7 @@
 
 from standins.coldroute import run_coldroute
 from standins.gateway_fleet import Gateway, GatewayFleet, call_on, running_fleet
+from standins.processes import exit_on_signals
 from standins.proxy import Proxy
 from standins.soak_faults import FaultInjector
 from standins.soak_judge import (
@@ -208,6 +209,7 @@
     parser.add_argument("--gateways", type=int, default=3, help="of the small fleet")
     parser.add_argument("--logs", type=Path, help="where folders of logs are made")
     cfg = parser.parse_args(argv)
+    exit_on_signals()
     failed = 0
     for seed in range(cfg.seed, cfg.seed + cfg.runs):
         folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=cfg.logs))
