--- a/standins/soak_streams.py
+++ b/standins/soak_streams.py
@@ -16,7 +16,10 @@
 from standins.wirecaller import Ending, WireAnswer
 from standins.wirerecord import RecordedRun, RunEnd
 
-EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+) \d+/(\d+) x*\Z")
+EVENT = re.compile(
+    rb"(?:oleandershift-weight-versions: \d+\n)?"
+    rb"id: (\d+)\ndata: (\S+) (\S+) \d+/(\d+) x*\Z"
+)
 SEPARATOR = b"\n\n"
 OLD_PROTOCOL = "HTTP/1.0"
 KILL_SEEN_SECONDS = 0.5
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -310,6 +310,7 @@
     return [item.fault for item in find_faults(history)]
 
 
+NEW_WEIGHTS = b"oleandershift-weight-versions: 2\n"
 BROKEN_STREAM = stream_call(events("r1", 1), Ending.CUT)
 KILLED_AFTER_ONE = recorded("r1", last=1, end=RunEnd.NONE)
 AGAIN = {"attempt": "again", "last_event": 1, "seal": "r2"}
@@ -503,6 +504,7 @@
         wire_history(
             stream_call(events("r1", 1, 2, 3)), recorded("r1", end=RunEnd.NONE)
         ),
+        wire_history(stream_call(NEW_WEIGHTS + events("r1", 1, 2, 3)), recorded("r1")),
         wire_history(BROKEN_STREAM, KILLED_AFTER_ONE),
         wire_history(
             stream_call(events("r1", 1, 2)[:-4], Ending.RESET), recorded("r1")
@@ -527,6 +529,7 @@
     ids=[
         "whole",
         "whole before its upstream ended",
+        "new weights",
         "broken",
         "broken within an event",
         "resumed by the gateway",
