Log what the soak does to its fleet, with the gateways' times

A finding could be traced to the gateways' lines only, not to the kill, release or trouble of the store before it. `faults.jsonl` and `upstreams.jsonl` beside the logs say what was done to whom, with wall and monotonic time, and what was registered.

--- a/standins/coldroute.py
+++ b/standins/coldroute.py
@@ -75,6 +75,7 @@
         with self._writing:
             super()._configure()
             self._versions.append(self._version)
+            self._log.write("configured", version=self._version)
 
     def _configure_and_kill(self) -> None:
         """Kill a gateway right after a change, before it is known everywhere."""
@@ -91,6 +92,7 @@
             after_bytes=self._rng.randrange(4000),
         )
         proxy.set_faults(faults)
+        self._log.write("link", mode=faults.mode.value, stage=faults.stage.value)
         time.sleep(self._rng.uniform(0.1, 1.0))
         proxy.set_faults(ProxyFaults())
 
--- a/standins/soak_faults.py
+++ b/standins/soak_faults.py
@@ -14,6 +14,7 @@
 from standins.proxy import Proxy
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 from standins.soak_judge import MAX_FREEZE_SECONDS, STORE, SoakHistory
+from standins.soak_log import SoakLog
 
 REPORT_LAPSE_SECONDS = 3.6
 """Time without a report after which the store drops a registration."""
@@ -63,6 +64,7 @@
         rng: random.Random,
     ) -> None:
         self._fleet = fleet
+        self._log = SoakLog(fleet.folder / "faults.jsonl")
         self._proxies = proxies
         self._history = history
         self._rng = rng
@@ -89,13 +91,16 @@
             running = [thread for thread in running if thread.is_alive()]
             if len(running) < 3:
                 inject = self._rng.choice(self._injections)
-                self.injected[inject.__name__.strip("_")] += 1
+                name = inject.__name__.strip("_")
+                self.injected[name] += 1
+                self._log.write(name)
                 thread = threading.Thread(target=inject, daemon=True)
                 thread.start()
                 running.append(thread)
             time.sleep(self._rng.uniform(*self.pause_seconds))
         for thread in running:
             thread.join()
+        self._log.close()
 
     def _freeze(self) -> None:
         gateway = self._rng.choice(self._fleet.gateways)
@@ -127,6 +132,7 @@
     def _end(self, gateway: Gateway) -> None:
         """Kill a gateway."""
         killed_at = time.monotonic()
+        self._log.write("killed", target=gateway.name)
         self._history.killed_at.setdefault(gateway.name, []).append(killed_at)
         gateway.process.kill()
 
@@ -158,8 +164,10 @@
 
     def _store(self) -> None:
         modes = list(StoreMode)[1:]
+        mode = self._rng.choice(modes)
         with self._disturbance(STORE):
-            self._fleet.store.set_mode(self._rng.choice(modes))
+            self._log.write("store", mode=mode.value)
+            self._fleet.store.set_mode(mode)
             time.sleep(self._rng.uniform(0.2, self.max_store_seconds))
             self._fleet.store.set_mode(StoreMode.SERVE)
 
@@ -197,7 +205,9 @@
     def _disturbance(self, name: str) -> Iterator[None]:
         """Record a disturbance of a gateway or the store, and the catch-up."""
         started_at = time.monotonic()
+        self._log.write("disturbance", target=name)
         yield
+        self._log.write("disturbance.end", target=name)
         self._history.disturbances.setdefault(name, []).append(
             (started_at, time.monotonic() + CATCH_UP_SECONDS)
         )
@@ -206,7 +216,9 @@
     def _interruption(self, name: str) -> Iterator[None]:
         """Record the interval in which a gateway, or a link, is interrupted."""
         started_at = time.monotonic()
+        self._log.write("interruption", target=name)
         yield
+        self._log.write("interruption.end", target=name)
         self._history.interruptions.setdefault(name, []).append(
             (started_at, time.monotonic())
         )
--- a/standins/wirefleet.py
+++ b/standins/wirefleet.py
@@ -17,6 +17,7 @@
 from standins.ports import free_port
 from standins.processes import ChildProcess, stop_all
 from standins.proxy import Proxy
+from standins.soak_log import SoakLog
 
 LAPSE_SECONDS = 3.6
 """Time without a report after which the store drops a registration."""
@@ -175,6 +176,7 @@
     def __init__(self, store: MetaStore, folder: Path, seed: int) -> None:
         self._store = store
         self._folder = folder
+        self._log = SoakLog(folder / "upstreams.jsonl")
         self._seed = f"upstream-{seed}"
         self._rng = random.Random(f"changes-{seed}")
         self._lock = threading.Lock()
@@ -244,13 +246,16 @@
         stop_all([item.process for item in self._all if item.process], 0.2)
         for proxy in self.proxies.values():
             proxy.stop()
+        self._log.close()
 
     def _change_until(self, until: float) -> None:
         while time.monotonic() < until:
             change = self._rng.choice(self._changes)
             with self._chosen() as item:
                 if item is not None:
-                    self.drawn[change.__name__.strip("_")] += 1
+                    name = change.__name__.strip("_")
+                    self.drawn[name] += 1
+                    self._log.write(name, upstream=item.name, life=item.life)
                     change(item)
             time.sleep(self._rng.uniform(0.1, 0.8))
 
@@ -275,27 +280,27 @@
                 item.is_busy = False
 
     def _kill_and_return(self, item: WireProcess) -> None:
-        item.kill()
+        self._end(item)
         time.sleep(self._rng.uniform(0.0, 1.5))
         self._return(item)
 
     def _kill_and_step_clock_back(self, item: WireProcess) -> None:
         """Kill an upstream whose next life begins earlier by its own clock."""
-        item.kill()
+        self._end(item)
         item.clock_step_ms -= int(self._rng.uniform(2.0, MAX_CLOCK_STEP_SECONDS) * 1000)
         time.sleep(self._rng.uniform(0.0, 1.0))
         self._return(item)
 
     def _kill_and_replace(self, item: WireProcess) -> None:
         """Kill an upstream for good; another one begins, and its entry lapses."""
-        item.kill()
+        self._end(item)
         self._successor(item)
         time.sleep(LAPSE_SECONDS)
         self._store.delete("servers", item.name)
 
     def _kill_and_reuse_address(self, item: WireProcess) -> None:
         """Kill an upstream for good; another one begins later at its address."""
-        item.kill()
+        self._end(item)
         time.sleep(REUSE_SECONDS)
         self._successor(item, port=item.port if item.proxy is None else 0)
         time.sleep(LAPSE_SECONDS - REUSE_SECONDS)
@@ -321,11 +326,17 @@
         with self._lock:
             self._serving.append(item)
 
+    def _end(self, item: WireProcess) -> None:
+        """Kill an upstream."""
+        self._log.write("killed", upstream=item.name, life=item.life)
+        item.kill()
+
     def _drain(self, item: WireProcess) -> None:
         """Let an upstream leave, and end it while some streams may still run."""
+        self._log.write("draining", upstream=item.name, life=item.life)
         self._store.put("servers", item.name, item.entry("draining"))
         time.sleep(DRAIN_SECONDS + self._rng.uniform(0.0, 0.5))
-        item.kill()
+        self._end(item)
 
     def _return(self, item: WireProcess) -> None:
         item.start(self._folder, self._seed)
@@ -350,7 +361,9 @@
         return next(other for other in self.versions if other != item.version)
 
     def _register(self, item: WireProcess) -> None:
-        self._store.put("servers", item.name, item.entry("ready"))
+        entry = item.entry("ready")
+        self._log.write("registered", upstream=item.name, life=item.life, entry=entry)
+        self._store.put("servers", item.name, entry)
         now, is_set_back = time.monotonic(), item.clock_step_ms < 0
         life = WireLife(item.name, item.life, item.version, is_set_back, now, math.inf)
         with self._lock:
