Let the soak's links refuse connections while their upstream is gone

A proxy accepted connections for an upstream that had been killed, which no link does; a gateway that connects to find out whether its upstream lives was told that it does.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -223,13 +223,24 @@
 
     def stop(self) -> None:
         """Stop accepting connections and cut the open ones."""
+        self.refuse()
+        self.cut_all()
+        self._control.stop()
+
+    def refuse(self) -> None:
+        """Accept no more connections, as if the server had ended."""
         self._closing.set()
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self._thread.join()
-        self.cut_all()
-        self._control.stop()
+
+    def accept_again(self) -> None:
+        """Accept connections again, at the same address."""
+        self._listener = socket.create_server((self.ip, self.port), backlog=1024)
+        self._closing.clear()
+        self._thread = threading.Thread(target=self._accept, daemon=True)
+        self._thread.start()
 
     def set_faults(self, faults: ProxyFaults) -> None:
         """Replace the active faults."""
--- a/standins/wirefleet.py
+++ b/standins/wirefleet.py
@@ -120,10 +120,14 @@
         )
         self.process.start()
         wait_until(self._listens, f"{label} listens")
+        if self.proxy is not None and self.life > 1:
+            self.proxy.accept_again()
 
     def kill(self) -> None:
-        """End the life by SIGKILL."""
+        """End the life by SIGKILL; what stands for its link accepts nothing then."""
         assert self.process is not None
+        if self.proxy is not None:
+            self.proxy.refuse()
         self.process.kill()
 
     def entry(self, state: str) -> dict[str, object]:
