--- a/standins/coldroute.py
+++ b/standins/coldroute.py
@@ -11,6 +11,8 @@
 from collections import Counter
 from pathlib import Path
 
+import msgspec
+
 from standins.coldroute_sheet import (
     DESK,
     DESK_SLOTS,
@@ -26,7 +28,7 @@
 from standins.soak_faults import FaultInjector
 from standins.soak_judge import SoakHistory
 from standins.soak_prober import VersionProber
-from standins.soak_streams import WireHistory, find_faults
+from standins.soak_streams import WireHistory, find_faults, whole_events
 from standins.soak_versions import VersionHistory, count_older_lives, find_steps_back
 from standins.wirecallers import WireCallers
 from standins.wirefleet import WireFleet
@@ -131,6 +133,7 @@
         history.runs = read_records(folder)
         idle = upstreams.idle_lives(_busy_lives(history))
     history.killed_at = soak.killed_at
+    _log_calls(folder, history)
     findings = find_faults(history)
     steps = find_steps_back(numbers)
     _print_summary(seed, history, faults.injected, upstreams.drawn)
@@ -160,6 +163,28 @@
         upstreams.add(DESK, place, DESK_SLOTS)
 
 
+def _log_calls(folder: Path, history: WireHistory) -> None:
+    """Write a line for each call, to trace a finding."""
+    with (folder / "calls.jsonl").open("wb") as file:
+        for call in history.calls:
+            answer = call.answer
+            line = {
+                "attempt": call.attempt_id,
+                "path": call.path,
+                "vm": call.gateway,
+                "sent_at": call.sent_at,
+                "ended_at": answer.ended_at,
+                "status": answer.status,
+                "ending": answer.ending.value,
+                "seal": answer.seal,
+                "events": whole_events(answer.body),
+                "after": call.last_event,
+                "pieces": call.pieces,
+                "protocol": call.protocol,
+            }
+            file.write(msgspec.json.encode(line) + b"\n")
+
+
 def _busy_lives(history: WireHistory) -> set[tuple[str, int]]:
     """Return the upstreams' lives that ran something, by name and number."""
     names = (run.begun.run.split(".") for run in history.runs.values())
--- a/tests/contract/test_proxy.py
+++ b/tests/contract/test_proxy.py
@@ -1,5 +1,7 @@
 """Contract of the fault-injecting proxy: docs/STANDINS.md."""
 
+import socket
+import struct
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -11,6 +13,7 @@
 from standins.proxy import Proxy
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 
+RESET_LINGER = struct.pack("ii", 1, 0)
 BROKEN_RESPONSE = (urllib3.exceptions.HTTPError,)
 
 
@@ -139,3 +142,44 @@
         assert time.monotonic() - started_at >= 0.2
         pool.request("POST", proxy.control_url + "/cut")
         assert pool.request("PUT", url, json={"mode": "none"}).status == 400
+
+
+@pytest.fixture
+def server() -> Iterator[socket.socket]:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        yield listener
+
+
+@pytest.fixture
+def link(server: socket.socket) -> Iterator[Proxy]:
+    standin = Proxy(*server.getsockname())
+    standin.start()
+    yield standin
+    standin.stop()
+
+
+@pytest.mark.parametrize("style", CutStyle)
+def test_client_sees_the_end_that_the_server_chose(
+    server: socket.socket, link: Proxy, style: CutStyle
+) -> None:
+    with socket.create_connection((link.ip, link.port), timeout=5) as client:
+        conn, _ = server.accept()
+        conn.sendall(b"x")
+        assert client.recv(1) == b"x"
+        if style is CutStyle.RESET:
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+        conn.close()
+        if style is CutStyle.FINISH:
+            assert client.recv(1) == b""
+        else:
+            with pytest.raises(ConnectionResetError):
+                client.recv(1)
+
+
+def test_proxy_refuses_connections_until_it_accepts_again(link: Proxy) -> None:
+    address = link.ip, link.port
+    link.refuse()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address, timeout=5)
+    link.accept_again()
+    socket.create_connection(address, timeout=5).close()
