Fill the settings of a gateway's VM in one place

Gateways inside of tests filled the template themselves and lacked its data centres, since the soak's fleet names them: an error in the setup of each of these tests.

--- a/standins/gateway_fleet.py
+++ b/standins/gateway_fleet.py
@@ -25,7 +25,7 @@
 
 _vm_numbers = itertools.count(1)
 
-SETTINGS = """\
+_SETTINGS = """\
 nodeName = "{name}"
 ip = "{ip}"
 zone = "{zone}"
@@ -51,6 +51,37 @@
 """
 
 
+def vm_settings(
+    name: str,
+    ip: str,
+    store: str,
+    zone: str = "one",
+    zones: Iterable[str] = ("one", "two"),
+    max_fds: int = 4096,
+) -> str:
+    """Return the settings file of a VM.
+
+    Parameters
+    ----------
+    name, ip : str
+        Name and address of the VM.
+    store : str
+        Address of the platform's store.
+    zone, zones : str, iterable of str
+        Its data centre, and all of them.
+    max_fds : int
+        Limit of descriptors.
+    """
+    return _SETTINGS.format(
+        name=name,
+        ip=ip,
+        zone=zone,
+        zones="\n".join(f'{item} = "{item}"' for item in zones),
+        store=store,
+        max_fds=max_fds,
+    )
+
+
 def wait_until(condition: Callable[[], bool], description: str) -> None:
     """Wait until a condition holds; fail with its description after the timeout."""
     deadline = time.monotonic() + WAIT_TIMEOUT_SECONDS
@@ -229,14 +260,7 @@
         proxy = Proxy("127.0.0.1", self.store.port)
         proxy.start()
         store = f"127.0.0.1:{proxy.port}"
-        settings = SETTINGS.format(
-            name=name,
-            ip=ip,
-            zone=zone,
-            zones="\n".join(f'{item} = "{item}"' for item in self.zones),
-            store=store,
-            max_fds=self.max_fds,
-        )
+        settings = vm_settings(name, ip, store, zone, self.zones, self.max_fds)
         path.write_text(settings)
         process = ChildProcess(
             name,
--- a/tests/contract/conftest.py
+++ b/tests/contract/conftest.py
@@ -8,7 +8,8 @@
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.gateway import Gateway
 from oleandershift.platform import settings
-from standins.gateway_fleet import METRICS_PORT, SETTINGS, configuration
+from standins import gateway_fleet
+from standins.gateway_fleet import METRICS_PORT, configuration
 from standins.metastore import MetaStore
 from standins.modelengine import ModelEngine
 from standins.ports import free_ip
@@ -49,7 +50,7 @@
 def settings_path(tmp_path, store, ip, retry_ratio):
     path = tmp_path / "vm.toml"
     address = f"127.0.0.1:{store.port}"
-    text = SETTINGS.format(name="vm", ip=ip, zone="one", store=address, max_fds=4096)
+    text = gateway_fleet.vm_settings("vm", ip, address)
     path.write_text(text.replace("retryRatio = 0.2", f"retryRatio = {retry_ratio}"))
     return path
 
