--- a/standins/coldroute.py
+++ b/standins/coldroute.py
@@ -131,7 +131,7 @@
         finally:
             upstreams.stop()
         history.runs = read_records(folder)
-        idle = upstreams.idle_lives(_busy_lives(history))
+        idle = upstreams.idle_lives(_busy_lives(history), until)
     history.killed_at = soak.killed_at
     _log_calls(folder, history)
     findings = find_faults(history)
