Select the proxy's connections by their number, not by who asks first

Cause: a connection drew whether faults apply to it when it first asked after they were set. One of the calls before, whose threads had not ended yet, asked too and took the draw of the next connection, so that all later choices were shifted. Evidence: reproduced beside four busy processes on one core, 1 of 140 pairs of series: the second was that of the seed without its first draw. Change: the draw is a function of the seed and of the number of connections accepted since the faults were set. A seed selects other connections than it did before.

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -244,7 +244,7 @@
 
     def set_faults(self, faults: ProxyFaults) -> None:
         """Replace the active faults."""
-        self._selector.set_faults(faults)
+        self._selector.set_faults(faults, self._accepted)
 
     def cut_all(self) -> None:
         """Cut every open connection."""
--- a/standins/proxy_faults.py
+++ b/standins/proxy_faults.py
@@ -76,27 +76,38 @@
 
 
 class FaultSelector:
-    """Holds the active faults and selects the connections to which they apply."""
+    """Holds the active faults and selects the connections to which they apply.
+
+    The choice depends on the seed and on how many connections were accepted since the
+    faults were set, and not on the order in which connections ask: those that were
+    accepted before still do while they end.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._by_connection: dict[int, ProxyFaults] = {}
         self.set_faults(ProxyFaults())
 
-    def set_faults(self, faults: ProxyFaults) -> None:
-        """Replace the active faults."""
+    def set_faults(self, faults: ProxyFaults, accepted: int = 0) -> None:
+        """Replace the active faults.
+
+        Parameters
+        ----------
+        faults : ProxyFaults
+            The faults.
+        accepted : int
+            Number of the connection that was accepted last.
+        """
         with self._lock:
             self.current = faults
-            self._random = random.Random(faults.seed)
-            self._by_connection.clear()
+            self._accepted = accepted
 
     def faults_for(self, number: int) -> ProxyFaults:
         """Return the faults that apply to a connection, given its number."""
         with self._lock:
-            faults = self._by_connection.get(number)
-            if faults is None:
-                faults = self.current
-                if self._random.random() >= faults.probability:
-                    faults = ProxyFaults(delay_seconds=faults.delay_seconds)
-                self._by_connection[number] = faults
+            faults, position = self.current, number - self._accepted
+        if faults.probability >= 1.0:
             return faults
+        draw = random.Random(f"{faults.seed} {position}").random()
+        if draw >= faults.probability:
+            return ProxyFaults(delay_seconds=faults.delay_seconds)
+        return faults
--- a/tests/contract/test_proxy.py
+++ b/tests/contract/test_proxy.py
@@ -112,10 +112,14 @@
     assert proxy.counters().to_server_bytes == 10
 
 
+HALF_OF_THE_CONNECTIONS = ProxyFaults(
+    ProxyMode.CUT, CutStage.BEFORE_CONNECT, probability=0.5, seed=7
+)
+
+
 def test_same_seed_selects_the_same_connections(proxy: Proxy) -> None:
     def outcomes() -> list[bool]:
-        fault = ProxyMode.CUT, CutStage.BEFORE_CONNECT
-        proxy.set_faults(ProxyFaults(*fault, probability=0.5, seed=7))
+        proxy.set_faults(HALF_OF_THE_CONNECTIONS)
         return [_succeeds(proxy) for _ in range(12)]
 
     first = outcomes()
@@ -123,6 +127,19 @@
     assert set(first) == {True, False}
 
 
+def test_connection_of_earlier_faults_does_not_shift_the_choice_of_the_next_ones(
+    proxy: Proxy, send_request: Callable[[], int]
+) -> None:
+    proxy.set_faults(HALF_OF_THE_CONNECTIONS)
+    first = [_succeeds(proxy) for _ in range(12)]
+    proxy.set_faults(ProxyFaults())
+    assert send_request() == 200
+    proxy.set_faults(HALF_OF_THE_CONNECTIONS)
+    assert send_request() == 200
+    assert proxy.counters().accepted == 13
+    assert [_succeeds(proxy) for _ in range(12)] == first
+
+
 def _succeeds(proxy: Proxy) -> bool:
     with urllib3.PoolManager(retries=False, timeout=5) as pool:
         try:
