Own fleet: take no end of an upstream's connection for that of a line

What callers could see: a router whose upstream was killed within an answer's framing passed a part of the answer on as whole. An upstream that pads the lengths of its chunks ('006') and ends after a zero of one gave a body without its later chunks; one that ends within its head, before or within a header field, gave an answer without a body with fields cut off or missing. http.client and urllib3 take a line that the connection ends for a whole one, and the length '0' for the last chunk.

Responses of upstreams are read line by line now: a line without its end is a truncated answer, which is retried, resumed or breaks off as others are. An upstream that leaves out the empty line behind its last chunk counts as truncated too, as it does at the gateway.

--- a/src/oleandershift/io/upstreams.py
+++ b/src/oleandershift/io/upstreams.py
@@ -1,6 +1,8 @@
 """Connections to upstreams and attempts of requests on them, with urllib3."""
 
 import http.client
+import io
+import socket
 import threading
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
@@ -90,6 +92,35 @@
     return Fault.CONNECTION_LOST
 
 
+class _LineReader(io.BufferedReader):
+    """Reader of a response that takes no end of the connection for that of a line.
+
+    `http.client` and urllib3 do, so that a head, the length of a chunk or a trailer
+    could be cut off unnoticed.
+    """
+
+    _has_begun = False
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line; nothing if the connection ends before the first."""
+        line = super().readline(size)
+        is_whole = line.endswith(b"\n") or len(line) == size
+        if not is_whole and (line or self._has_begun):
+            raise http.client.IncompleteRead(line)
+        self._has_begun = True
+        return line
+
+
+class _Response(http.client.HTTPResponse):
+    """Response whose head and framing have to be complete."""
+
+    def __init__(
+        self, sock: socket.socket, debuglevel: int = 0, method: str | None = None
+    ) -> None:
+        super().__init__(sock, debuglevel, method)
+        self.fp = _LineReader(self.fp.detach())
+
+
 class UpstreamConnectionPool:
     """Pool of idle connections to upstreams.
 
@@ -144,6 +175,7 @@
         conn = HTTPConnection(
             parts.hostname or "", parts.port or 80, timeout=self.connect_timeout_seconds
         )
+        conn.response_class = _Response
         try:
             conn.connect()
         except _CONNECTION_ERRORS as exc:
