Own fleet: ask again for events that were read together with a wrong one

What callers could see: an engine's events came in one segment with one behind a gap, or one that is no event. The stream was resumed behind those before it, which nobody had been sent: pieces were missing, and the answer looked complete by its end mark (ORDER). A new attempt at another engine left them out as repeated.

Cause: the reader had counted them when the wrong one stopped it. None of the events of such bytes counts now, nor their cost or the end mark, as at the gateway.

--- a/src/oleandershift/eventstream.py
+++ b/src/oleandershift/eventstream.py
@@ -71,14 +71,21 @@
         Raises
         ------
         StreamError
-            If an event is missing, malformed or too large.
+            If an event is missing, malformed or too large. None of the events of `data`
+            counts then.
         """
         # A line end may be split between two parts.
         unread = (self._buffer + data).replace(b"\r\n", b"\n")
         *events, self._buffer = unread.split(SEPARATOR)
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise StreamError(StreamFault.TOO_LARGE)
-        return b"".join(event + SEPARATOR for event in events if self._accept(event))
+        before = self.next_index, self.cost, self.done, self._has_usage
+        try:
+            accepted = [event for event in events if self._accept(event)]
+        except StreamError:
+            self.next_index, self.cost, self.done, self._has_usage = before
+            raise
+        return b"".join(event + SEPARATOR for event in accepted)
 
     def _accept(self, event: bytes) -> bool:
         if self.done:
