Tell by the steady clock whose words were heard before a registration

An upstream that said in a response that it leaves, stopped, and started again on a host whose clock was some seconds behind got no work from any VM that had heard it, for as long as it lived; the VMs pass such a word on.

Cause: words that were counted for the run before hold for a new run if they were heard after its start. That compared the time of day of two hosts.

Evidence: with two gateways, an upstream that says it leaves, restarts 3 s later with its clock 6 s behind and registers: 503 for 20 s where it should serve (1 of 1 failed), and again 1 of 1 with the final test on the code before.

Change: what was heard since a VM first read the new run holds for it, and what was heard more than 3 s before does not, as a new run registers and is read by then; both by the VM's steady clock. Between the two, and where the store was out, the start of the run still decides, as nothing else tells.

Measured: the integration tests of clocks, restarts, leaving and limits pass (15), and the unit tests of the directory, state, store sync, registrations and eligibility.

Remaining: a word within 3 s before the new run is read still goes by the two clocks.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -112,7 +112,12 @@
 
     position: StorePosition
     entry: Upstream
-    believed_at: float
+    read_at: float
+
+    @property
+    def believed_at(self) -> float:
+        """Time from which on the report is believed if the store still holds it."""
+        return self.read_at + CONFIRMATION_SECONDS
 
     @property
     def heeded_until(self) -> float:
@@ -180,7 +185,8 @@
     loaded : bool
         Whether a complete list has been received.
     on_restart : callable
-        Called with two runs of an upstream when the second has replaced the first.
+        Called with two runs of an upstream when the second has replaced the first, and
+        the time in seconds at which the second was read first.
     """
 
     def __init__(
@@ -211,8 +217,8 @@
         self._listed_position = START_OF_HISTORY
         self._list_grace_end = -math.inf
         self.loaded = False
-        self.on_restart: Callable[[UpstreamRun, UpstreamRun], None] = (
-            lambda previous, run: None
+        self.on_restart: Callable[[UpstreamRun, UpstreamRun, float], None] = (
+            lambda previous, run, read_at: None
         )
 
     def replace(
@@ -265,7 +271,7 @@
                 unconfirmed_until = now + CONFIRMATION_SECONDS
             elif changed != self._positions.get(entry.name):
                 unconfirmed_until = None
-            self._store(changed, entry)
+            self._store(now, changed, entry)
             if unconfirmed_until is not None:
                 self._unconfirmed_until[entry.name] = unconfirmed_until
         newest = max(
@@ -309,7 +315,7 @@
         if self._is_doubtful(entry):
             self._doubt(now, position, entry)
         else:
-            self._store(position, entry)
+            self._store(now, position, entry)
         self.position = max(self.position, position)
         return True
 
@@ -591,10 +597,9 @@
 
     def _doubt(self, now: float, position: StorePosition, entry: Upstream) -> None:
         doubt = self._forget_doubt(entry.name)
-        believed_at = now + CONFIRMATION_SECONDS
-        if doubt is not None and doubt.entry.run == entry.run:
-            believed_at = doubt.believed_at
-        self._doubts[entry.name] = _Doubt(position, entry, believed_at)
+        is_same_run = doubt is not None and doubt.entry.run == entry.run
+        read_at = doubt.read_at if doubt is not None and is_same_run else now
+        self._doubts[entry.name] = _Doubt(position, entry, read_at)
         self._count_version(entry, 1)
 
     def _forget_doubt(self, name: UpstreamId) -> _Doubt | None:
@@ -614,7 +619,7 @@
         complete_until = min(now, self._freshness.current_until)
         for doubt in list(self._doubts.values()):
             if doubt.believed_at <= complete_until:
-                self._store(doubt.position, doubt.entry)
+                self._store(doubt.read_at, doubt.position, doubt.entry)
 
     def _last_position(self, name: UpstreamId) -> StorePosition:
         """Return the place of the last known report of an upstream."""
@@ -633,7 +638,7 @@
         if len(self._departed) > MAX_DEPARTED_RUNS:
             del self._departed[next(iter(self._departed))]
 
-    def _store(self, position: StorePosition, entry: Upstream) -> None:
+    def _store(self, read_at: float, position: StorePosition, entry: Upstream) -> None:
         known = self._entries.get(entry.name)
         # Runs without a start time can't be told apart, and another writer may have
         # stored an entry of another service under this name.
@@ -651,7 +656,7 @@
         self._lapse_deadlines.pop(entry.name, None)
         self._unconfirmed_until.pop(entry.name, None)
         if known is not None and known.run != entry.run:
-            self.on_restart(known.run, entry.run)
+            self.on_restart(known.run, entry.run, read_at)
 
     def _lapse(self, now: float, name: UpstreamId, deadline: float) -> Upstream | None:
         entry = self._entries.get(name)
--- a/src/oleandershift/io/announcements.py
+++ b/src/oleandershift/io/announcements.py
@@ -77,7 +77,7 @@
                 )
 
     def _record_announcement(self, upstream: Upstream, kind: AnnouncementKind) -> None:
-        self._state.on_announcement(upstream.run, kind, unix_ms())
+        self._state.on_announcement(now(), upstream.run, kind, unix_ms())
 
     def _record_limit(
         self, upstream: Upstream, head: ResponseHead, sent_at: float
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -38,7 +38,8 @@
     view : FleetView
         Configuration and upstreams to update.
     on_restart : callable
-        Called with two runs of an upstream when the second replaces the first.
+        Called with two runs of an upstream when the second replaces the first, and the
+        time at which the second was read.
     log : DecisionLog
         Receives applied and rejected changes.
     metrics : GatewayMetrics
@@ -48,7 +49,7 @@
     def __init__(
         self,
         view: FleetView,
-        on_restart: Callable[[UpstreamRun, UpstreamRun], None],
+        on_restart: Callable[[UpstreamRun, UpstreamRun, float], None],
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -22,6 +22,10 @@
 late event loop. Streams begin at a new version only after that was recorded in the
 store."""
 
+REGISTRATION_SECONDS = 3.0
+"""Time in which a new run of an upstream is read, unless the store is out: the first
+report, a hub's batch of changes, and a follower's snapshot."""
+
 MAX_ANNOUNCEMENTS = 4096
 """Limit of the announcements whose time is remembered; the oldest are forgotten."""
 
@@ -52,6 +56,14 @@
     informant: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Heard:
+    """When a response said something: by the VM's steady clock, and in Unix ms."""
+
+    at: float
+    unix_ms: float
+
+
 class AnnouncementKind(Enum):
     """Kind of what an upstream says of itself in a response."""
 
@@ -133,8 +145,8 @@
         self.allowances = Allowances(peers.vm, peers.data_centre, peers.fleet)
         self.quarantine = Quarantine(self.quarantine_limits, peers.rank)
         self.stream_versions = StreamVersions(self.started_at)
-        # Unix time in milliseconds of the latest announcement of each kind.
-        self._heard_at: dict[tuple[UpstreamRun, AnnouncementKind], float] = {}
+        # The latest announcement of each kind.
+        self._heard: dict[tuple[UpstreamRun, AnnouncementKind], _Heard] = {}
 
     @property
     def eligibility(self) -> Eligibility:
@@ -161,12 +173,14 @@
         return self.absences.absent(now) | self.peers.absent(now)
 
     def on_announcement(
-        self, run: UpstreamRun, kind: AnnouncementKind, unix_ms: float
+        self, now: float, run: UpstreamRun, kind: AnnouncementKind, unix_ms: float
     ) -> None:
         """Record when a response said something of its upstream.
 
         Parameters
         ----------
+        now : float
+            Current time, seconds.
         run : UpstreamRun
             The upstream, as registered; a later run may have sent the response.
         kind : AnnouncementKind
@@ -174,23 +188,37 @@
         unix_ms : float
             Current Unix time, milliseconds.
         """
-        self._heard_at.pop((run, kind), None)
-        self._heard_at[run, kind] = unix_ms
-        if len(self._heard_at) > MAX_ANNOUNCEMENTS:
-            del self._heard_at[next(iter(self._heard_at))]
+        self._record_heard(run, kind, _Heard(now, unix_ms))
 
-    def on_restart(self, previous: UpstreamRun, run: UpstreamRun) -> None:
+    def _record_heard(
+        self, run: UpstreamRun, kind: AnnouncementKind, heard: _Heard
+    ) -> None:
+        self._heard.pop((run, kind), None)
+        self._heard[run, kind] = heard
+        if len(self._heard) > MAX_ANNOUNCEMENTS:
+            del self._heard[next(iter(self._heard))]
+
+    def on_restart(
+        self, previous: UpstreamRun, run: UpstreamRun, read_at: float
+    ) -> None:
         """Record that another run of an upstream is registered.
 
         What was heard after its start, and so counted for the run before, holds for it.
+
+        Parameters
+        ----------
+        previous, run : UpstreamRun
+            The run before and the new one.
+        read_at : float
+            Time in seconds at which the new one was read first.
         """
         self.loads.clear_cache(run.upstream)
         for kind in AnnouncementKind:
-            heard_at = self._heard_at.get((previous, kind))
-            if heard_at is None or not 0 < run.incarnation <= heard_at:
+            heard = self._heard.get((previous, kind))
+            if heard is None or not self._may_have_said(run, heard, read_at):
                 continue
             # A still later run may have said it.
-            self.on_announcement(run, kind, heard_at)
+            self._record_heard(run, kind, heard)
             if kind is AnnouncementKind.LEAVING:
                 self.record_leaving(
                     LeavingReport(run, LeavingSource.RESPONSE, "before registration")
@@ -200,6 +228,20 @@
             else:
                 self.allowances.carry_over(previous, run)
 
+    def _may_have_said(self, run: UpstreamRun, heard: _Heard, read_at: float) -> bool:
+        """Return whether a run, or the one before it, said what was heard.
+
+        The clock of the upstream's host is asked only where nothing else tells.
+        """
+        if not run.incarnation:
+            return False
+        if heard.at >= read_at:
+            return True
+        was_read_late = self.view.freshness.may_lack_registrations(read_at)
+        if heard.at < read_at - REGISTRATION_SECONDS and not was_read_late:
+            return False
+        return run.incarnation <= heard.unix_ms
+
     def record_leaving(self, report: LeavingReport) -> None:
         """Record that an upstream leaves, and announce it if that was not known."""
         if self.view.directory.on_leaving(report.run):
--- a/tests/integration/test_gateway_clock_set_back.py
+++ b/tests/integration/test_gateway_clock_set_back.py
@@ -5,10 +5,12 @@
 import pytest
 
 from oleandershift.directory import CONFIRMATION_SECONDS
+from oleandershift.state import REGISTRATION_SECONDS
 from standins.gateway_fleet import running_fleet, wait_until
 from standins.soak_judge import DRAIN_SECONDS
 
 SET_BACK_MS = 600_000
+CLOCK_BEHIND_MS = 6_000
 
 
 @pytest.fixture
@@ -69,3 +71,18 @@
     before = len(engine.received)
     assert serve(fleet, "b") == {503}
     assert len(engine.received) == before
+
+
+def test_leaving_of_the_run_before_does_not_hold_for_one_whose_clock_is_behind(
+    fleet, engine, register
+):
+    engine.clock_ahead_ms = -CLOCK_BEHIND_MS
+    engine.restart_seconds = 0.1
+    time.sleep(CLOCK_BEHIND_MS / 1000)
+    engine.is_leaving = True
+    wait_until(lambda: serve(fleet, "a") == {503}, "all know that it leaves")
+    time.sleep(REGISTRATION_SECONDS)
+    engine.restart()
+    wait_until(lambda: engine.run == 2, "it is restarted")
+    register()
+    wait_until(lambda: serve(fleet, "b") == {200}, "all send to its new run")
--- a/tests/storereaders.py
+++ b/tests/storereaders.py
@@ -43,7 +43,10 @@
         self.clock = clock
         self.view = FleetView(grace_s)
         self.sync = StoreSync(
-            self.view, lambda previous, run: None, SilentLog(), GatewayMetrics()
+            self.view,
+            lambda previous, run, read_at: None,
+            SilentLog(),
+            GatewayMetrics(),
         )
 
     def read_list(self, revision, *records):
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -25,7 +25,9 @@
 
 def make_sync(grace_s=0.0):
     view = FleetView(grace_s)
-    sync = StoreSync(view, lambda previous, run: None, SilentLog(), GatewayMetrics())
+    sync = StoreSync(
+        view, lambda previous, run, read_at: None, SilentLog(), GatewayMetrics()
+    )
     return sync, view
 
 
--- a/tests/virtualfleet.py
+++ b/tests/virtualfleet.py
@@ -210,7 +210,9 @@
     """Store sync whose calls are made anew in virtual time."""
 
     def __init__(self, vm):
-        super().__init__(vm.view, lambda previous, run: None, SilentLog(), METRICS)
+        super().__init__(
+            vm.view, lambda previous, run, read_at: None, SilentLog(), METRICS
+        )
         self._vm = vm
 
     def _repeat_calls(self):
