Show the threads of an agent that was not seen alive again after a freeze

Whether it stayed stopped or a thread of it hung could not be told afterwards. Change: where the test waits for that agent, a failure shows the state and the pending signals of each thread, and the stacks.

--- a/tests/agents.py
+++ b/tests/agents.py
@@ -5,7 +5,8 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -32,12 +33,21 @@
 QUERY_TIMEOUT_SECONDS = 2.0
 TICK_INTERVAL_SECONDS = 0.05
 FLEET = FleetId("oleander")
+SHOWN_STATUS = ("Name:", "State:", "SigPnd:", "ShdPnd:", "voluntary_ctxt_switches:")
+SHOWN_CHARACTERS = 8000
 
 
-def wait_until(condition: Callable[[], bool], what: str) -> None:
+def wait_until(
+    condition: Callable[[], bool], what: str, agents: Iterable["AgentProcess"] = ()
+) -> None:
+    """Wait until a condition holds; a failure shows the threads of some agents."""
     deadline = time.monotonic() + WAIT_TIMEOUT_SECONDS
     while not condition():
-        assert time.monotonic() < deadline, f"timed out waiting for: {what}"
+        if time.monotonic() >= deadline:
+            threads = [agent.describe_threads() for agent in agents]
+            raise AssertionError(
+                "\n".join([f"timed out waiting for: {what}", *threads])
+            )
         time.sleep(0.02)
 
 
@@ -120,6 +130,19 @@
             self.process.send_signal(signal.SIGUSR1)
             time.sleep(TICK_INTERVAL_SECONDS)
 
+    def describe_threads(self) -> str:
+        """Return the states of the threads, and the stacks of those that run."""
+        assert self.process is not None
+        states = []
+        for path in Path(f"/proc/{self.process.pid}/task").glob("*/status"):
+            with suppress(OSError):
+                lines = path.read_text().splitlines()
+                states.append(" ".join(x for x in lines if x.startswith(SHOWN_STATUS)))
+        self.dump_stacks()
+        stacks = self.log.with_suffix(".stacks").read_text()[-SHOWN_CHARACTERS:]
+        exit_code = self.process.poll()
+        return "\n".join([f"{self.vm}, exit code {exit_code}", *states, stacks])
+
     def kill(self) -> None:
         """Kill the process with SIGKILL."""
         if self.process is not None:
--- a/tests/integration/test_agents.py
+++ b/tests/integration/test_agents.py
@@ -257,8 +257,14 @@
     version = put_row(rows, "teams", "alpha", {"weight": 5.0})
     wait_until(lambda: agents[0].member_states()["vm3"] == "dead", "frozen agent dead")
     agents[3].thaw()
-    wait_until(lambda: agents[3].row_version(ROW) == version, "edit in force")
-    wait_until(lambda: agents[0].member_states()["vm3"] == "alive", "agent alive again")
+    wait_until(
+        lambda: agents[3].row_version(ROW) == version, "edit in force", agents[3:]
+    )
+    wait_until(
+        lambda: agents[0].member_states()["vm3"] == "alive",
+        "agent alive again",
+        agents[3:],
+    )
 
 
 def test_agent_dumps_its_thread_stacks_on_request(
@@ -270,6 +276,17 @@
     assert agents[0].is_ready()
 
 
+def test_failed_wait_shows_whether_an_agent_is_stopped_or_blocked(
+    agents: list[AgentProcess], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("tests.agents.WAIT_TIMEOUT_SECONDS", 0.0)
+    with pytest.raises(AssertionError, match=r"sleeping(.|\n)*_run_ticks"):
+        wait_until(lambda: False, "never", agents[:1])
+    agents[1].freeze()
+    with pytest.raises(AssertionError, match="stopped"):
+        wait_until(lambda: False, "never", agents[1:2])
+
+
 def test_killed_agent_is_declared_dead_and_rejoins(
     agents: list[AgentProcess],
 ) -> None:
