Hold SIGHUP from the start of a gateway until its handler is there

Cause: by default the signal ends a process, and the handler is installed after the imports and the first reading of the settings. Evidence: test_sighup_does_not_end_a_process_that_is_starting fails before (1 of 1) and passes now. Change: the program blocks the signal before its own imports; the event loop gets it once the handler is installed, and reads the settings again. The installed command `oleander-gateway` does not hold the signal, as deployments start the module.

--- a/src/oleandershift/cli/gateway.py
+++ b/src/oleandershift/cli/gateway.py
@@ -1,5 +1,11 @@
 """Command line of oleander-gateway."""
 
+import signal
+
+if __name__ == "__main__":
+    # Before the imports, as it ends the process until its handler is installed.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+
 import os
 import sys
 from collections.abc import Sequence
--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -330,6 +330,8 @@
         loop.add_signal_handler(signal.SIGTERM, self._stopping.set)
         loop.add_signal_handler(signal.SIGINT, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # Held since the start of the program.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self._follow_store()
         await self._peer_transport.open(self._store_sync.snapshot)
         self._arrivals.restart(now())
--- a/tests/integration/test_gateway.py
+++ b/tests/integration/test_gateway.py
@@ -6,6 +6,7 @@
 import time
 import zlib
 from collections.abc import Iterator
+from pathlib import Path
 
 import pytest
 
@@ -510,6 +511,15 @@
     assert gateway.call("/write/x", "a1").status == 200
 
 
+def test_sighup_does_not_end_a_process_that_is_starting(fleet):
+    gateway = fleet.add_gateway()
+    libraries = Path(f"/proc/{gateway.process.pid}/maps")
+    wait_until(lambda: "httptools" in libraries.read_text(), "imports")
+    gateway.process.signal(signal.SIGHUP)
+    wait_until(lambda: "settings.reloaded" in fleet.log(gateway), "the settings")
+    wait_until(gateway.is_ready, "it is ready")
+
+
 def test_metrics_are_served(fleet, gateway):
     gateway.call("/write/x", "a1")
     gateway.call("/stream/once/x", "a2")
