--- a/standins/coldroute.py
+++ b/standins/coldroute.py
@@ -49,12 +49,13 @@
     def __init__(
         self,
         fleet: GatewayFleet,
-        proxies: dict[str, Proxy],
+        upstreams: WireFleet,
         history: SoakHistory,
         rng: random.Random,
         versions: list[int],
     ) -> None:
-        super().__init__(fleet, proxies, history, rng)
+        super().__init__(fleet, upstreams.proxies, history, rng)
+        self._upstreams = upstreams
         self._versions = versions
         self._writing = threading.Lock()
         self._injections = (
@@ -68,6 +69,7 @@
             self._forget,
             self._configure,
             self._configure_and_kill,
+            self._freeze_over_restart,
         )
 
     def _configuration(self, version: int) -> dict[str, object]:
@@ -85,6 +87,14 @@
         time.sleep(self._rng.choice((0.0, self._rng.uniform(0.0, 0.3))))
         self._kill()
 
+    def _freeze_over_restart(self) -> None:
+        """Freeze a gateway while an upstream is killed and starts again."""
+        gateway = self._rng.choice(self._fleet.gateways)
+        with self._disturbance(gateway.name), self._interruption(gateway.name):
+            gateway.process.freeze()
+            self._upstreams.restart_one()
+            gateway.process.thaw()
+
     def _disturb_link(self, proxy: Proxy) -> None:
         modes = [mode for mode in ProxyMode if mode is not ProxyMode.HALF_CLOSE]
         faults = ProxyFaults(
@@ -109,7 +119,7 @@
         try:
             _add_upstreams(upstreams)
             faults = ColdrouteFaults(
-                fleet, upstreams.proxies, soak, random.Random(seed), versions
+                fleet, upstreams, soak, random.Random(seed), versions
             )
             probers = [
                 VersionProber(gateway, numbers, versions, random.Random(seed))
--- a/standins/wirefleet.py
+++ b/standins/wirefleet.py
@@ -235,6 +235,12 @@
         for thread in threads:
             thread.join()
 
+    def restart_one(self) -> None:
+        """Kill an upstream that starts again under its id; none if too few stay."""
+        with self._chosen() as item:
+            if item is not None:
+                self._kill_and_return(item)
+
     def idle_lives(
         self, busy: Collection[tuple[str, int]], until: float
     ) -> list[WireLife]:
