Take no upstream that still accepts connections while it ends for one that lives

The check waited for 10 ms and took an accepted connection for proof.

Change: the new connection has to last for 0.1 s; the kernel resets what it accepted for a process that has ended.

Evidence: both cases of test_answer_does_not_look_complete_while_its_upstream_still_accepts failed before and pass now, as do the other six and the tests of gateways and crashes.

--- a/src/oleandershift/io/crashchecks.py
+++ b/src/oleandershift/io/crashchecks.py
@@ -5,14 +5,14 @@
 
 from oleandershift.directory import Upstream, UpstreamRun
 from oleandershift.io.pool import ConnectionPool
+from oleandershift.io.upstreamconn import UpstreamConnection
 
 PATIENCE_SECONDS = 0.25
 """Time for which a request waits for a check; several round trips between regions."""
 
-
-END_GRACE_SECONDS = 0.01
-"""Time in which the kernel closes all sockets of a process that has ended. The one that
-accepts connections may be the last."""
+EXIT_SECONDS = 0.1
+"""Time in which the kernel of a busy host closes all sockets of a process that ended. It
+may accept connections until the last of them is closed, and resets these then."""
 
 
 class CrashChecks:
@@ -40,13 +40,13 @@
         self._pool = pool
         self._is_absent = is_absent
         self._on_failure = on_failure
-        self._running: dict[UpstreamRun, asyncio.Task[bool]] = {}
+        self._running: dict[UpstreamRun, asyncio.Task[None]] = {}
 
     def start(self, upstream: Upstream) -> None:
         """Start a check of an upstream unless one runs or it is known to be gone."""
         run = upstream.run
         if run not in self._running and not self._is_absent(run):
-            task = asyncio.create_task(self._connect(upstream))
+            task = asyncio.create_task(self._check(upstream))
             self._running[run] = task
             task.add_done_callback(lambda _: self._running.pop(run, None))
 
@@ -57,17 +57,27 @@
             await asyncio.wait([task], timeout=PATIENCE_SECONDS)
 
     async def outlives(self, upstream: Upstream) -> bool:
-        """Return whether an upstream still accepts connections once one has ended."""
-        await asyncio.sleep(END_GRACE_SECONDS)
-        return not self._is_absent(upstream.run) and await self._connect(upstream)
+        """Return whether an upstream keeps a connection that it accepts from now on."""
+        if self._is_absent(upstream.run):
+            return False
+        conn = await self._open(upstream)
+        if conn is None:
+            return False
+        try:
+            await asyncio.sleep(EXIT_SECONDS)
+            return conn.is_quiet()
+        finally:
+            self._pool.release(upstream, conn)
+
+    async def _check(self, upstream: Upstream) -> None:
+        conn = await self._open(upstream)
+        if conn is not None:
+            self._pool.release(upstream, conn)
 
-    async def _connect(self, upstream: Upstream) -> bool:
-        """Return whether an upstream accepts a connection."""
+    async def _open(self, upstream: Upstream) -> UpstreamConnection | None:
         try:
             # An empty id asks for a new connection.
-            conn = await self._pool.acquire(upstream, repeatable=True, attempt_id="")
+            return await self._pool.acquire(upstream, repeatable=True, attempt_id="")
         except (OSError, TimeoutError) as exc:
             self._on_failure(upstream, exc)
-            return False
-        self._pool.release(upstream, conn)
-        return True
+            return None
--- a/standins/killedupstream.py
+++ b/standins/killedupstream.py
@@ -44,6 +44,11 @@
         else:
             self.wfile.write(BODY[: len(BODY) // 2])
         time.sleep(self.server.pause_seconds)
+        if self.server.exit_seconds:
+            self.connection.close()
+            self.wfile.close()
+            self.rfile.close()
+            time.sleep(self.server.exit_seconds)
         os.kill(os.getpid(), signal.SIGKILL)
 
 
@@ -58,13 +63,18 @@
         Number of events of a stream before the end.
     pause_seconds : float
         Time from the last event to the end, seconds.
+    exit_seconds : float
+        Time for which it accepts connections after the one of the answer has ended.
     """
 
     allow_reuse_address = True
 
-    def __init__(self, port: int, events: int, pause_seconds: float) -> None:
+    def __init__(
+        self, port: int, events: int, pause_seconds: float, exit_seconds: float
+    ) -> None:
         self.events = events
         self.pause_seconds = pause_seconds
+        self.exit_seconds = exit_seconds
         super().__init__(("127.0.0.1", port), _Handler)
 
 
@@ -74,8 +84,11 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--events", type=int, default=2, help="before the end")
     parser.add_argument("--pause-seconds", type=float, default=0.05)
+    parser.add_argument("--exit-seconds", type=float, default=0.0)
     cfg = parser.parse_args(argv)
-    with KilledUpstream(cfg.port, cfg.events, cfg.pause_seconds) as server:
+    with KilledUpstream(
+        cfg.port, cfg.events, cfg.pause_seconds, cfg.exit_seconds
+    ) as server:
         server.serve_forever()
     return 0
 
--- a/tests/integration/test_gateway_killed_upstreams.py
+++ b/tests/integration/test_gateway_killed_upstreams.py
@@ -33,12 +33,22 @@
 
 
 @pytest.fixture
-def killed(fleet, tmp_path, port, pause_seconds):
+def exit_seconds():
+    """Return the time from the answer's end to the kill; tests may replace it."""
+    return 0.0
+
+
+@pytest.fixture
+def killed(fleet, tmp_path, port, pause_seconds, exit_seconds):
     """Run an upstream that is killed in the middle of its first answer."""
     process = ChildProcess(
         "killed",
         "standins.killedupstream",
-        ["--port", str(port), "--pause-seconds", str(pause_seconds)],
+        [
+            f"--port={port}",
+            f"--pause-seconds={pause_seconds}",
+            f"--exit-seconds={exit_seconds}",
+        ],
         tmp_path,
         has_log_file_flag=False,
     )
@@ -143,3 +153,14 @@
         gateway.process.thaw()
         answer = call.result()
     assert answer.status == 502 or not answer.whole
+
+
+@pytest.mark.parametrize("exit_seconds", [0.05])
+@pytest.mark.parametrize("path", ["/stream/once/x", "/write/x"])
+def test_answer_does_not_look_complete_while_its_upstream_still_accepts(
+    fleet, killed, path
+):
+    (gateway,) = fleet.gateways
+    answer = gateway.call(path, "a")
+    assert answer.status == 502 or not answer.whole
+    wait_until(lambda: not killed.is_running(), "the upstream is killed")
