Write no stream into an error that broke off

An answer of more than 1 MB that is no stream, on a route whose streams may be resumed, is passed on in parts; when it broke off, the request was sent again as if a stream had begun, and the next answer was written behind it.

Change: only a stream of which an event was passed on goes on at another upstream.

--- a/src/oleandershift/io/call.py
+++ b/src/oleandershift/io/call.py
@@ -95,6 +95,8 @@
         upstream succeeds.
     answer_began_at : float or None
         Clock time in seconds of the first event of the current attempt.
+    has_begun_stream : bool
+        Whether the answer that has begun is a stream of events, and not an error.
     is_counted_as_answer : bool
         Whether an event of this call has shown that its prompt is answered.
     """
@@ -129,6 +131,7 @@
     may_have_run: bool = False
     failed_response: tuple[int, Headers, bytes] | None = None
     answer_began_at: float | None = None
+    has_begun_stream: bool = False
     is_counted_as_answer: bool = False
     event_stream: EventFramer = field(default_factory=EventFramer)
 
@@ -172,7 +175,8 @@
     @property
     def may_go_on(self) -> bool:
         """Return whether another upstream may continue from where the answer is."""
-        return self.resumable and not self.event_stream.is_unnumbered
+        has_place = self.has_begun_stream and not self.event_stream.is_unnumbered
+        return self.resumable and has_place
 
     def shows_sound_upstream(self, now: float) -> bool:
         """Return whether the upstream has outlived the start of its answer."""
--- a/src/oleandershift/io/relay.py
+++ b/src/oleandershift/io/relay.py
@@ -651,6 +651,7 @@
     def _begin_stream(self, call: Call, upstream: Upstream) -> None:
         """Record at which version a stream begins; it goes on at no other."""
         call.version = upstream.version
+        call.has_begun_stream = True
         if call.resumable:
             self._state.stream_versions.on_begun(
                 now(), call.service.name, call.stream_key, upstream.version
--- a/tests/scriptedupstreams.py
+++ b/tests/scriptedupstreams.py
@@ -1,6 +1,7 @@
 """Upstreams that send the bytes of a script, and calls to a gateway before them."""
 
 import asyncio
+import contextlib
 import http.client
 import socket
 import struct
@@ -33,12 +34,16 @@
 
 
 class End(Enum):
-    """What an upstream does with the connection after its bytes."""
+    """What an upstream does with the connection after its bytes.
+
+    With `EXIT` it also accepts no more connections, as its process has ended.
+    """
 
     KEEP = auto()
     CLOSE = auto()
     HALF_CLOSE = auto()
     RESET = auto()
+    EXIT = auto()
 
 
 Script = Callable[[bytes, int | None], tuple[bytes | Iterable[bytes | float], End]]
@@ -91,6 +96,9 @@
 
     def close(self) -> None:
         """Stop accepting connections."""
+        with contextlib.suppress(OSError):
+            # Wakes the thread that accepts, which keeps the socket open.
+            self._server.shutdown(socket.SHUT_RDWR)
         self._server.close()
 
     def _accept(self) -> None:
@@ -118,6 +126,8 @@
                     if end is End.HALF_CLOSE:
                         conn.shutdown(socket.SHUT_WR)
                         conn.recv(1)
+                    if end is End.EXIT:
+                        self.close()
                     if end is End.RESET:
                         conn.setsockopt(
                             socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
