Send nothing to an upstream whose run in doubt said that it leaves

Callers' requests could reach a run that had said that it leaves, where its clock had been set back and its registration was still in doubt: they went to the known run of the same upstream, at the same address.

Cause: the directory asked only whether the report in doubt says draining, not whether that run is known to leave.

Evidence: test_run_in_doubt_that_said_that_it_leaves_gets_no_requests failed.

Change: a run in doubt that is known to leave forbids the use of the known one, as one that drains does.

Measured: the test passes, with the other tests of the directory.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -162,7 +162,7 @@
     started before the known one, or that the known one has replaced, may be a late one,
     which the known run's next report replaces, or that of a new run whose clock was set
     back. It is believed once the store has held it for `CONFIRMATION_SECONDS`. Until
-    then the known run gets requests, unless the report says that it drains or names
+    then the known run gets requests, unless the run in doubt drains or leaves, or has
     another software version.
 
     A store that comes back from an older copy lacks what was registered since, which is
@@ -491,6 +491,7 @@
             and now < doubt.heeded_until
             and (
                 doubt.entry.state is UpstreamState.DRAINING
+                or doubt.entry.run in self._departed
                 or doubt.entry.version != entry.version
             )
         )
