Keep the draining of a run in doubt when an earlier report of it comes late

Requests reached an upstream after the store had acknowledged that it drains: its run was in doubt, and a report that it had sent before reached the store after the draining one. After 5 s the run was even believed to be ready.

Cause: only the last report in doubt was kept, and its draining was not recorded as that of a believed run is.

Evidence: the two tests of late reports of a draining run in doubt failed.

Change: a draining in doubt is recorded as the leaving of that run, which is never taken back. It says nothing of the known run.

Measured: both tests pass, with the other tests of the directory.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -597,6 +597,8 @@
         )
 
     def _doubt(self, now: float, position: StorePosition, entry: Upstream) -> None:
+        if entry.state is UpstreamState.DRAINING:
+            self.on_leaving(entry.run)
         doubt = self._forget_doubt(entry.name)
         is_same_run = doubt is not None and doubt.entry.run == entry.run
         read_at = doubt.read_at if doubt is not None and is_same_run else now
--- a/tests/test_runs_in_doubt.py
+++ b/tests/test_runs_in_doubt.py
@@ -18,6 +18,29 @@
     return vm
 
 
+def test_draining_run_in_doubt_gets_no_requests_after_a_late_report_of_it(vm):
+    vm.read_changes(11, registration("u1", 11, born=EARLIER, sequence=3))
+    vm.read_changes(
+        12, registration("u1", 12, born=EARLIER, sequence=5, state="draining")
+    )
+    assert vm.usable() == set()
+    vm.read_changes(13, registration("u1", 13, born=EARLIER, sequence=4))
+    assert vm.usable() == set()
+
+
+def test_draining_run_in_doubt_is_not_believed_ready_after_a_late_report(clock, vm):
+    vm.read_changes(11, registration("u1", 11, born=EARLIER, sequence=3))
+    vm.read_changes(
+        12, registration("u1", 12, born=EARLIER, sequence=5, state="draining")
+    )
+    vm.read_changes(13, registration("u1", 13, born=EARLIER, sequence=4))
+    for _ in range(6):
+        clock.instant += 1.0
+        vm.read_changes(13)
+        vm.view.directory.expire(clock.instant)
+    assert vm.usable() == set()
+
+
 def test_run_in_doubt_that_said_that_it_leaves_gets_no_requests(vm):
     vm.read_changes(11, registration("u1", 11, born=EARLIER))
     vm.view.directory.on_leaving(UpstreamRun(U1, EARLIER))
