End the use of an upstream with the removal of its run in doubt

After the removal of a run in doubt that drained or had another version, requests went to the known run of that upstream again, for the grace period.

Cause: a removal forgot the doubt, and the known entry, whose run had ended before, was kept as one that lapses and was ready.

Evidence: the two tests of removals of a run in doubt failed.

Change: where the run in doubt forbids the use, its removal drops the entry at once, as that of a draining one does. Where the known run could still be used, the grace stays.

Measured: both tests pass, with the other tests of the directory.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -665,8 +665,12 @@
         entry = self._entries.get(name)
         if entry is None:
             return None
+        # The removed run must get no requests, and the known one has ended before it.
+        is_ended = entry.state is UpstreamState.DRAINING or self._may_have_ended(
+            now, entry
+        )
         self._forget_doubt(name)
-        if entry.state is UpstreamState.READY and deadline > now:
+        if not is_ended and deadline > now:
             self._forget_results()
             known = self._lapse_deadlines.get(name, deadline)
             is_outage = self._freshness.may_lack_registrations(now)
--- a/tests/test_runs_in_doubt.py
+++ b/tests/test_runs_in_doubt.py
@@ -41,6 +41,21 @@
     assert vm.usable() == set()
 
 
+def test_draining_run_in_doubt_gets_no_requests_after_its_removal(vm):
+    vm.read_changes(11, registration("u1", 11, born=EARLIER))
+    vm.read_changes(12, registration("u1", 12, born=EARLIER, state="draining"))
+    assert vm.usable() == set()
+    vm.read_changes(13, registration("u1", 12, born=EARLIER), deleted=True)
+    assert vm.usable() == set()
+
+
+def test_run_in_doubt_of_another_version_gets_no_requests_after_its_removal(vm):
+    vm.read_changes(11, registration("u1", 11, born=EARLIER, version="v2"))
+    assert vm.usable() == set()
+    vm.read_changes(12, registration("u1", 11, born=EARLIER), deleted=True)
+    assert vm.usable() == set()
+
+
 def test_run_in_doubt_that_said_that_it_leaves_gets_no_requests(vm):
     vm.read_changes(11, registration("u1", 11, born=EARLIER))
     vm.view.directory.on_leaving(UpstreamRun(U1, EARLIER))
