Remember the removal of a run in doubt as one of that run, too

A late report of a removed run whose registration had been in doubt added the upstream again, and requests were sent to where nothing runs.

Cause: a removal remembered the known run and its last number alone, so that the report of the run in doubt was not taken for a late one.

Evidence: test_late_report_of_a_removed_run_in_doubt_does_not_add_it_again failed.

Change: a removal remembers the last numbers of both runs. With the run in doubt alone, a late report of the known one would add it again; a second test holds that. Other VMs are told that both runs were removed, as they may know either.

Measured: both tests pass, with the other tests of the directory.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -99,12 +99,10 @@
 class _Removal(NamedTuple):
     position: StorePosition
     forget_at: float
-    # None if the run was not known.
-    incarnation: int | None
     # Removed by the store around an outage, perhaps only as its report was missed.
     in_outage: bool
-    # Of the last known report.
-    sequence: int
+    # Numbers of the last reports by incarnation, of the known run and one in doubt.
+    sequences: Mapping[int, int]
 
 
 class _Doubt(NamedTuple):
@@ -393,10 +391,13 @@
         for name, removal in reversed(self._removals.items()):
             if removal.forget_at < oldest_forget_at:
                 break
-            incarnation = removal.incarnation
-            if not incarnation or removal.in_outage or self._is_renewed(name):
+            if removal.in_outage or self._is_renewed(name):
                 continue
-            found.append((UpstreamRun(name, incarnation), removal.position))
+            found += [
+                (UpstreamRun(name, incarnation), removal.position)
+                for incarnation in removal.sequences
+                if incarnation
+            ]
         return found
 
     def grace_left(self, now: float, name: UpstreamId) -> float:
@@ -563,20 +564,21 @@
         self, now: float, position: StorePosition, name: UpstreamId
     ) -> None:
         known = self._removals.pop(name, None)
-        entry = self._entries.get(name)
-        incarnation = entry.incarnation if entry is not None else None
-        sequence = entry.sequence if entry is not None else 0
+        entry, doubt = self._entries.get(name), self._doubts.get(name)
+        last_reports = (entry, doubt.entry if doubt is not None else None)
+        sequences = {
+            item.incarnation: item.sequence for item in last_reports if item is not None
+        }
         if known is not None:
             position = max(position, known.position)
-            if entry is None:
-                incarnation, sequence = known.incarnation, known.sequence
+            if not self._is_renewed(name):
+                sequences = {**known.sequences, **sequences}
         # The dictionary stays in the order of the instants.
         self._removals[name] = _Removal(
             position,
             now + REMOVAL_MEMORY_SECONDS,
-            incarnation,
             self._freshness.may_lack_registrations(now),
-            sequence,
+            sequences,
         )
 
     def _was_removed(self, changed: StorePosition, entry: Upstream) -> bool:
@@ -587,7 +589,7 @@
             and not removal.in_outage
             and removal.position.era < changed.era
             and removal.position.revision >= changed.revision
-            and removal.incarnation in (None, entry.incarnation)
+            and (not removal.sequences or entry.incarnation in removal.sequences)
         )
 
     def _is_doubtful(self, entry: Upstream) -> bool:
@@ -707,7 +709,4 @@
 
 def _is_late_report(removal: _Removal, entry: Upstream) -> bool:
     """Return whether a report was sent before the last one of the removed entry."""
-    return (
-        removal.incarnation == entry.incarnation
-        and 0 < entry.sequence < removal.sequence
-    )
+    return 0 < entry.sequence < removal.sequences.get(entry.incarnation, 0)
--- a/tests/test_runs_in_doubt.py
+++ b/tests/test_runs_in_doubt.py
@@ -72,6 +72,15 @@
     assert vm.usable() == set()
 
 
+def test_late_report_of_a_removed_run_in_doubt_does_not_add_it_again(clock, vm):
+    vm.read_changes(11, registration("u1", 11, born=EARLIER, sequence=9))
+    vm.read_changes(12, registration("u1", 11, born=EARLIER), deleted=True)
+    vm.read_changes(13, registration("u1", 13, born=EARLIER, sequence=8))
+    clock.instant += 2 * GRACE_SECONDS
+    vm.view.directory.expire(clock.instant)
+    assert vm.usable() == set()
+
+
 def test_run_in_doubt_that_said_that_it_leaves_gets_no_requests(vm):
     vm.read_changes(11, registration("u1", 11, born=EARLIER))
     vm.view.directory.on_leaving(UpstreamRun(U1, EARLIER))
@@ -88,3 +97,15 @@
         assert vm.usable() == set()
     vm.read_changes(12, registration("u1", 12, born=LATER))
     assert vm.usable() == {("u1", LATER)}
+
+
+def test_late_report_of_the_known_run_before_the_removal_of_one_in_doubt_adds_nothing(
+    clock, vm
+):
+    vm.read_changes(11, registration("u1", 11, born=LATER, sequence=9))
+    vm.read_changes(12, registration("u1", 12, born=EARLIER, sequence=2))
+    vm.read_changes(13, registration("u1", 12, born=EARLIER), deleted=True)
+    vm.read_changes(14, registration("u1", 14, born=LATER, sequence=8))
+    clock.instant += 2 * GRACE_SECONDS
+    vm.view.directory.expire(clock.instant)
+    assert vm.usable() == set()
