Doubt late reports of the last few runs of an upstream, not of one alone

A late report of the last run but one replaced the known run at once if its clock had been ahead, so that requests were held to its version and its numbers.

Cause: only the run that was replaced last was remembered, and a run with a later start that is not remembered is taken for a new one.

Evidence: test_late_report_of_a_run_two_before_replaces_nothing failed.

Change: the last four replaced runs of an upstream are remembered, without the one that is known now.

Measured: the test passes, with the other tests of the directory.

--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -28,6 +28,9 @@
 """Limit of the runs that are remembered as leaving, the oldest of which are forgotten;
 more than the upstreams of the largest planned fleet."""
 
+MAX_REPLACED_RUNS = 4
+"""Limit of the earlier runs of an upstream whose late reports are not taken for new."""
+
 REMOVAL_TELLING_SECONDS = 1.2
 """Time for which other VMs are told of a removal: in five digests, as some are lost."""
 
@@ -202,8 +205,8 @@
         self._unconfirmed_until: dict[UpstreamId, float] = {}
         self._removals: dict[UpstreamId, _Removal] = {}
         self._doubts: dict[UpstreamId, _Doubt] = {}
-        # The run before the known one.
-        self._replaced: dict[UpstreamId, UpstreamRun] = {}
+        # The last runs before the known one.
+        self._replaced: dict[UpstreamId, tuple[UpstreamRun, ...]] = {}
         self._version_counts: defaultdict[ServiceId, Counter[SoftwareVersion]]
         self._version_counts = defaultdict(Counter)
         # Runs that leave, in the order in which that was learned.
@@ -602,7 +605,7 @@
             and entry.incarnation > 0
             and (
                 entry.incarnation < known.incarnation
-                or entry.run == self._replaced.get(entry.name)
+                or entry.run in self._replaced.get(entry.name, ())
             )
         )
 
@@ -662,7 +665,10 @@
         if known is not None:
             self._count_version(known, -1)
             if known.run != entry.run and entry.incarnation and is_own:
-                self._replaced[entry.name] = known.run
+                replaced = (*self._replaced.get(entry.name, ()), known.run)
+                self._replaced[entry.name] = tuple(
+                    run for run in replaced if run != entry.run
+                )[-MAX_REPLACED_RUNS:]
         self._count_version(entry, 1)
         self._entries[entry.name] = entry
         self._positions[entry.name] = position
--- a/tests/test_runs_in_doubt.py
+++ b/tests/test_runs_in_doubt.py
@@ -87,6 +87,19 @@
     assert vm.usable() == set()
 
 
+def test_late_report_of_a_run_two_before_replaces_nothing(vm):
+    """The clock was set back once; the two later lives count up again."""
+    for revision, born in ((11, 5_000), (12, 6_000)):
+        vm.read_changes(revision, registration("u1", revision, born=born))
+        for _ in range(6):
+            vm.clock.instant += 1.0
+            vm.read_changes(revision)
+            vm.view.directory.expire(vm.clock.instant)
+    assert vm.usable() == {("u1", 6_000)}
+    vm.read_changes(13, registration("u1", 13, born=LATER, sequence=99, version="v0"))
+    assert vm.view.directory.get(U1).incarnation == 6_000
+
+
 def test_late_report_before_an_outage_keeps_the_known_run_from_requests_till_it_reports(
     clock, vm
 ):
