Take blocks that set a retry or type alone for comments

What callers saw: a sound stream that began with `retry: 1000` broke at its first event, and one with such a block between its events broke there.

Cause: any block without an id but comments counted as an event. By the standard of event streams, a block without data dispatches no event.

Now blocks with nothing but comments, `event` and `retry` are no events. A block with other names and no data still is one, though the standard would skip it, too: it may be the text of an error in place of an event ({"error": "failed"}), which must not pass.

Evidence: nine new cases failed before; four more show that data without an id, and text that is no such field, are refused as before.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -17,6 +17,10 @@
 MAX_ID_DIGITS = 18
 """Maximum length of an id; longer ones are no count of events."""
 
+_FIELDS_WITHOUT_EVENT = {b"", b"event", b"retry"}
+"""Fields that dispatch no event by themselves; comments have no name. Other names may
+be the text of an error and count as an event."""
+
 FIRST_IDS = (0, 1)
 """Ids with which a fresh stream may begin."""
 
@@ -47,7 +51,8 @@
         Id of the last whole event, after which a resumed stream continues; None before
         the first.
     event_count : int
-        Number of whole events so far; comments are none.
+        Number of whole events so far; comments, or blocks with nothing but the
+        fields `event` and `retry`, are none.
     is_unnumbered : bool
         Whether an event had no id, so that nothing can go on after it.
     """
@@ -112,7 +117,7 @@
         lines = event.splitlines()
         ids = [line[3:] for line in lines if line.startswith(b"id:") or line == b"id"]
         if not ids:
-            if all(not line or line.startswith(b":") for line in lines):
+            if all(line.partition(b":")[0] in _FIELDS_WITHOUT_EVENT for line in lines):
                 return
             if self.last_id is not None:
                 raise EventOrderError(self._next_id, 0)
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -225,3 +225,35 @@
         seconds.append(time.process_time() - start)
         assert b"".join(events) == b"".join(reads)
     assert min(seconds) <= LARGE_EVENT_SECONDS
+
+
+WITHOUT_DATA = pytest.mark.parametrize(
+    "block", [b"retry: 1000\n\n", b"event: ping\n\n", b": c\nretry\nevent\n\n"]
+)
+
+
+@WITHOUT_DATA
+def test_block_without_data_before_the_first_event_is_passed_on(framer, block):
+    data = block + make_event(1)
+    assert framer.feed(data) == data
+    assert (framer.last_id, framer.event_count) == (1, 1)
+
+
+@WITHOUT_DATA
+def test_block_without_data_between_events_is_passed_on(framer, block):
+    data = make_event(1) + block + make_event(2)
+    assert framer.feed(data) == data
+    assert (framer.last_id, framer.event_count) == (2, 2)
+
+
+@WITHOUT_DATA
+def test_block_without_data_is_no_event_without_an_id(framer, block):
+    assert framer.feed(block) == block
+    assert (framer.is_unnumbered, framer.event_count) == (False, 0)
+
+
+@pytest.mark.parametrize("line", [b"data: x", b"data", b"retrying", b'{"error": "x"}'])
+def test_block_with_more_than_fields_without_data_raises(framer, line):
+    framer.feed(make_event(1))
+    with pytest.raises(EventOrderError, match="expected event 2"):
+        framer.feed(b"event: ping\n" + line + b"\n\n")
