Read the first id behind a byte order mark

What callers saw: a sound stream that began with a byte order mark broke at its second event, as the line of the first id was not found behind the mark.

Now one mark at the start of a stream is skipped when ids are read and passed on unchanged. That of an upstream which resumes an answer is left out: in the middle of an answer, it would hide the id's field from the caller. Any other mark is refused as before.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -1,6 +1,7 @@
 """Framing of server-sent events: whole events with consecutive ids."""
 
 import re
+from codecs import BOM_UTF8
 from dataclasses import dataclass, field
 from itertools import pairwise
 
@@ -61,10 +62,13 @@
     event_count: int = 0
     is_unnumbered: bool = False
     _partial: bytearray = field(default_factory=bytearray)
+    _is_stream_start: bool = True
+    _is_answer_start: bool = True
 
     def discard_partial(self) -> None:
         """Discard a partial event before another upstream resumes the stream."""
         self._partial = bytearray()
+        self._is_stream_start = True
 
     @property
     def is_at_boundary(self) -> bool:
@@ -78,6 +82,9 @@
     def feed(self, data: bytes) -> bytes:
         """Return the whole events that `data` completes.
 
+        A byte order mark before them is kept at the start of the answer only, as it
+        would hide the first field of a resumed stream.
+
         Raises
         ------
         EventOrderError
@@ -91,8 +98,15 @@
                 self._check_size()
                 return b""
             data = bytes(self._partial)
+        bom = b""
+        if self._is_stream_start and data.startswith(BOM_UTF8):
+            bom, data = BOM_UTF8, data[len(BOM_UTF8) :]
         ends = _find_ends(data)
         end = ends[-1] if ends else 0
+        if not end:
+            self._partial = bytearray(bom + data)
+            self._check_size()
+            return b""
         self._partial = bytearray(data[end:])
         self._check_size()
         before = self.last_id, self.event_count, self.is_unnumbered
@@ -102,7 +116,12 @@
         except EventOrderError:
             self.last_id, self.event_count, self.is_unnumbered = before
             raise
-        return data[:end]
+        events = data[:end]
+        if self._is_stream_start:
+            if self._is_answer_start:
+                events = bom + events
+            self._is_stream_start = self._is_answer_start = False
+        return events
 
     def _check_size(self) -> None:
         if len(self._partial) > MAX_EVENT_BYTES:
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -257,3 +257,50 @@
     framer.feed(make_event(1))
     with pytest.raises(EventOrderError, match="expected event 2"):
         framer.feed(b"event: ping\n" + line + b"\n\n")
+
+
+BOM = b"\xef\xbb\xbf"
+
+
+@LINE_ENDS
+def test_byte_order_mark_before_the_first_event_is_passed_on(line_end):
+    first, second = (make_event(n).replace(b"\n", line_end) for n in (1, 2))
+    data = BOM + first + second
+    for split in range(len(data)):
+        framer = EventFramer()
+        assert framer.feed(data[:split]) + framer.feed(data[split:]) == data
+        assert (framer.last_id, framer.is_unnumbered) == (2, False)
+
+
+def test_byte_order_mark_before_a_comment_is_passed_on(framer):
+    data = BOM + b": c\n\n" + make_event(1)
+    assert framer.feed(data) == data
+    assert framer.event_count == 1
+
+
+def test_byte_order_mark_of_a_resumed_stream_does_not_hide_its_first_id(framer):
+    framer.feed(BOM + make_event(1) + make_event(2)[:5])
+    framer.discard_partial()
+    assert framer.feed(BOM + make_event(2)) == make_event(2)
+
+
+def test_byte_order_mark_is_passed_on_from_the_next_upstream_if_none_was(framer):
+    framer.feed(BOM + make_event(1)[:5])
+    framer.discard_partial()
+    assert framer.feed(BOM + make_event(1)) == BOM + make_event(1)
+
+
+@pytest.mark.parametrize(
+    "reads",
+    [
+        [BOM + BOM + make_event(1) + make_event(2)],
+        [make_event(1) + BOM + make_event(2)],
+        [make_event(1), BOM + make_event(2)],
+    ],
+    ids=["second mark", "between events", "in a later read"],
+)
+def test_other_byte_order_mark_raises(framer, reads):
+    for data in reads[:-1]:
+        framer.feed(data)
+    with pytest.raises(EventOrderError):
+        framer.feed(reads[-1])
