End an event at any two line ends, whatever their kinds

What callers saw: a whole stream that ended in CR and CRLF, or had a CR behind its last blank line, counted as broken: the last line end stayed behind as a partial event. Two events with an LF and a CR between them counted as one.

By the standard, a line ends in CRLF, LF or CR, and a blank line of any kind ends an event. Now the expression says just that.

What can't be told: an LF or CRLF and a CR at the end of a read may be one CRLF of which the LF is to come. The CR is held until the next byte, so a stream that ends so still looks incomplete.

--- a/src/oleandershift/eventframes.py
+++ b/src/oleandershift/eventframes.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, field
 from itertools import pairwise
 
-_EVENT_END = re.compile(rb"\n(\r?\n)+|\r\r+|\A[\r\n]+")
+_EVENT_END = re.compile(rb"(?!\r?\n\r\Z)(?:\r\n?+|\n)(?:\r\n?+|\n)++|\A[\r\n]+")
 """Blank lines, also those that come later than the event before them. Lines end in
-CRLF, LF or CR. A CR after an LF is no line of its own, as an LF may follow."""
+CRLF, LF or CR. If an LF and a CR come last, the line is not over: an LF may follow."""
 
 _MAX_END_PREFIX = len(b"\r\n\r")
 """Most bytes of an event's end that can come before the read that completes it."""
--- a/tests/test_eventframes.py
+++ b/tests/test_eventframes.py
@@ -304,3 +304,30 @@
         framer.feed(data)
     with pytest.raises(EventOrderError):
         framer.feed(reads[-1])
+
+
+MIXED_ENDS = pytest.mark.parametrize(
+    "end", [b"\r\r\n", b"\r\n\r\r", b"\n\r\r", b"\n\n\r", b"\r\r\n\r\n", b"\r\n\n\r\n"]
+)
+
+
+@MIXED_ENDS
+def test_stream_that_ends_in_mixed_blank_lines_is_whole(end):
+    data = make_event(1) + b"id: 2\ndata: x" + end
+    for split in range(len(data)):
+        framer = EventFramer()
+        assert framer.feed(data[:split]) + framer.feed(data[split:]) == data
+        assert (framer.last_id, framer.is_at_boundary) == (2, True)
+
+
+@pytest.mark.parametrize("end", [b"\n\r", b"\r\n\r", *MIXED_ENDS.args[1]])
+def test_missing_event_behind_mixed_blank_lines_raises(framer, end):
+    with pytest.raises(EventOrderError, match="received event 3, expected event 2"):
+        framer.feed(b"id: 1\ndata: x" + end + make_event(3))
+
+
+@pytest.mark.parametrize("end", [b"\n\r", b"\r\n\r"])
+def test_event_ends_at_a_cr_behind_an_lf_once_no_lf_follows(framer, end):
+    event = b"id: 1\ndata: x" + end
+    assert framer.feed(event) == b""
+    assert framer.feed(b"i") == event
