Own fleet: let signal handlers take no lock

Its log has no line after the signal but the one of a second SIGTERM, `already draining`, though `draining` was never written.

Cause: the handler put the request to drain into the actor's queue itself. It runs on the main thread, which puts a tick there each 50 ms; a signal that comes within that finds the lock of the queue held by the thread that it interrupts, and both wait for ever, as does the actor.

Change: the handler only records signals, and the main loop passes them on.

--- a/src/oleandershift/io/daemon.py
+++ b/src/oleandershift/io/daemon.py
@@ -8,7 +8,8 @@
 import threading
 import time
 from abc import abstractmethod
-from collections.abc import Callable, Sequence
+from collections import deque
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
 from typing import Any, ClassVar, NoReturn
 
@@ -278,8 +279,9 @@
         _exit_with_error(f"can't listen on {cfg.ip}: {exc}")
     events.write(EventName.STARTED)
     faulthandler.register(signal.SIGUSR1)
-    _install_signal_handlers(ref, cfg.drain_seconds)
-    _run_ticks(ref, stopped)
+    signals = StopSignals(cfg.drain_seconds)
+    signals.install()
+    run_ticks(ref, stopped, signals)
     events.write(EventName.STOPPED)
     links.close()
     metrics.close()
@@ -298,23 +300,50 @@
     os._exit(EXIT_FAILURE)
 
 
-def _run_ticks(ref: pykka.ActorRef[Any], stopped: StopEvent) -> None:
+class StopSignals:
+    """Signals that ask a daemon to stop.
+
+    Their handler records them only: it may interrupt a thread that holds a lock, such
+    as that of the queue in which the actor's messages wait.
+
+    Parameters
+    ----------
+    drain_seconds : float
+        Longest time from the first signal to the stop.
+    """
+
+    def __init__(self, drain_seconds: float) -> None:
+        self._drain_seconds = drain_seconds
+        self._received: deque[tuple[int, float]] = deque()
+        self._is_draining = False
+
+    def install(self) -> None:
+        """Handle the signals from now on."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._on_signal)
+
+    def _on_signal(self, number: int, _frame: object) -> None:
+        self._received.append((number, time.time()))
+
+    def take(self) -> Iterator[DrainRequested]:
+        """Return a request to drain for the first signal; log further ones."""
+        while self._received:
+            number, received_at = self._received.popleft()
+            if self._is_draining:
+                logger.warning("already draining; signal {} ignored", number)
+                continue
+            self._is_draining = True
+            yield DrainRequested(received_at + self._drain_seconds)
+
+
+def run_ticks(
+    ref: pykka.ActorRef[Any], stopped: StopEvent, signals: StopSignals
+) -> None:
+    """Send an actor ticks and requests to stop until it has stopped."""
     while not stopped.wait(TICK_INTERVAL_SECONDS):
         if ref.is_alive():
+            for request in signals.take():
+                ref.tell(request)
             ref.tell(Tick())
         elif not stopped.wait(STOP_TIMEOUT_SECONDS):
             _exit_with_error("the daemon's actor has failed; see the log")
-
-
-def _install_signal_handlers(ref: pykka.ActorRef[Any], drain_seconds: float) -> None:
-    signals = []
-
-    def on_signal(number: int, _frame: object) -> None:
-        signals.append(number)
-        if len(signals) > 1:
-            logger.warning("already draining; signal {} ignored", number)
-            return
-        ref.tell(DrainRequested(time.time() + drain_seconds))
-
-    signal.signal(signal.SIGTERM, on_signal)
-    signal.signal(signal.SIGINT, on_signal)
