--- a/standins/killedupstream.py
+++ b/standins/killedupstream.py
@@ -52,7 +52,7 @@
         os.kill(os.getpid(), signal.SIGKILL)
 
 
-class KilledUpstream(socketserver.ThreadingTCPServer):
+class KilledUpstream(socketserver.TCPServer):
     """Server of an upstream process that is killed.
 
     Parameters
@@ -78,6 +78,14 @@
         super().__init__(("127.0.0.1", port), _Handler)
 
 
+class _OneProcess(socketserver.ThreadingMixIn, KilledUpstream):
+    """Answers in the process that listens, which is killed as a whole."""
+
+
+class _Workers(socketserver.ForkingMixIn, KilledUpstream):
+    """Answers in processes of their own, of which only one is killed."""
+
+
 def main(argv: Sequence[str] | None = None) -> int:
     """Serve until the end."""
     parser = argparse.ArgumentParser("standins.killedupstream", description=__doc__)
@@ -85,10 +93,10 @@
     parser.add_argument("--events", type=int, default=2, help="before the end")
     parser.add_argument("--pause-seconds", type=float, default=0.05)
     parser.add_argument("--exit-seconds", type=float, default=0.0)
+    parser.add_argument("--workers", action="store_true", help="kill a worker only")
     cfg = parser.parse_args(argv)
-    with KilledUpstream(
-        cfg.port, cfg.events, cfg.pause_seconds, cfg.exit_seconds
-    ) as server:
+    make = _Workers if cfg.workers else _OneProcess
+    with make(cfg.port, cfg.events, cfg.pause_seconds, cfg.exit_seconds) as server:
         server.serve_forever()
     return 0
 
--- a/tests/integration/test_gateway_killed_upstreams.py
+++ b/tests/integration/test_gateway_killed_upstreams.py
@@ -39,7 +39,13 @@
 
 
 @pytest.fixture
-def killed(fleet, tmp_path, port, pause_seconds, exit_seconds):
+def options():
+    """Return further options of the upstream; tests may replace them."""
+    return ()
+
+
+@pytest.fixture
+def killed(fleet, tmp_path, port, pause_seconds, exit_seconds, options):
     """Run an upstream that is killed in the middle of its first answer."""
     process = ChildProcess(
         "killed",
@@ -48,6 +54,7 @@
             f"--port={port}",
             f"--pause-seconds={pause_seconds}",
             f"--exit-seconds={exit_seconds}",
+            *options,
         ],
         tmp_path,
         has_log_file_flag=False,
@@ -164,3 +171,11 @@
     answer = gateway.call(path, "a")
     assert answer.status == 502 or not answer.whole
     wait_until(lambda: not killed.is_running(), "the upstream is killed")
+
+
+@pytest.mark.parametrize("options", [("--workers",)], ids=["workers"])
+@pytest.mark.parametrize("path", ["/stream/once/x", "/write/x"])
+def test_answer_of_a_killed_worker_does_not_look_complete(fleet, killed, path):
+    (gateway,) = fleet.gateways
+    answer = gateway.call(path, "a")
+    assert answer.status == 502 or not answer.whole
