--- a/tests/contract/test_store_truncated_answers.py
+++ b/tests/contract/test_store_truncated_answers.py
@@ -46,7 +46,11 @@
 
         def run():
             for answer in answers:
-                conn, _ = server.accept()
+                try:
+                    conn, _ = server.accept()
+                except OSError:
+                    # The test has ended before it used all answers.
+                    return
                 with conn:
                     conn.recv(1 << 16)
                     conn.sendall(answer)
