--- a/tests/integration/test_agents.py
+++ b/tests/integration/test_agents.py
@@ -272,7 +272,7 @@
 ) -> None:
     agents[0].dump_stacks()
     stacks = agents[0].log.with_suffix(".stacks")
-    wait_until(lambda: "_run_ticks" in stacks.read_text(), "stacks")
+    wait_until(lambda: "in run_ticks" in stacks.read_text(), "stacks")
     assert agents[0].is_ready()
 
 
@@ -280,7 +280,7 @@
     agents: list[AgentProcess], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     monkeypatch.setattr("tests.agents.WAIT_TIMEOUT_SECONDS", 0.0)
-    with pytest.raises(AssertionError, match=r"sleeping(.|\n)*_run_ticks"):
+    with pytest.raises(AssertionError, match=r"sleeping(.|\n)*in run_ticks"):
         wait_until(lambda: False, "never", agents[:1])
     agents[1].freeze()
     with pytest.raises(AssertionError, match="stopped"):
