--- a/src/oleandershift/directory.py
+++ b/src/oleandershift/directory.py
@@ -687,7 +687,6 @@
         )
         self._forget_doubt(name)
         if not is_ended and deadline > now:
-            self._forget_results()
             known = self._lapse_deadlines.get(name, deadline)
             is_outage = self._freshness.may_lack_registrations(now)
             # A VM that does not know of the outage would end the use too early.
