Write the registration of a stand-in upstream in one place

Four places listed the same fields: the two upstream stand-ins, the scripted upstreams and the tests of killed ones.

--- a/standins/modelengine.py
+++ b/standins/modelengine.py
@@ -14,6 +14,7 @@
     UNFRAMED_STREAMS,
     Behaviour,
 )
+from standins.registration import registration
 from standins.server import Exchange, Server
 
 ATTEMPT_HEADER = "Oleandershift-Attempt-Id"
@@ -224,17 +225,9 @@
 
     def entry(self, service: str, zone: str, state: str = "ready") -> dict[str, object]:
         """Return the entry that registers the upstream with the platform."""
-        return {
-            "service": service,
-            "address": self.address,
-            "zone": zone,
-            "version": self.version,
-            "slots": 8,
-            "state": state,
-            "coldRemainingMs": 0,
-            "sequence": 1,
-            "born": self.started_at_ms,
-        }
+        return registration(
+            self.address, self.started_at_ms, service, zone, self.version, state
+        )
 
     def ledger(self) -> list[ExecutedRequest]:
         """Return the executed requests in order."""
--- a/standins/wirefleet.py
+++ b/standins/wirefleet.py
@@ -17,6 +17,7 @@
 from standins.ports import free_port
 from standins.processes import ChildProcess, stop_all
 from standins.proxy import Proxy
+from standins.registration import registration
 from standins.soak_log import SoakLog
 
 LAPSE_SECONDS = 3.6
@@ -132,17 +133,16 @@
 
     def entry(self, state: str) -> dict[str, object]:
         """Return the entry that registers it with the platform."""
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": self.zone,
-            "version": self.version,
-            "slots": self.slots,
-            "state": state,
-            "coldRemainingMs": 0,
-            "sequence": self.life,
-            "born": self.born_ms,
-        }
+        return registration(
+            self.address,
+            self.born_ms,
+            self.service,
+            self.zone,
+            self.version,
+            state,
+            self.slots,
+            self.life,
+        )
 
     def _listens(self) -> bool:
         with socket.socket() as conn:
--- a/tests/integration/test_gateway_killed_upstreams.py
+++ b/tests/integration/test_gateway_killed_upstreams.py
@@ -10,6 +10,7 @@
 from standins.killedupstream import event
 from standins.ports import free_port
 from standins.processes import ChildProcess
+from standins.registration import registration
 
 CALLS = 40
 EVENTS = 5
@@ -60,17 +61,7 @@
         has_log_file_flag=False,
     )
     start(process, port)
-    entry = {
-        "service": "model",
-        "address": f"127.0.0.1:{port}",
-        "zone": "one",
-        "version": "v1",
-        "slots": 8,
-        "state": "ready",
-        "coldRemainingMs": 0,
-        "sequence": 1,
-        "born": int(time.time() * 1000),
-    }
+    entry = registration(f"127.0.0.1:{port}", int(time.time() * 1000))
     fleet.store.put("servers", process.name, entry)
     wait_for_upstreams(fleet, 1)
     yield process
--- a/tests/scriptedupstreams.py
+++ b/tests/scriptedupstreams.py
@@ -24,6 +24,7 @@
     configuration,
 )
 from standins.metastore import MetaStore
+from standins.registration import registration
 
 NAMES = ("e1", "e2")
 TIMEOUT_SECONDS = 10.0
@@ -168,17 +169,7 @@
     upstreams = [ScriptedUpstream(script) for _ in NAMES]
     store.put("config", "main", configuration(1))
     for name, upstream in zip(NAMES, upstreams, strict=True):
-        entry = {
-            "service": "model",
-            "address": f"127.0.0.1:{upstream.port}",
-            "zone": "one",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldRemainingMs": 0,
-            "sequence": 1,
-            "born": 1,
-        }
+        entry = registration(f"127.0.0.1:{upstream.port}", born_ms=1)
         store.put("servers", name, entry)
     log = DecisionLog(vm_settings.vm, "ERROR")
     gateway = Gateway(vm_settings, settings_path, METRICS_PORT, log)
