Choose in one place how a closed connection ends

Both gateway modules, the upstream process and the tests call `lingering` now; the stand-ins' server keeps its own, which also unblocks readers. No behaviour is meant to change: the tests of callers' and upstreams' connections, sockets, proxies and old callers pass.

--- a/src/oleandershift/io/callers.py
+++ b/src/oleandershift/io/callers.py
@@ -3,8 +3,6 @@
 import asyncio
 import functools
 import math
-import socket
-import struct
 from collections import deque
 from collections.abc import Callable, Coroutine, Hashable
 from dataclasses import dataclass, field
@@ -16,6 +14,7 @@
 from oleandershift.bytebudget import ByteBudget
 from oleandershift.io.clock import now
 from oleandershift.io.intake import Intake
+from oleandershift.io.lingering import end_on_close, reset_on_close
 from oleandershift.io.peeking import peek
 from oleandershift.overhead import OverheadMeter
 from oleandershift.routing import Limits
@@ -34,10 +33,6 @@
 UNSENT_TIMEOUT_SECONDS = 10.0
 """Longest time for which a closing connection sends nothing of what is left."""
 
-_NO_LINGER = struct.pack("ii", 0, 0)
-_ZERO_LINGER = struct.pack("ii", 1, 0)
-"""Makes a close reset the connection, also that of a killed process."""
-
 _REASON_PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -306,7 +301,7 @@
     def resume_writing(self) -> None:
         """Let `drain` return."""
         if self._is_ending and not self.closed:
-            self._set_linger(_NO_LINGER)
+            end_on_close(self._transport.get_extra_info("socket"))
         waiter, self._writable = self._writable, None
         if waiter is not None and not waiter.done():
             waiter.set_result(None)
@@ -324,7 +319,7 @@
     def reset_on_close(self) -> None:
         """Let the connection end with a reset."""
         if not self._is_closing():
-            self._set_linger(_ZERO_LINGER)
+            reset_on_close(self._transport.get_extra_info("socket"))
 
     def end_when_sent(self) -> None:
         """Let the connection end in good order once all bytes are sent."""
@@ -335,11 +330,7 @@
             # `resume_writing` is called when nothing is left.
             self._transport.set_write_buffer_limits(0)
         else:
-            self._set_linger(_NO_LINGER)
-
-    def _set_linger(self, linger: bytes) -> None:
-        sock = self._transport.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            end_on_close(self._transport.get_extra_info("socket"))
 
     def close(self) -> None:
         """Close after the write buffer was sent, or if the caller stops reading."""
--- a/src/oleandershift/io/upstreamconn.py
+++ b/src/oleandershift/io/upstreamconn.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import math
-import socket
-import struct
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,6 +12,7 @@
 
 from oleandershift.io.callers import Headers
 from oleandershift.io.clock import now
+from oleandershift.io.lingering import reset_on_close
 from oleandershift.io.peeking import peek
 from oleandershift.overhead import OverheadMeter
 from oleandershift.platform import headers
@@ -37,11 +36,6 @@
 
 _BODILESS_STATUSES = (204, 304)
 
-_ZERO_LINGER = struct.pack("ii", 1, 0)
-"""Zero linger time, which makes a close reset the connection. After an ordinary close,
-the kernel would keep sending a request that a slow link holds up, long after its caller
-disconnected."""
-
 
 class FailureCause(Enum):
     """Why an exchange ended without a complete response.
@@ -311,8 +305,9 @@
         """Close immediately; during an exchange, reset to discard unsent bytes."""
         self.reusable = False
         if self._exchange is not None:
-            sock = self._transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _ZERO_LINGER)
+            # After an ordinary close, the kernel would keep sending a request that a
+            # slow link holds up, long after its caller disconnected.
+            reset_on_close(self._transport.get_extra_info("socket"))
         self._transport.abort()
 
     def pause(self) -> None:
--- a/standins/wireupstream.py
+++ b/standins/wireupstream.py
@@ -9,7 +9,6 @@
 import itertools
 import random
 import socket
-import struct
 import threading
 import time
 from pathlib import Path
@@ -17,6 +16,7 @@
 
 import msgspec
 
+from oleandershift.io.lingering import reset_on_close
 from standins.wireanswers import (
     LAST_CHUNK,
     Close,
@@ -43,8 +43,6 @@
 LEAVE_FRACTION = 0.3
 """Fraction of the connections kept that end while they are idle."""
 
-RESET_LINGER = struct.pack("ii", 1, 0)
-
 
 class Work(msgspec.Struct, frozen=True):
     """What a caller asks for, in the body of its request.
@@ -321,7 +319,7 @@
             while conn.recv(4096):
                 pass
         elif style.close is Close.RESET:
-            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            reset_on_close(conn)
         elif style.close is Close.KEEP:
             self._go_on()
             return True
--- a/tests/contract/test_proxy.py
+++ b/tests/contract/test_proxy.py
@@ -1,7 +1,6 @@
 """Contract of the fault-injecting proxy: docs/STANDINS.md."""
 
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -9,11 +8,11 @@
 import pytest
 import urllib3
 
+from oleandershift.io.lingering import reset_on_close
 from standins.plain import PlainService
 from standins.proxy import Proxy
 from standins.proxy_faults import CutStage, CutStyle, ProxyFaults, ProxyMode
 
-RESET_LINGER = struct.pack("ii", 1, 0)
 BROKEN_RESPONSE = (urllib3.exceptions.HTTPError,)
 
 
@@ -184,7 +183,7 @@
         conn.sendall(b"x")
         assert client.recv(1) == b"x"
         if style is CutStyle.RESET:
-            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+            reset_on_close(conn)
         conn.close()
         if style is CutStyle.FINISH:
             assert client.recv(1) == b""
--- a/tests/contract/test_store_truncated_answers.py
+++ b/tests/contract/test_store_truncated_answers.py
@@ -1,16 +1,15 @@
 """Answers of a store that stop at any byte: none is taken for a shorter list."""
 
 import socket
-import struct
 import threading
 
 import pytest
 from returns.result import Failure
 
+from oleandershift.io.lingering import reset_on_close
 from oleandershift.platform.store import StoreClient
 from oleandershift.vmsettings import Address
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 PAGE = (
     b'{"items":[{"metadata":{"name":"u1","revision":3},"spec":1},'
     b'{"metadata":{"name":"u2","revision":4},"spec":%b}],"at":15,"hasMore":false}'
@@ -55,9 +54,7 @@
                     conn.recv(1 << 16)
                     conn.sendall(answer)
                     if resets:
-                        conn.setsockopt(
-                            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                        )
+                        reset_on_close(conn)
 
         threading.Thread(target=run, daemon=True).start()
         return Address(*server.getsockname())
--- a/tests/scriptedupstreams.py
+++ b/tests/scriptedupstreams.py
@@ -4,7 +4,6 @@
 import contextlib
 import http.client
 import socket
-import struct
 import threading
 import time
 from collections.abc import Callable, Iterable
@@ -16,6 +15,7 @@
 
 from oleandershift.io.decisionlog import DecisionLog
 from oleandershift.io.gateway import Gateway
+from oleandershift.io.lingering import reset_on_close
 from oleandershift.vmsettings import VmSettings
 from standins.gateway_fleet import (
     METRICS_PORT,
@@ -31,7 +31,6 @@
 EVENTS = b"id: 1\ndata: a\n\n", b"id: 2\ndata: b\n\n", b"id: 3\ndata: c\n\n"
 EVENT_STREAM = b"Content-Type: text/event-stream"
 CHUNKED = b"Transfer-Encoding: chunked"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class End(Enum):
@@ -130,9 +129,7 @@
                     if end is End.EXIT:
                         self.close()
                     if end is End.RESET:
-                        conn.setsockopt(
-                            socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-                        )
+                        reset_on_close(conn)
                     return
         except OSError:
             return
