Tell the fleet state of restarts without a detour over the store sync

Since the directory says when a run replaces another, the store sync only passed a function on to it, which each of its users had to give. The fleet state, which owns both ends, ties them now.

--- a/src/oleandershift/io/gateway.py
+++ b/src/oleandershift/io/gateway.py
@@ -245,9 +245,7 @@
             log,
         )
         self._state.on_load_change = self._peer_transport.on_load_change
-        self._store_sync = StoreSync(
-            self._view, self._state.on_restart, log, self._metrics
-        )
+        self._store_sync = StoreSync(self._view, log, self._metrics)
         location = Location(
             vm_settings.data_centre,
             vm_settings.region,
--- a/src/oleandershift/io/storesync.py
+++ b/src/oleandershift/io/storesync.py
@@ -3,12 +3,11 @@
 import asyncio
 import math
 import random
-from collections.abc import Callable
 
 from returns.result import Failure
 
 from oleandershift.digests import SnapshotRequest, StoreSnapshot
-from oleandershift.directory import RemovalGrace, UpstreamRun
+from oleandershift.directory import RemovalGrace
 from oleandershift.fleetview import FleetView
 from oleandershift.ids import UpstreamId
 from oleandershift.io.clock import now
@@ -37,9 +36,6 @@
     ----------
     view : FleetView
         Configuration and upstreams to update.
-    on_restart : callable
-        Called with two runs of an upstream when the second replaces the first, and the
-        time at which the second was read.
     log : DecisionLog
         Receives applied and rejected changes.
     metrics : GatewayMetrics
@@ -49,12 +45,10 @@
     def __init__(
         self,
         view: FleetView,
-        on_restart: Callable[[UpstreamRun, UpstreamRun, float], None],
         log: DecisionLog,
         metrics: GatewayMetrics,
     ) -> None:
         self._view = view
-        view.directory.on_restart = on_restart
         self._log = log
         self._metrics = metrics
         self._feeds: list[Feed] = []
--- a/src/oleandershift/state.py
+++ b/src/oleandershift/state.py
@@ -145,6 +145,7 @@
         self.allowances = Allowances(peers.vm, peers.data_centre, peers.fleet)
         self.quarantine = Quarantine(self.quarantine_limits, peers.rank)
         self.stream_versions = StreamVersions(self.started_at)
+        self.view.directory.on_restart = self.on_restart
         # The latest announcement of each kind.
         self._heard: dict[tuple[UpstreamRun, AnnouncementKind], _Heard] = {}
 
--- a/tests/storereaders.py
+++ b/tests/storereaders.py
@@ -42,12 +42,7 @@
     def __init__(self, clock, grace_s):
         self.clock = clock
         self.view = FleetView(grace_s)
-        self.sync = StoreSync(
-            self.view,
-            lambda previous, run, read_at: None,
-            SilentLog(),
-            GatewayMetrics(),
-        )
+        self.sync = StoreSync(self.view, SilentLog(), GatewayMetrics())
 
     def read_list(self, revision, *records):
         """Read a complete list from the store."""
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -42,7 +42,7 @@
 
 @pytest.fixture
 def sync(clock, state):
-    return StoreSync(state.view, state.on_restart, SilentLog(), GatewayMetrics())
+    return StoreSync(state.view, SilentLog(), GatewayMetrics())
 
 
 def read(sync, *records):
--- a/tests/test_storesync.py
+++ b/tests/test_storesync.py
@@ -25,9 +25,7 @@
 
 def make_sync(grace_s=0.0):
     view = FleetView(grace_s)
-    sync = StoreSync(
-        view, lambda previous, run, read_at: None, SilentLog(), GatewayMetrics()
-    )
+    sync = StoreSync(view, SilentLog(), GatewayMetrics())
     return sync, view
 
 
--- a/tests/test_words_before_late_clocks.py
+++ b/tests/test_words_before_late_clocks.py
@@ -34,7 +34,7 @@
 
 @pytest.fixture
 def sync(state):
-    return StoreSync(state.view, state.on_restart, SilentLog(), GatewayMetrics())
+    return StoreSync(state.view, SilentLog(), GatewayMetrics())
 
 
 def read(sync, *records):
--- a/tests/virtualfleet.py
+++ b/tests/virtualfleet.py
@@ -210,9 +210,7 @@
     """Store sync whose calls are made anew in virtual time."""
 
     def __init__(self, vm):
-        super().__init__(
-            vm.view, lambda previous, run, read_at: None, SilentLog(), METRICS
-        )
+        super().__init__(vm.view, SilentLog(), METRICS)
         self._vm = vm
 
     def _repeat_calls(self):
