Ask in one place whether a port accepts connections

The upstream processes of the soak and the tests of killed upstreams each had the question that the tests of the own fleet asked already, twice.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -66,3 +66,9 @@
         _reservations.append(reservation)
         return ip
     raise OSError(f"no address of {network} is free")
+
+
+def is_listening(ip: str, port: int) -> bool:
+    """Return whether a server accepts connections at an address."""
+    with socket.socket() as probe:
+        return probe.connect_ex((ip, port)) == 0
--- a/standins/wirefleet.py
+++ b/standins/wirefleet.py
@@ -3,7 +3,6 @@
 import itertools
 import math
 import random
-import socket
 import threading
 import time
 from collections import Counter
@@ -14,7 +13,7 @@
 
 from standins.gateway_fleet import wait_until
 from standins.metastore import MetaStore
-from standins.ports import free_port
+from standins.ports import free_port, is_listening
 from standins.processes import ChildProcess, stop_all
 from standins.proxy import Proxy
 from standins.registration import registration
@@ -120,7 +119,7 @@
             label, "standins.wireupstream", args, folder, has_log_file_flag=False
         )
         self.process.start()
-        wait_until(self._listens, f"{label} listens")
+        wait_until(lambda: is_listening("127.0.0.1", self.port), f"{label} listens")
         if self.proxy is not None and self.life > 1:
             self.proxy.accept_again()
 
@@ -144,10 +143,6 @@
             self.life,
         )
 
-    def _listens(self) -> bool:
-        with socket.socket() as conn:
-            return conn.connect_ex(("127.0.0.1", self.port)) == 0
-
 
 class WireFleet:
     """Upstream processes, and changes of them that are drawn from a seed.
--- a/tests/integration/test_fleet.py
+++ b/tests/integration/test_fleet.py
@@ -1,7 +1,6 @@
 """Tests of a local fleet of separate processes under load."""
 
 import os
-import socket
 import subprocess
 import sys
 import threading
@@ -20,6 +19,7 @@
 from standins.fleet import Fleet, FleetConfig
 from standins.fleet_file import FILE_NAME, PLATFORM_PORT, read_fleet_file
 from standins.load import LoadGenerator, TeamLoad, describe_failures
+from standins.ports import is_listening
 from standins.workload import RequestMix, WorkItem, generate_work
 
 SUBNETS = range(64, 192)
@@ -34,9 +34,8 @@
     """Return a loopback subnet on which no other fleet runs."""
     for number in range(len(SUBNETS)):
         net = f"127.{SUBNETS[(os.getpid() + number) % len(SUBNETS)]}"
-        with socket.socket() as probe:
-            if probe.connect_ex((f"{net}.0.1", PLATFORM_PORT)):
-                return net
+        if not is_listening(f"{net}.0.1", PLATFORM_PORT):
+            return net
     raise AssertionError("no free subnet")
 
 
@@ -136,10 +135,9 @@
     fleet = read_fleet_file(tmp_path / FILE_NAME)
     urls = [fleet.platform, *(vm.http for vm in fleet.vms)]
     urls += [upstream.url for upstream in fleet.upstreams]
-    assert [url for url in urls if is_listening(url)] == []
+    assert [url for url in urls if serves(url)] == []
 
 
-def is_listening(url: str) -> bool:
+def serves(url: str) -> bool:
     host, port = url.removeprefix("http://").split(":")
-    with socket.socket() as probe:
-        return probe.connect_ex((host, int(port))) == 0
+    return is_listening(host, int(port))
--- a/tests/integration/test_gateway_killed_upstreams.py
+++ b/tests/integration/test_gateway_killed_upstreams.py
@@ -1,6 +1,5 @@
 """Answers without a length, of upstream processes that are killed before their end."""
 
-import socket
 import time
 from concurrent.futures import ThreadPoolExecutor
 
@@ -8,7 +7,7 @@
 
 from standins.gateway_fleet import running_fleet, wait_until
 from standins.killedupstream import event
-from standins.ports import free_port
+from standins.ports import free_port, is_listening
 from standins.processes import ChildProcess
 from standins.registration import registration
 
@@ -70,12 +69,7 @@
 
 def start(process, port):
     process.start()
-    wait_until(lambda: accepts(port), f"port {port} accepts")
-
-
-def accepts(port):
-    with socket.socket() as sock:
-        return sock.connect_ex(("127.0.0.1", port)) == 0
+    wait_until(lambda: is_listening("127.0.0.1", port), f"port {port} accepts")
 
 
 def wait_for_upstreams(fleet, count):
